--- a/src/main/java/moleward/wire/Main.java
+++ b/src/main/java/moleward/wire/Main.java
@@ -21,9 +21,14 @@
             System.err.println("usage: java -jar moleward.jar drill");
             System.exit(2);
         }
+        System.exit(host());
+    }
+
+    /** Answers batches on standard input and output until they end; returns the exit code. */
+    public static int host() {
         InputStreamReader in = new InputStreamReader(System.in, StandardCharsets.UTF_8);
         FileOutputStream out = new FileOutputStream(FileDescriptor.out);
-        System.exit(drill(new BufferedReader(in, 1 << 16), out, System.err));
+        return drill(new BufferedReader(in, 1 << 16), out, System.err);
     }
 
     /** Answers batches until the input ends; returns the exit code. */
--- /dev/null
+++ b/src/main/java/reedmux/cli/Node.java
@@ -0,0 +1,178 @@
+package reedmux.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import moleward.Brain;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import reedmux.config.Config;
+import reedmux.core.Answer;
+import reedmux.core.Clock;
+import reedmux.core.Effects;
+import reedmux.core.Event;
+import reedmux.core.Invocation;
+import reedmux.core.InvokerCall;
+import reedmux.core.Loop;
+import reedmux.core.Reducer;
+import reedmux.discovery.Watch;
+import reedmux.http.Calls;
+import reedmux.http.ConsumerServer;
+import reedmux.http.ProviderClient;
+import reedmux.http.RequestReader;
+import reedmux.http.Transport;
+import reedmux.peer.PeerLink;
+
+/** One gatekeeper, put together: the reducer in the middle, and round it what reads and writes for it. */
+public final class Node implements Effects, AutoCloseable {
+    /** Descriptors for all but consumers and providers: the JVM's own files, selectors, discovery, peers. */
+    private static final int OTHER_DESCRIPTORS = 64;
+    /** The share of a provider's idle limit after which we close and no longer use a connection. */
+    private static final double IDLE_SHARE = 0.5;
+    private static final long SWEEP = TimeUnit.SECONDS.toMicros(2);
+    /** After a SIGTERM new connections come for a while yet, and are served. */
+    private static final long ACCEPT_ON = TimeUnit.MILLISECONDS.toMicros(600);
+
+    /** Time for the last answers to leave, and between looks at whether all are answered. */
+    private static final long LAST_WRITES = TimeUnit.MILLISECONDS.toMicros(50);
+
+    private final Config config;
+    private final Clock clock;
+    private final Consumer<String> log;
+    private final PeerLink peers;
+    private final Loop loop;
+    private final DefaultListeningIOReactor reactor;
+    private final Calls calls;
+    private final ProviderClient providers;
+    private final ConsumerServer consumers;
+    private final Watch watch;
+    private final Reducer reducer;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private volatile boolean serving;
+    private volatile long leavingSince;
+    private ListenerEndpoint listener;
+    private long sweptAt;
+
+    public Node(Config config, Clock clock, Consumer<String> log) throws IOException {
+        this.config = config;
+        this.clock = clock;
+        this.log = log;
+        peers = new PeerLink(config.peerListen(), config.peers(), config.everyPeer());
+        loop = new Loop(clock, peers);
+        int connections = (config.sockets() - OTHER_DESCRIPTORS) / 2;
+        consumers = new ConsumerServer(new RequestReader(config.settings(), clock), loop::post, () -> serving,
+                connections);
+        reactor = Transport.reactor(() -> consumers(), log);
+        calls = new Calls(reactor, clock, connections, (long) (config.connIdle() * IDLE_SHARE));
+        providers = new ProviderClient(calls, loop::post);
+        watch = new Watch(providers, config.discovery(), config.lists(), loop::post, log);
+        reducer = new Reducer(new Brain(config.settings(), config.seed()),
+                config.settings().limits().maxAttempts(), config.connectTimeout(), this);
+    }
+
+    private ConsumerServer consumers() {
+        return consumers;
+    }
+
+    /** Listens, and serves until {@link #leave}; the calling thread owns the reducer. */
+    public void run() throws IOException, InterruptedException {
+        loop.post(new Event.ProvidersTold(config.known()));
+        reactor.start();
+        watch.ask();
+        try {
+            listener = reactor.listen(config.listen(), null).get();
+        } catch (ExecutionException e) {
+            throw new IOException("cannot listen on " + config.listen() + ": " + e.getCause().getMessage());
+        }
+        serving = true;
+        loop.run(reducer, this::afterTurn);
+        reactor.close(CloseMode.IMMEDIATE);
+        ended.countDown();
+    }
+
+    private long afterTurn(long now) {
+        if (now - sweptAt >= SWEEP) {
+            sweptAt = now;
+            calls.sweep();
+        }
+        if (leavingSince == 0) {
+            return sweptAt + SWEEP;
+        }
+        if (now < leavingSince + ACCEPT_ON) {
+            return leavingSince + ACCEPT_ON;
+        }
+        if (listener != null) {
+            listener.close(CloseMode.IMMEDIATE);
+            listener = null;
+            consumers.closeIdle();
+        }
+        boolean done = reducer.unanswered() == 0 && now >= leavingSince + ACCEPT_ON + LAST_WRITES;
+        return done ? Loop.END : now + LAST_WRITES;
+    }
+
+    /** Stops taking in new work a little later, answers all that was taken, and ends. */
+    public void leave() {
+        consumers.leave();
+        leavingSince = clock.now();
+        loop.wake();
+    }
+
+    public boolean awaitEnd(long millis) throws InterruptedException {
+        return ended.await(millis, TimeUnit.MILLISECONDS);
+    }
+
+    public InetSocketAddress listening() {
+        return config.listen();
+    }
+
+    @Override
+    public void close() throws IOException {
+        watch.close();
+        peers.close();
+    }
+
+    // ---- Effects -----------------------------------------------------------------------------------
+    @Override
+    public void answer(Invocation invocation, Answer answer) {
+        invocation.reply().send(answer);
+    }
+
+    @Override
+    public void call(InvokerCall call, long timeout) {
+        providers.call(call, timeout);
+    }
+
+    @Override
+    public void stopConnecting(InvokerCall call) {
+        providers.stopConnecting(call);
+    }
+
+    @Override
+    public void stop(InvokerCall call) {
+        providers.stop(call);
+    }
+
+    @Override
+    public void probe(String provider, InetSocketAddress address, long askedAt) {
+        providers.probe(provider, address, askedAt);
+    }
+
+    @Override
+    public void closeIdle(InetSocketAddress address) {
+        calls.closeIdle(address);
+    }
+
+    @Override
+    public void tell(int peer, byte[] bytes) {
+        peers.tell(peer, bytes);
+    }
+
+    @Override
+    public void log(String line) {
+        log.accept(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/config/Addresses.java
@@ -0,0 +1,36 @@
+package reedmux.config;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Numeric addresses: there is no DNS, so a name is never looked up. */
+final class Addresses {
+    private static final int MOST_PORTS = 65_535;
+
+    private Addresses() { }
+
+    /** The address in {@code a.b.c.d:port}, or null if it is none. */
+    static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        String[] parts = colon < 0 ? new String[0] : text.substring(0, colon).split("\\.", -1);
+        byte[] bytes = new byte[4];
+        if (parts.length != bytes.length) {
+            return null;
+        }
+        try {
+            for (int i = 0; i < bytes.length; i++) {
+                int part = Integer.parseInt(parts[i]);
+                if (part < 0 || part > 255) {
+                    return null;
+                }
+                bytes[i] = (byte) part;
+            }
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return port < 1 || port > MOST_PORTS ? null
+                    : new InetSocketAddress(InetAddress.getByAddress(bytes), port);
+        } catch (NumberFormatException | UnknownHostException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/config/Config.java
@@ -0,0 +1,180 @@
+package reedmux.config;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import moleward.Gateway.Scope;
+import moleward.Gateway.Settings;
+import reedmux.core.Clock;
+import reedmux.core.ProviderList;
+
+/**
+ * All that the gatekeeper is told at its start, read once and checked here, with the defaults that hold where
+ * a key is missing. A {@link ConfigException} names the key that is at fault.
+ */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+                     InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress everyPeer,
+                     Settings settings, long connectTimeout, long connIdle, ProviderList known,
+                     ProviderListReader lists) {
+    private static final int DEFAULT_SOCKETS = 1024;
+    private static final int LEAST_SOCKETS = 128;
+    private static final long DEFAULT_CONNECT_TIMEOUT = 250_000;
+    private static final long DEFAULT_CONN_IDLE = 30_000_000;
+
+    /** Reads the file that the environment names; the environment's own values come before the file's. */
+    public static Config load(Map<String, String> environment, Clock clock) throws ConfigException {
+        String file = environment.get("RELAY_CONFIG");
+        if (file == null || file.isBlank()) {
+            throw new ConfigException("RELAY_CONFIG is not set");
+        }
+        try {
+            return read(Files.readAllBytes(Path.of(file)), environment, clock);
+        } catch (NoSuchFileException e) {
+            throw new ConfigException("RELAY_CONFIG names no file: " + file);
+        } catch (IOException e) {
+            throw new ConfigException("RELAY_CONFIG cannot be read: " + e.getMessage());
+        }
+    }
+
+    /** Reads a configuration from its bytes. */
+    public static Config read(byte[] bytes, Map<String, String> environment, Clock clock)
+            throws ConfigException {
+        Draft draft = new Draft();
+        parse(bytes, draft);
+        if (draft.settings.isEmpty()) {
+            throw new ConfigException("settings is missing");
+        }
+        // On sockets the advice always reaches the consumer, in Retry-After, whatever the simulator does.
+        draft.settings.put("limits.retryAfter", "true");
+        SettingsReader reader = new SettingsReader("settings.", draft.settings);
+        Settings settings = reader.settings();
+        ProviderListReader lists = new ProviderListReader(reader.names("dcs"), reader.names("kinds"), clock);
+        ProviderList known = draft.known == null ? new ProviderList(Scope.CACHED, 0, List.of())
+                : lists.resolve(draft.known, Scope.CACHED);
+        return new Config(environment.getOrDefault("RELAY_NAME", draft.name),
+                address("listen", environment, draft.listen),
+                address("discovery", environment, draft.discovery), draft.seed, draft.sockets,
+                settings.limits().peers() ? draft.peerListen : null, List.copyOf(draft.peers),
+                draft.everyPeer, settings, reader.time("limits.connectTimeoutUs", DEFAULT_CONNECT_TIMEOUT),
+                reader.time("limits.connIdleUs", DEFAULT_CONN_IDLE), known, lists);
+    }
+
+    private static InetSocketAddress address(String key, Map<String, String> environment,
+                                             InetSocketAddress inFile) throws ConfigException {
+        String variable = "RELAY_" + key.toUpperCase(Locale.ROOT);
+        String told = environment.get(variable);
+        InetSocketAddress address = told == null ? inFile : Addresses.parse(told);
+        if (address == null) {
+            throw new ConfigException(told == null ? key + " is missing"
+                    : variable + " is not an address:port: " + told);
+        }
+        return address;
+    }
+
+    private static void parse(byte[] bytes, Draft draft) throws ConfigException {
+        try (JsonParser json = new JsonFactory().createParser(bytes)) {
+            json.nextToken();
+            Json.object(json, name -> draft.field(json, name));
+        } catch (JsonProcessingException e) {
+            throw new ConfigException("RELAY_CONFIG is not JSON: " + e.getOriginalMessage() + " at line "
+                    + e.getLocation().getLineNr());
+        } catch (IOException e) {
+            throw new ConfigException("RELAY_CONFIG cannot be read: " + e.getMessage());
+        }
+    }
+
+    /** What the one pass over the document finds. */
+    private static final class Draft {
+        String name = "reedmux";
+        InetSocketAddress listen;
+        InetSocketAddress discovery;
+        long seed;
+        int sockets = DEFAULT_SOCKETS;
+        InetSocketAddress peerListen;
+        final List<InetSocketAddress> peers = new ArrayList<>();
+        InetSocketAddress everyPeer;
+        ProviderListReader.Listing known;
+        final Map<String, String> settings = new HashMap<>();
+
+        void field(JsonParser json, String name) throws IOException, ConfigException {
+            if (json.currentToken() == JsonToken.VALUE_NULL) {
+                return;
+            }
+            switch (name) {
+                case "name" -> this.name = Json.text(json);
+                case "listen" -> listen = Json.address(json);
+                case "discovery" -> discovery = Json.address(json);
+                case "seed" -> seed = seed(json);
+                case "limits" -> Json.object(json, key -> limit(json, key));
+                case "peer_listen" -> peerListen = Json.address(json);
+                case "peers_all" -> everyPeer = Json.address(json);
+                case "peers" -> Json.array(json, () -> peers.add(Json.address(json)));
+                case "known" -> known = ProviderListReader.read(json);
+                case "settings" -> {
+                    Json.expect(json, JsonToken.START_OBJECT, "is not an object");
+                    flatten(json, "");
+                }
+                default -> json.skipChildren();
+            }
+        }
+
+        private static long seed(JsonParser json) throws IOException, ConfigException {
+            try {
+                return Long.parseUnsignedLong(Json.text(json), 16);
+            } catch (NumberFormatException e) {
+                throw Json.bad(json, "is not 16 hex digits");
+            }
+        }
+
+        private void limit(JsonParser json, String key) throws IOException, ConfigException {
+            if (!key.equals("sockets")) {
+                json.skipChildren();
+                return;
+            }
+            long told = Json.whole(json);
+            if (told < LEAST_SOCKETS) {
+                throw Json.bad(json, "is under " + LEAST_SOCKETS);
+            }
+            sockets = (int) Math.min(Integer.MAX_VALUE, told);
+        }
+
+        /** The values below one place, under names as on the simulator's wire. */
+        private void flatten(JsonParser json, String at) throws IOException {
+            switch (json.currentToken()) {
+                case START_OBJECT -> {
+                    while (json.nextToken() != JsonToken.END_OBJECT) {
+                        String name = json.currentName();
+                        json.nextToken();
+                        flatten(json, at.isEmpty() ? name : at + '.' + name);
+                    }
+                }
+                case START_ARRAY -> {
+                    int count = 0;
+                    List<String> plain = new ArrayList<>();
+                    for (; json.nextToken() != JsonToken.END_ARRAY; count++) {
+                        if (json.currentToken().isScalarValue()) {
+                            plain.add(json.getText());
+                        } else {
+                            flatten(json, at + '.' + count);
+                        }
+                    }
+                    settings.put(at + ".count", Integer.toString(count));
+                    settings.put(at, String.join(",", plain));
+                }
+                case VALUE_NULL -> { }
+                default -> settings.put(at, json.getText());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/core/CallResult.java
@@ -0,0 +1,27 @@
+package reedmux.core;
+
+import moleward.Gateway.Outcome;
+
+/** How an invoker call ended: a value, with how far the call had come. */
+public sealed interface CallResult {
+
+    /** How far a call had come when it ended. */
+    enum Stage { CONNECTING, WRITING, ON_WIRE, ANSWERING }
+
+    /** A whole answer; {@code neverRan} when the provider vouches that it did nothing. */
+    record Answered(int status, boolean neverRan, String contentType, byte[] body) implements CallResult { }
+
+    /** No whole answer: the connection broke, was refused or was closed by us. */
+    record Broken(Stage stage, String reason) implements CallResult { }
+
+    /** The outcome in the module's terms; nothing but a whole answer or an unfinished write proves much. */
+    default Outcome outcome() {
+        if (this instanceof Answered answered) {
+            return answered.status() == 200 ? Outcome.OK
+                    : (answered.status() == 503 || answered.status() == 504) && answered.neverRan()
+                    ? Outcome.FULL : Outcome.ERROR;
+        }
+        Stage stage = ((Broken) this).stage();
+        return stage == Stage.CONNECTING || stage == Stage.WRITING ? Outcome.CONNECT_FAILED : Outcome.RESET;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/core/Invocation.java
@@ -0,0 +1,55 @@
+package reedmux.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import moleward.Gateway.Request;
+
+/**
+ * A consumer's request as the core knows it: what the decisions need, and two things that it only carries,
+ * the message for a provider and the place where the answer goes. A second protocol brings its own of both.
+ */
+public final class Invocation {
+
+    /** A message that goes to a provider as it came; only the protocol that made it looks inside. */
+    public interface Message { }
+
+    /** Where the one final answer goes. */
+    public interface Reply {
+        void send(Answer answer);
+    }
+
+    final Request request;
+    final boolean repeatable;
+    final Message message;
+    final Reply reply;
+    final List<InvokerCall> calls = new ArrayList<>(2);
+    boolean over;
+
+    public Invocation(Request request, boolean repeatable, Message message, Reply reply) {
+        this.request = request;
+        this.repeatable = repeatable;
+        this.message = message;
+        this.reply = reply;
+    }
+
+    public String id() {
+        return request.id();
+    }
+
+    public Message message() {
+        return message;
+    }
+
+    public Reply reply() {
+        return reply;
+    }
+
+    boolean settled() {
+        return over && calls.stream().allMatch(call -> call.ended);
+    }
+
+    /** Whether every call made for it is known never to have run, so that a repeat is harmless. */
+    boolean neverRan() {
+        return calls.stream().allMatch(call -> call.ended && call.neverRan);
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -0,0 +1,324 @@
+package reedmux.core;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import moleward.Gateway;
+import moleward.Gateway.Actions;
+import moleward.Gateway.AttemptEnded;
+import moleward.Gateway.Counted;
+import moleward.Gateway.Metric;
+import moleward.Gateway.Outcome;
+import moleward.Gateway.PeerMessage;
+import moleward.Gateway.Probed;
+import moleward.Gateway.Scope;
+import moleward.Gateway.Server;
+import moleward.Gateway.ServerList;
+import moleward.Gateway.Status;
+import moleward.Gateway.TimerDue;
+import moleward.Gateway.Withdrawn;
+
+/**
+ * The one place where the gatekeeper's state changes. It tells the module what has happened, turns what the
+ * module does into effects, and sees to it that every invocation gets exactly one final answer. It decides
+ * nothing that the module could decide. Times are microseconds of the monotonic clock.
+ */
+public final class Reducer {
+    private static final Map<Metric, Double> NO_REPORT = Map.copyOf(new EnumMap<>(Metric.class));
+
+    /** An event that is due at a time; of those due together the one set first comes first. */
+    private record Timer(long at, long order, Event event) implements Comparable<Timer> {
+        @Override
+        public int compareTo(Timer other) {
+            int byTime = Long.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    private final Gateway module;
+    private final long connectTimeout;
+    private final int maxAttempts;
+    private final Effects effects;
+    private final Actions actions = new ModuleActions();
+    private final Map<String, Invocation> invocations = new HashMap<>();
+    private final Map<String, InetSocketAddress> providers = new HashMap<>();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final ArrayDeque<Event> followUps = new ArrayDeque<>();
+    private long timersSet;
+    private int unanswered;
+    private long now;
+
+    public Reducer(Gateway module, int maxAttempts, long connectTimeout, Effects effects) {
+        this.module = module;
+        this.maxAttempts = maxAttempts;
+        this.connectTimeout = connectTimeout;
+        this.effects = effects;
+    }
+
+    /** Takes in one event at {@code now}, with all that follows from it at once. */
+    public void reduce(long now, Event event) {
+        this.now = now;
+        take(event);
+        for (Event next = followUps.poll(); next != null; next = followUps.poll()) {
+            take(next);
+        }
+    }
+
+    /** Takes in the events whose time has come. */
+    public void reduceDue(long now) {
+        // A timer set meanwhile for now or earlier waits for the next turn, as on the simulator's wire.
+        long lastOrder = timersSet;
+        while (!timers.isEmpty() && timers.peek().at <= now && timers.peek().order <= lastOrder) {
+            reduce(now, timers.poll().event);
+        }
+    }
+
+    /** When the next timer is due; the far future if there is none. */
+    public long nextDue() {
+        return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at;
+    }
+
+    /** Invocations that still wait for their answer. */
+    public int unanswered() {
+        return unanswered;
+    }
+
+    private void take(Event event) {
+        if (event instanceof Event.InvocationTaken e) {
+            onTaken(e.invocation());
+        } else if (event instanceof Event.CallEnded e) {
+            onCallEnded(e.call(), e.result());
+        } else if (event instanceof Event.ConsumerLeft e) {
+            withdraw(e.invocation());
+        } else if (event instanceof Event.TokenDue e) {
+            module.handle(now, new TimerDue(e.token()), actions);
+        } else if (event instanceof Event.PeerTold e) {
+            module.handle(now, new PeerMessage(e.peer(), e.bytes()), actions);
+        } else if (event instanceof Event.CallOverdue e) {
+            stop(e.call(), InvokerCall.Stop.TIMED_OUT);
+        } else if (event instanceof Event.ConnectOverdue e && !e.call().ended) {
+            effects.stopConnecting(e.call());
+        } else if (event instanceof Event.DeadlinePassed e) {
+            onDeadline(e.invocation());
+        } else if (event instanceof Event.ProvidersTold e) {
+            onProviders(e.list());
+        } else if (event instanceof Event.SendVoid e) {
+            module.handle(now, new AttemptEnded(e.invocation().id(), e.invocation().over, e.provider(),
+                    e.number(), 0, 0, e.outcome(), NO_REPORT), actions);
+        } else if (event instanceof Event.ProbeEnded e) {
+            Outcome outcome = e.result().outcome();
+            module.handle(now, new Probed(e.provider(), outcome, now - e.askedAt(), NO_REPORT), actions);
+        } else if (event instanceof Event.CountRefused e) {
+            module.handle(now, new Counted(e.name(), e.outcome(), 0, 0), actions);
+        }
+    }
+
+    private void onTaken(Invocation invocation) {
+        // Ids are fresh on every request; a second one under a live id would mix up two consumers' answers.
+        if (invocations.putIfAbsent(invocation.id(), invocation) != null) {
+            invocation.over = true;
+            effects.answer(invocation, new Answer.Failed(false));
+            return;
+        }
+        unanswered++;
+        setTimer(invocation.request.deadline(), new Event.DeadlinePassed(invocation));
+        module.handle(now, invocation.request, actions);
+    }
+
+    private void onCallEnded(InvokerCall call, CallResult result) {
+        if (call.ended) {
+            return;
+        }
+        Outcome outcome = result.outcome();
+        // One that never was whole on the wire never ran, whatever made us stop; else our stop is the outcome.
+        if (result instanceof CallResult.Broken && outcome != Outcome.CONNECT_FAILED
+                && call.stop != InvokerCall.Stop.NONE) {
+            outcome = call.stop == InvokerCall.Stop.TIMED_OUT ? Outcome.TIMEOUT : Outcome.CANCELLED;
+        }
+        call.ended = true;
+        call.neverRan = outcome.neverRan();
+        Invocation invocation = call.invocation;
+        if (outcome == Outcome.OK) {
+            finish(invocation, new Answer.Served((CallResult.Answered) result));
+        }
+        module.handle(now, new AttemptEnded(invocation.id(), invocation.over, call.provider, call.number, 0,
+                now - call.sentAt, outcome, NO_REPORT), actions);
+        forgetIfSettled(invocation);
+    }
+
+    private void withdraw(Invocation invocation) {
+        if (!invocation.over) {
+            invocation.over = true;
+            unanswered--;
+            module.handle(now, new Withdrawn(invocation.id()), actions);
+            forgetIfSettled(invocation);
+        }
+    }
+
+    /** Guards against a held invocation: whatever the module still waits for, the consumer is answered. */
+    private void onDeadline(Invocation invocation) {
+        if (!invocation.over) {
+            boolean harmless = invocation.repeatable || invocation.neverRan();
+            effects.answer(invocation, harmless ? new Answer.Rejection(0, !invocation.calls.isEmpty())
+                    : new Answer.Failed(true));
+            withdraw(invocation);
+        }
+    }
+
+    private void onProviders(ProviderList list) {
+        if (list.scope() == Scope.FULL) {
+            providers.clear();
+        }
+        for (ProviderList.Provider provider : list.providers()) {
+            Server server = provider.server();
+            if (server.status() == Status.GONE) {
+                InetSocketAddress gone = providers.remove(server.id());
+                if (gone != null) {
+                    effects.closeIdle(gone);
+                }
+            } else {
+                providers.put(server.id(), provider.address());
+            }
+        }
+        module.handle(now, new ServerList(list.scope(),
+                list.providers().stream().map(ProviderList.Provider::server).toList()), actions);
+    }
+
+    private void stop(InvokerCall call, InvokerCall.Stop why) {
+        if (!call.ended && call.stop == InvokerCall.Stop.NONE) {
+            call.stop = why;
+            effects.stop(call);
+        }
+    }
+
+    private void finish(Invocation invocation, Answer answer) {
+        if (!invocation.over) {
+            invocation.over = true;
+            unanswered--;
+            effects.answer(invocation, answer);
+        }
+    }
+
+    private void forgetIfSettled(Invocation invocation) {
+        if (invocation.settled()) {
+            invocations.remove(invocation.id(), invocation);
+        }
+    }
+
+    private void setTimer(long at, Event event) {
+        timers.add(new Timer(at, ++timersSet, event));
+    }
+
+    /** What the module does, as effects. */
+    private final class ModuleActions implements Actions {
+
+        @Override
+        public void send(String request, String server, long timeout) {
+            Invocation invocation = invocations.get(request);
+            if (invocation == null) {
+                effects.log("send for an unknown request " + request);
+                return;
+            }
+            int number = invocation.calls.size();
+            long left = invocation.request.deadline() - now;
+            InetSocketAddress address = providers.get(server);
+            InvokerCall call = new InvokerCall(invocation, number, server, address, now);
+            invocation.calls.add(call);
+            boolean moot = invocation.over || left <= 0 || number >= maxAttempts;
+            if (moot || address == null) {
+                call.ended = true;
+                call.neverRan = true;
+                followUps.add(new Event.SendVoid(invocation, number, server,
+                        moot ? Outcome.MOOT : Outcome.CONNECT_FAILED));
+                return;
+            }
+            long wait = timeout == 0 ? left : Math.min(left, Math.max(0, timeout));
+            effects.call(call, wait);
+            setTimer(now + wait, new Event.CallOverdue(call));
+            setTimer(now + connectTimeout, new Event.ConnectOverdue(call));
+        }
+
+        @Override
+        public void refuse(String request, long retryAfter) {
+            end(request, new Answer.Rejection(retryAfter, false));
+        }
+
+        @Override
+        public void fail(String request) {
+            end(request, new Answer.Failed(false));
+        }
+
+        private void end(String request, Answer answer) {
+            Invocation invocation = invocations.get(request);
+            if (invocation == null) {
+                return;
+            }
+            if (answer instanceof Answer.Rejection rejection && !invocation.calls.isEmpty()) {
+                finish(invocation, new Answer.Rejection(rejection.retryAfter(), true));
+            } else if (answer instanceof Answer.Failed) {
+                InvokerCall last = invocation.calls.isEmpty() ? null
+                        : invocation.calls.get(invocation.calls.size() - 1);
+                finish(invocation, new Answer.Failed(last != null && last.stop == InvokerCall.Stop.TIMED_OUT));
+            } else {
+                finish(invocation, answer);
+            }
+            forgetIfSettled(invocation);
+        }
+
+        @Override
+        public void cancel(String request, int attempt) {
+            Invocation invocation = invocations.get(request);
+            if (invocation != null && attempt < invocation.calls.size()) {
+                stop(invocation.calls.get(attempt), InvokerCall.Stop.CANCELLED);
+            }
+        }
+
+        @Override
+        public void probe(String server) {
+            InetSocketAddress address = providers.get(server);
+            if (address != null) {
+                effects.probe(server, address, now);
+            }
+        }
+
+        @Override
+        public void closeIdle(String server) {
+            InetSocketAddress address = providers.get(server);
+            if (address != null) {
+                effects.closeIdle(address);
+            }
+        }
+
+        @Override
+        public void tell(int peer, byte[] bytes) {
+            effects.tell(peer, bytes);
+        }
+
+        /** No counter service is reached from here: nothing is ever added, and the module is told so. */
+        @Override
+        public void count(long name, double amount, long keep) {
+            followUps.add(new Event.CountRefused(name, Outcome.CONNECT_FAILED));
+        }
+
+        /** Discovery is watched without pause from the start, so there is nothing more to ask for. */
+        @Override
+        public void fetchServers() { }
+
+        /** As for {@link #fetchServers}. */
+        @Override
+        public void watchServers(boolean on) { }
+
+        @Override
+        public void timer(long at, long token) {
+            setTimer(at, new Event.TokenDue(token));
+        }
+
+        @Override
+        public void log(String line) {
+            effects.log(line);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/discovery/Watch.java
@@ -0,0 +1,117 @@
+package reedmux.discovery;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import reedmux.config.ConfigException;
+import reedmux.config.ProviderListReader;
+import reedmux.core.CallResult;
+import reedmux.core.Event;
+import reedmux.core.ProviderList;
+import reedmux.http.ProviderClient;
+
+/**
+ * Watches discovery without a pause: the whole list first, then changes, each call sent as soon as the one
+ * before it was answered, since a watch lapses 200 ms later. While discovery is silent or tells nonsense,
+ * the list that is known goes on serving.
+ */
+public final class Watch implements AutoCloseable {
+    private static final long WAIT_MILLIS = 20_000;
+    /** How much longer than the agreed wait an answer may take before the call is made anew. */
+    private static final long PATIENCE_MILLIS = 2_000;
+    /** A pause after a failure, so that a broken agent is not asked in a tight circle. */
+    private static final long PAUSE_MILLIS = 100;
+
+    private final ProviderClient client;
+    private final InetSocketAddress discovery;
+    private final ProviderListReader lists;
+    private final Consumer<Event> events;
+    private final Consumer<String> log;
+    private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "reedmux-watch");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private long revision = -1;
+    private boolean failing;
+
+    public Watch(ProviderClient client, InetSocketAddress discovery, ProviderListReader lists,
+                 Consumer<Event> events, Consumer<String> log) {
+        this.client = client;
+        this.discovery = discovery;
+        this.lists = lists;
+        this.events = events;
+        this.log = log;
+    }
+
+    /** Makes the next call. */
+    public synchronized void ask() {
+        String target = "/v1/servers"
+                + (revision < 0 ? "" : "?since=" + revision + "&timeout_ms=" + WAIT_MILLIS);
+        Timeout timeout = new Timeout();
+        Runnable stop = client.get(discovery, target, result -> {
+            timeout.clear();
+            onAnswer(result);
+        });
+        timeout.set(timers.schedule(stop, (revision < 0 ? 0 : WAIT_MILLIS) + PATIENCE_MILLIS,
+                TimeUnit.MILLISECONDS));
+    }
+
+    /** The limit on one call, which may end before the limit is even set. */
+    private static final class Timeout {
+        private ScheduledFuture<?> limit;
+        private boolean over;
+
+        synchronized void set(ScheduledFuture<?> told) {
+            limit = told;
+            if (over) {
+                limit.cancel(false);
+            }
+        }
+
+        synchronized void clear() {
+            over = true;
+            if (limit != null) {
+                limit.cancel(false);
+            }
+        }
+    }
+
+    private synchronized void onAnswer(CallResult result) {
+        String problem = result instanceof CallResult.Broken broken ? broken.reason() : null;
+        if (result instanceof CallResult.Answered answered) {
+            problem = answered.status() == 200 ? take(answered.body()) : "status " + answered.status();
+        }
+        if (problem == null) {
+            failing = false;
+            ask();
+            return;
+        }
+        if (!failing) {
+            log.accept("discovery: " + problem + "; the known list goes on serving");
+        }
+        failing = true;
+        timers.schedule(this::ask, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes in an answer; returns what is wrong with it, or null. */
+    private String take(byte[] body) {
+        try {
+            ProviderList list = lists.read(body);
+            revision = list.revision();
+            events.accept(new Event.ProvidersTold(list));
+            return null;
+        } catch (ConfigException e) {
+            revision = -1; // whatever was meant to be told, the whole list will tell it
+            return e.getMessage();
+        }
+    }
+
+    @Override
+    public void close() {
+        timers.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/http/CallExchange.java
@@ -0,0 +1,190 @@
+package reedmux.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.apache.hc.core5.http.EndpointDetails;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.RequestChannel;
+import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.reactor.Command;
+import reedmux.core.CallResult;
+import reedmux.core.CallResult.Stage;
+
+/** One request of ours and what came of it. */
+final class CallExchange implements AsyncClientExchangeHandler {
+    private final Calls calls;
+    private final OutgoingRequest request;
+    private final Consumer<CallResult> done;
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private volatile boolean stopped;
+    private volatile Future<?> connecting;
+    private volatile Connection connection;
+    private volatile EndpointDetails endpoint;
+    private long sentBefore;
+    private long length;
+    private ByteBuffer out;
+    private HttpRequest head;
+    private HttpResponse response;
+    private ByteArrayOutputStream body;
+    private boolean reusable;
+
+    CallExchange(Calls calls, OutgoingRequest request, Consumer<CallResult> done) {
+        this.calls = calls;
+        this.request = request;
+        this.done = done;
+    }
+
+    void connecting(Future<?> future) {
+        connecting = future;
+    }
+
+    /** Goes out on a connection that is up. */
+    void run(Connection on) {
+        connection = on;
+        if (stopped) {
+            on.close();
+            end(new CallResult.Broken(Stage.CONNECTING, "given up"));
+            return;
+        }
+        on.session().enqueue(new RequestExecutionCommand(this, null, null, HttpCoreContext.create()),
+                Command.Priority.IMMEDIATE);
+    }
+
+    /**
+     * Gives the call up. Only once the connection is closed is it certain how far the call had come, so its
+     * end is told from there, not from here.
+     */
+    void stop() {
+        stopped = true;
+        Connection on = connection;
+        if (on != null) {
+            on.close();
+        } else {
+            stopConnecting();
+        }
+    }
+
+    void stopConnecting() {
+        Future<?> future = connecting;
+        if (connection == null && future != null) {
+            future.cancel(true);
+        }
+    }
+
+    void end(CallResult result) {
+        if (ended.compareAndSet(false, true)) {
+            done.accept(result);
+        }
+    }
+
+    // ---- The request -------------------------------------------------------------------------------
+    @Override
+    public void produceRequest(RequestChannel channel, HttpContext context)
+            throws HttpException, IOException {
+        head = request.head();
+        length = request.length(head);
+        EndpointDetails details = HttpCoreContext.cast(context).getEndpointDetails();
+        sentBefore = details.getSentBytesCount();
+        endpoint = details;
+        int bytes = request.body().length;
+        out = ByteBuffer.wrap(request.body());
+        channel.sendRequest(head, bytes == 0 ? null : new BasicEntityDetails(bytes, null), context);
+    }
+
+    @Override
+    public int available() {
+        return out == null ? 0 : out.remaining();
+    }
+
+    @Override
+    public void produce(DataStreamChannel channel) throws IOException {
+        channel.write(out);
+        if (!out.hasRemaining()) {
+            channel.endStream();
+        }
+    }
+
+    // ---- The response ------------------------------------------------------------------------------
+    @Override
+    public void consumeInformation(HttpResponse information, HttpContext context) { }
+
+    @Override
+    public void consumeResponse(HttpResponse received, EntityDetails entity, HttpContext context)
+            throws HttpException, IOException {
+        response = received;
+        reusable = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(head, received, context);
+        if (entity == null) {
+            answered(new byte[0]);
+        } else {
+            body = new ByteArrayOutputStream((int) Math.min(Transport.MOST_BODY,
+                    Math.max(0, entity.getContentLength())));
+        }
+    }
+
+    @Override
+    public void updateCapacity(CapacityChannel capacity) throws IOException {
+        capacity.update(Integer.MAX_VALUE);
+    }
+
+    @Override
+    public void consume(ByteBuffer source) throws IOException {
+        if (body.size() + source.remaining() > Transport.MOST_BODY) {
+            throw new IOException("the answer is over 64 KiB");
+        }
+        while (source.hasRemaining()) {
+            body.write(source.get());
+        }
+    }
+
+    @Override
+    public void streamEnd(List<? extends Header> trailers) {
+        answered(body.toByteArray());
+    }
+
+    private void answered(byte[] bytes) {
+        Connection on = connection;
+        if (reusable && !stopped) {
+            calls.release(on);
+        }
+        Header neverRan = response.getFirstHeader("X-Never-Ran");
+        Header type = response.getFirstHeader("Content-Type");
+        end(new CallResult.Answered(response.getCode(), neverRan != null && "1".equals(neverRan.getValue()),
+                type == null ? null : type.getValue(), bytes));
+    }
+
+    // ---- The end without an answer -----------------------------------------------------------------
+    @Override
+    public void failed(Exception cause) {
+        EndpointDetails details = endpoint;
+        Stage stage = response != null ? Stage.ANSWERING
+                : details != null && details.getSentBytesCount() - sentBefore >= length ? Stage.ON_WIRE
+                : Stage.WRITING;
+        end(new CallResult.Broken(stage, String.valueOf(cause.getMessage())));
+    }
+
+    @Override
+    public void cancel() {
+        end(new CallResult.Broken(Stage.WRITING, "the connection closed before the call was written"));
+    }
+
+    @Override
+    public void releaseResources() {
+        body = null;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/http/ConsumerExchange.java
@@ -0,0 +1,192 @@
+package reedmux.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.ResponseChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import reedmux.core.Answer;
+import reedmux.core.Event;
+import reedmux.core.Invocation;
+
+/** One request of a consumer and its one answer. */
+final class ConsumerExchange implements AsyncServerExchangeHandler, Invocation.Reply {
+    private static final byte[] NOTHING = {};
+
+    private final ConsumerServer server;
+    private final ConsumerServer.Link link;
+    private final AtomicBoolean answered = new AtomicBoolean();
+    private HttpRequest request;
+    private ResponseChannel channel;
+    private HttpContext context;
+    private ByteArrayOutputStream body;
+    private boolean tooLong;
+    private volatile Invocation invocation;
+    private volatile ByteBuffer out;
+    private long takenAt;
+
+    ConsumerExchange(ConsumerServer server, ConsumerServer.Link link) {
+        this.server = server;
+        this.link = link;
+    }
+
+    boolean answered() {
+        return answered.get();
+    }
+
+    // ---- The request -------------------------------------------------------------------------------
+    @Override
+    public void handleRequest(HttpRequest request, EntityDetails entity, ResponseChannel channel,
+                              HttpContext context) throws HttpException, IOException {
+        this.request = request;
+        this.channel = channel;
+        this.context = context;
+        link.used();
+        takenAt = server.reader().now();
+        if (entity == null) {
+            take(NOTHING);
+        } else {
+            body = new ByteArrayOutputStream((int) Math.min(Transport.MOST_BODY,
+                    Math.max(0, entity.getContentLength())));
+        }
+    }
+
+    @Override
+    public void updateCapacity(CapacityChannel capacity) throws IOException {
+        capacity.update(Integer.MAX_VALUE);
+    }
+
+    @Override
+    public void consume(ByteBuffer source) {
+        // What is too long is read to its end and thrown away, so that the connection lives on.
+        tooLong |= body.size() + source.remaining() > Transport.MOST_BODY;
+        while (source.hasRemaining()) {
+            byte next = source.get();
+            if (!tooLong) {
+                body.write(next);
+            }
+        }
+    }
+
+    @Override
+    public void streamEnd(List<? extends Header> trailers) throws HttpException, IOException {
+        if (tooLong) {
+            respond(413, "text/plain", text("the body is over 64 KiB"), -1);
+        } else {
+            take(body.toByteArray());
+        }
+    }
+
+    private void take(byte[] bytes) throws HttpException, IOException {
+        String path = request.getPath();
+        if (path.equals("/healthz")) {
+            boolean ready = server.ready();
+            respond(ready ? 200 : 503, "text/plain", text(ready ? "ready" : "not ready"), -1);
+            return;
+        }
+        RequestReader.Result result = server.reader().read(request, bytes, takenAt, this);
+        if (result.invocation() == null) {
+            respond(result.status(), "text/plain", text(result.problem()), -1);
+        } else {
+            invocation = result.invocation();
+            server.post(new Event.InvocationTaken(invocation));
+        }
+    }
+
+    // ---- The answer --------------------------------------------------------------------------------
+    @Override
+    public void send(Answer answer) {
+        try {
+            if (answer instanceof Answer.Served served) {
+                respond(200, served.result().contentType(), served.result().body(), -1);
+            } else if (answer instanceof Answer.Rejection rejection) {
+                respond(rejection.tried() ? 503 : 429, "text/plain", text("rejected"), rejection.retryAfter());
+            } else {
+                boolean late = ((Answer.Failed) answer).late();
+                respond(late ? 504 : 502, "text/plain", text(late ? "no answer in time" : "failed"), -1);
+            }
+        } catch (HttpException | IOException e) {
+            // The consumer's connection broke just now; its end is told as that of a consumer who left.
+            answered.set(true);
+        }
+    }
+
+    private void respond(int status, String contentType, byte[] bytes, long retryAfter)
+            throws HttpException, IOException {
+        if (!answered.compareAndSet(false, true)) {
+            return;
+        }
+        HttpResponse response = new BasicHttpResponse(status);
+        if (contentType != null) {
+            response.addHeader("Content-Type", contentType);
+        }
+        response.addHeader("Content-Length", Integer.toString(bytes.length));
+        if (retryAfter >= 0) {
+            response.addHeader("Retry-After", seconds(retryAfter));
+        }
+        if (status == 405) {
+            response.addHeader("Allow", request.getMethod().equals("GET") ? "POST" : "GET");
+        }
+        if (server.leaving()) {
+            response.addHeader("Connection", "close");
+        }
+        out = ByteBuffer.wrap(bytes);
+        channel.sendResponse(response, bytes.length == 0 ? null
+                : new BasicEntityDetails(bytes.length, null), context);
+    }
+
+    /** Seconds with three decimals, rounded up: to come back a little early would be to come in vain. */
+    static String seconds(long micros) {
+        long millis = (micros + 999) / 1000;
+        String decimals = Long.toString(1000 + millis % 1000);
+        return millis / 1000 + "." + decimals.substring(1);
+    }
+
+    private static byte[] text(String line) {
+        return (line + '\n').getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public int available() {
+        return out == null ? 0 : out.remaining();
+    }
+
+    @Override
+    public void produce(DataStreamChannel stream) throws IOException {
+        stream.write(out);
+        if (!out.hasRemaining()) {
+            stream.endStream();
+        }
+    }
+
+    // ---- The end -----------------------------------------------------------------------------------
+    /** The connection has ended; without an answer that means the consumer went away. */
+    void consumerLeft() {
+        if (invocation != null && answered.compareAndSet(false, true)) {
+            server.post(new Event.ConsumerLeft(invocation));
+        }
+    }
+
+    @Override
+    public void failed(Exception cause) {
+        consumerLeft();
+    }
+
+    @Override
+    public void releaseResources() {
+        body = null;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/http/OutgoingRequest.java
@@ -0,0 +1,44 @@
+package reedmux.http;
+
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+
+/** A request of ours; {@code traceId} may be null, and {@code expiresMs} below nought, to be left out. */
+record OutgoingRequest(String method, String target, String host, String traceId, long expiresMs,
+                       String contentType, byte[] body) {
+    private static final int REQUEST_LINE = "  HTTP/1.1\r\n".length();
+    private static final int HEADER_LINE = ": \r\n".length();
+    private static final int END_OF_HEAD = "\r\n".length();
+
+    static OutgoingRequest get(String target, String host) {
+        return new OutgoingRequest("GET", target, host, null, -1, null, new byte[0]);
+    }
+
+    HttpRequest head() {
+        HttpRequest head = new BasicHttpRequest(method, target);
+        head.addHeader("Host", host);
+        if (traceId != null) {
+            head.addHeader("X-Trace-Id", traceId);
+        }
+        if (expiresMs >= 0) {
+            head.addHeader("X-Expires-In-Ms", Long.toString(expiresMs));
+        }
+        if (contentType != null) {
+            head.addHeader("Content-Type", contentType);
+        }
+        if (body.length > 0 || method.equals("POST")) {
+            head.addHeader("Content-Length", Integer.toString(body.length));
+        }
+        return head;
+    }
+
+    /** Bytes of it on the wire, by which we know whether a broken call can have run. */
+    long length(HttpRequest head) {
+        long length = REQUEST_LINE + method.length() + target.length() + END_OF_HEAD + body.length;
+        for (Header header : head.getHeaders()) {
+            length += header.getName().length() + header.getValue().length() + HEADER_LINE;
+        }
+        return length;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/http/Transport.java
@@ -0,0 +1,42 @@
+package reedmux.http;
+
+import java.util.concurrent.ThreadFactory;
+import java.util.function.Supplier;
+import java.util.function.Consumer;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.util.TimeValue;
+
+/** The one reactor: a thread that waits for new connections, and one that does all reading and writing. */
+public final class Transport {
+    /** Most bytes of a body, either way; a consumer that sends more is told so. */
+    public static final int MOST_BODY = 64 * 1024;
+    /** Bytes of a connection's buffers: a usual request with its body fits, so that it is one write. */
+    private static final int BUFFER = 4096;
+    private static final int MOST_HEADERS = 64;
+    private static final int LONGEST_LINE = 8192;
+    private static final int BACKLOG = 512;
+    /** Connections have no time-outs of their own, so the reactor need not look for them often. */
+    private static final TimeValue LOOK = TimeValue.ofSeconds(5);
+
+    static final Http1Config HTTP = Http1Config.custom().setBufferSize(BUFFER).setChunkSizeHint(BUFFER)
+            .setMaxHeaderCount(MOST_HEADERS).setMaxLineLength(LONGEST_LINE)
+            .setInitialWindowSize(MOST_BODY + 1).build();
+
+    private Transport() { }
+
+    /** A reactor whose accepted connections and calls are handled by these two. */
+    public static DefaultListeningIOReactor reactor(Supplier<ConsumerServer> server, Consumer<String> log) {
+        ThreadFactory daemon = task -> {
+            Thread thread = new Thread(task, "reedmux-io");
+            thread.setDaemon(true);
+            return thread;
+        };
+        return new DefaultListeningIOReactor((session, attachment) -> attachment instanceof Connection connection
+                ? connection.handler(session) : server.get().handler(session),
+                IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoReuseAddress(true)
+                        .setBacklogSize(BACKLOG).setSelectInterval(LOOK).build(),
+                daemon, daemon, null, failure -> log.accept("reactor: " + failure), null, null);
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/peer/PeerLink.java
@@ -0,0 +1,124 @@
+package reedmux.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import reedmux.core.Event;
+import reedmux.core.Loop;
+
+/** Datagrams from and to the other gatekeepers; the core's loop waits here. */
+public final class PeerLink implements Loop.Waiter, AutoCloseable {
+    public static final int MOST_BYTES = 256;
+    private static final int MOST_A_TURN = 64;
+
+    private final Selector selector;
+    private final DatagramChannel channel;
+    private final List<InetSocketAddress> peers;
+    private final InetSocketAddress everyone;
+    private final Map<SocketAddress, Integer> numbers = new HashMap<>();
+    private final ByteBuffer in = ByteBuffer.allocateDirect(MOST_BYTES + 1);
+    private final ByteBuffer out = ByteBuffer.allocateDirect(MOST_BYTES);
+    private long dropped;
+    private long unsent;
+
+    /** Listens on an address, or only waits where that is null and no peers are to be heard. */
+    public PeerLink(InetSocketAddress listen, List<InetSocketAddress> peers, InetSocketAddress everyone)
+            throws IOException {
+        this.peers = peers;
+        this.everyone = everyone;
+        for (int i = 0; i < peers.size(); i++) {
+            numbers.put(peers.get(i), i);
+        }
+        selector = Selector.open();
+        channel = listen == null ? null : DatagramChannel.open();
+        if (channel != null) {
+            channel.configureBlocking(false);
+            channel.bind(listen);
+            channel.register(selector, SelectionKey.OP_READ);
+        }
+    }
+
+    @Override
+    public void await(long micros) {
+        try {
+            // Rounded up: a wait cut short would only mean one more turn that finds nothing due.
+            selector.select(Math.max(1, Math.min(60_000, (micros + 999) / 1000)));
+            selector.selectedKeys().clear();
+        } catch (IOException e) {
+            throw new IllegalStateException("the selector of the peer link failed", e);
+        }
+    }
+
+    @Override
+    public void wake() {
+        selector.wakeup();
+    }
+
+    /** Takes in what has arrived; from strangers, too long or broken means dropped and counted. */
+    @Override
+    public void drain(Consumer<Event> sink) {
+        for (int i = 0; channel != null && i < MOST_A_TURN; i++) {
+            in.clear();
+            SocketAddress from;
+            try {
+                from = channel.receive(in);
+            } catch (IOException e) {
+                dropped++; // an ICMP error of an earlier send comes up here and says nothing of the next
+                continue;
+            }
+            if (from == null) {
+                return;
+            }
+            Integer number = numbers.get(from);
+            if (number == null || in.position() > MOST_BYTES) {
+                dropped++;
+                continue;
+            }
+            byte[] bytes = new byte[in.position()];
+            in.flip().get(bytes);
+            sink.accept(new Event.PeerTold(number, bytes));
+        }
+    }
+
+    /** Sends to one peer, or to all at -1. What cannot be sent is lost, as on any such link. */
+    public void tell(int peer, byte[] bytes) {
+        InetSocketAddress to = peer < 0 ? everyone : peer < peers.size() ? peers.get(peer) : null;
+        if (channel == null || to == null || bytes.length > MOST_BYTES) {
+            unsent++;
+            return;
+        }
+        out.clear();
+        out.put(bytes).flip();
+        try {
+            channel.send(out, to);
+        } catch (IOException e) {
+            unsent++;
+        }
+    }
+
+    /** Datagrams that came in and were of no use. */
+    public long dropped() {
+        return dropped;
+    }
+
+    /** Datagrams that could not be sent. */
+    public long unsent() {
+        return unsent;
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (channel != null) {
+            channel.close();
+        }
+        selector.close();
+    }
+}
