--- a/src/main/java/reedmux/config/Config.java
+++ b/src/main/java/reedmux/config/Config.java
@@ -23,10 +23,10 @@
  * All that the gatekeeper is told at its start, read once and checked here, with the defaults that hold where
  * a key is missing. A {@link ConfigException} names the key that is at fault.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-                     InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress everyPeer,
-                     Settings settings, long connectTimeout, long connIdle, ProviderList known,
-                     ProviderListReader lists) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+                     int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
+                     InetSocketAddress everyPeer, Settings settings, long connectTimeout, long connIdle,
+                     ProviderList known, ProviderListReader lists) {
     private static final int DEFAULT_SOCKETS = 1024;
     private static final int LEAST_SOCKETS = 128;
     private static final long DEFAULT_CONNECT_TIMEOUT = 250_000;
--- a/src/main/java/reedmux/core/Answer.java
+++ b/src/main/java/reedmux/core/Answer.java
@@ -6,7 +6,7 @@
     /** A provider's answer, passed on unchanged. */
     record Served(CallResult.Answered result) implements Answer { }
 
-    /** Turned away, a repeat is harmless after {@code retryAfter} microseconds; {@code tried}: by providers. */
+    /** Turned away, and better not back before {@code retryAfter}; {@code tried} when it had been sent. */
     record Rejection(long retryAfter, boolean tried) implements Answer { }
 
     /** Failed, promising nothing; {@code late} when time had run out. */
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -133,7 +133,7 @@
             return;
         }
         Outcome outcome = result.outcome();
-        // One that never was whole on the wire never ran, whatever made us stop; else our stop is the outcome.
+        // One that never was whole on the wire never ran, whatever made us stop; else our stop counts.
         if (result instanceof CallResult.Broken && outcome != Outcome.CONNECT_FAILED
                 && call.stop != InvokerCall.Stop.NONE) {
             outcome = call.stop == InvokerCall.Stop.TIMED_OUT ? Outcome.TIMEOUT : Outcome.CANCELLED;
@@ -261,7 +261,8 @@
             } else if (answer instanceof Answer.Failed) {
                 InvokerCall last = invocation.calls.isEmpty() ? null
                         : invocation.calls.get(invocation.calls.size() - 1);
-                finish(invocation, new Answer.Failed(last != null && last.stop == InvokerCall.Stop.TIMED_OUT));
+                boolean late = last != null && last.stop == InvokerCall.Stop.TIMED_OUT;
+                finish(invocation, new Answer.Failed(late));
             } else {
                 finish(invocation, answer);
             }
--- a/src/main/java/reedmux/http/ConsumerExchange.java
+++ b/src/main/java/reedmux/http/ConsumerExchange.java
@@ -113,7 +113,8 @@
             if (answer instanceof Answer.Served served) {
                 respond(200, served.result().contentType(), served.result().body(), -1);
             } else if (answer instanceof Answer.Rejection rejection) {
-                respond(rejection.tried() ? 503 : 429, "text/plain", text("rejected"), rejection.retryAfter());
+                respond(rejection.tried() ? 503 : 429, "text/plain", text("rejected"),
+                        rejection.retryAfter());
             } else {
                 boolean late = ((Answer.Failed) answer).late();
                 respond(late ? 504 : 502, "text/plain", text(late ? "no answer in time" : "failed"), -1);
--- a/src/main/java/reedmux/http/ConsumerServer.java
+++ b/src/main/java/reedmux/http/ConsumerServer.java
@@ -43,7 +43,7 @@
     private final Consumer<Event> events;
     private final BooleanSupplier ready;
     private final int mostConnections;
-    /** Open connections, those longest without an exchange first; touched by the I/O thread and at the end. */
+    /** Open connections, those longest without an exchange first. */
     private final Set<Link> links = new LinkedHashSet<>();
     private volatile boolean leaving;
 
@@ -83,7 +83,8 @@
     /** Closes the connections that wait for nothing. */
     public void closeIdle() {
         synchronized (links) {
-            links.stream().filter(Link::idle).toList().forEach(link -> link.session.close(CloseMode.GRACEFUL));
+            links.stream().filter(Link::idle).toList()
+                    .forEach(link -> link.session.close(CloseMode.GRACEFUL));
         }
     }
 
--- a/src/main/java/reedmux/http/Transport.java
+++ b/src/main/java/reedmux/http/Transport.java
@@ -33,8 +33,8 @@
             thread.setDaemon(true);
             return thread;
         };
-        return new DefaultListeningIOReactor((session, attachment) -> attachment instanceof Connection connection
-                ? connection.handler(session) : server.get().handler(session),
+        return new DefaultListeningIOReactor((session, attachment) ->
+                attachment instanceof Connection ours ? ours.handler(session) : server.get().handler(session),
                 IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoReuseAddress(true)
                         .setBacklogSize(BACKLOG).setSelectInterval(LOOK).build(),
                 daemon, daemon, null, failure -> log.accept("reactor: " + failure), null, null);
