Rename the module's package to reedmux.policy, the adapter's to reedmux.wire

Mechanical: moleward becomes reedmux.policy, moleward.wire becomes reedmux.wire, and the adapter's one line on malformed input begins with the new name, in code and test. The adapter's own main went, since the command line's wirehost starts it.

--- a/src/main/java/reedmux/cli/Main.java
+++ b/src/main/java/reedmux/cli/Main.java
@@ -87,7 +87,7 @@
     public static final class WireHost implements Command {
         @Override
         public int run() {
-            return moleward.wire.Main.host();
+            return reedmux.wire.Main.host();
         }
     }
 
--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import moleward.Brain;
+import reedmux.policy.Brain;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
--- a/src/main/java/reedmux/config/Config.java
+++ b/src/main/java/reedmux/config/Config.java
@@ -14,8 +14,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import moleward.Gateway.Scope;
-import moleward.Gateway.Settings;
+import reedmux.policy.Gateway.Scope;
+import reedmux.policy.Gateway.Settings;
 import reedmux.core.Clock;
 import reedmux.core.ProviderList;
 
--- a/src/main/java/reedmux/config/ProviderListReader.java
+++ b/src/main/java/reedmux/config/ProviderListReader.java
@@ -7,9 +7,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import moleward.Gateway.Scope;
-import moleward.Gateway.Server;
-import moleward.Gateway.Status;
+import reedmux.policy.Gateway.Scope;
+import reedmux.policy.Gateway.Server;
+import reedmux.policy.Gateway.Status;
 import reedmux.core.Clock;
 import reedmux.core.ProviderList;
 
--- a/src/main/java/reedmux/config/SettingsReader.java
+++ b/src/main/java/reedmux/config/SettingsReader.java
@@ -3,14 +3,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import moleward.Gateway.Group;
-import moleward.Gateway.Limits;
-import moleward.Gateway.Metric;
-import moleward.Gateway.Plan;
-import moleward.Gateway.Repeat;
-import moleward.Gateway.RequestClass;
-import moleward.Gateway.Rules;
-import moleward.Gateway.Settings;
+import reedmux.policy.Gateway.Group;
+import reedmux.policy.Gateway.Limits;
+import reedmux.policy.Gateway.Metric;
+import reedmux.policy.Gateway.Plan;
+import reedmux.policy.Gateway.Repeat;
+import reedmux.policy.Gateway.RequestClass;
+import reedmux.policy.Gateway.Rules;
+import reedmux.policy.Gateway.Settings;
 
 /**
  * The settings of an instance from their flat form, {@code lanes.0.name} and the like; keys nobody asks for
--- a/src/main/java/reedmux/core/CallResult.java
+++ b/src/main/java/reedmux/core/CallResult.java
@@ -1,6 +1,6 @@
 package reedmux.core;
 
-import moleward.Gateway.Outcome;
+import reedmux.policy.Gateway.Outcome;
 
 /** How an invoker call ended: a value, with how far the call had come. */
 public sealed interface CallResult {
--- a/src/main/java/reedmux/core/Event.java
+++ b/src/main/java/reedmux/core/Event.java
@@ -1,6 +1,6 @@
 package reedmux.core;
 
-import moleward.Gateway.Outcome;
+import reedmux.policy.Gateway.Outcome;
 
 /** What the reducer is told; all changes of state come from these. */
 public sealed interface Event {
--- a/src/main/java/reedmux/core/Invocation.java
+++ b/src/main/java/reedmux/core/Invocation.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import moleward.Gateway.Request;
+import reedmux.policy.Gateway.Request;
 
 /**
  * A consumer's request as the core knows it: what the decisions need, and two things that it only carries,
--- a/src/main/java/reedmux/core/ProviderList.java
+++ b/src/main/java/reedmux/core/ProviderList.java
@@ -2,8 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import moleward.Gateway.Scope;
-import moleward.Gateway.Server;
+import reedmux.policy.Gateway.Scope;
+import reedmux.policy.Gateway.Server;
 
 /** A list of providers, or changes to one, with the addresses at which this gatekeeper reaches them. */
 public record ProviderList(Scope scope, long revision, List<Provider> providers) {
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -6,20 +6,20 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.PriorityQueue;
-import moleward.Gateway;
-import moleward.Gateway.Actions;
-import moleward.Gateway.AttemptEnded;
-import moleward.Gateway.Counted;
-import moleward.Gateway.Metric;
-import moleward.Gateway.Outcome;
-import moleward.Gateway.PeerMessage;
-import moleward.Gateway.Probed;
-import moleward.Gateway.Scope;
-import moleward.Gateway.Server;
-import moleward.Gateway.ServerList;
-import moleward.Gateway.Status;
-import moleward.Gateway.TimerDue;
-import moleward.Gateway.Withdrawn;
+import reedmux.policy.Gateway;
+import reedmux.policy.Gateway.Actions;
+import reedmux.policy.Gateway.AttemptEnded;
+import reedmux.policy.Gateway.Counted;
+import reedmux.policy.Gateway.Metric;
+import reedmux.policy.Gateway.Outcome;
+import reedmux.policy.Gateway.PeerMessage;
+import reedmux.policy.Gateway.Probed;
+import reedmux.policy.Gateway.Scope;
+import reedmux.policy.Gateway.Server;
+import reedmux.policy.Gateway.ServerList;
+import reedmux.policy.Gateway.Status;
+import reedmux.policy.Gateway.TimerDue;
+import reedmux.policy.Gateway.Withdrawn;
 
 /**
  * The one place where the gatekeeper's state changes. It tells the module what has happened, turns what the
--- a/src/main/java/moleward/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -1,8 +1,8 @@
 // Interface: Gateway.java, beside this file, holds the settings, events and actions that are used here.
-package moleward;
+package reedmux.policy;
 
 import java.util.*;
-import moleward.State.*;
+import reedmux.policy.State.*;
 
 /**
  * All decisions of one gateway. The quota part follows the paper "Distributed rate-limiting POC" as told in
--- a/src/main/java/moleward/Gateway.java
+++ b/src/main/java/reedmux/policy/Gateway.java
@@ -1,4 +1,4 @@
-package moleward;
+package reedmux.policy;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/moleward/PeerPacket.java
+++ b/src/main/java/reedmux/policy/PeerPacket.java
@@ -1,4 +1,4 @@
-package moleward;
+package reedmux.policy;
 
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
--- a/src/main/java/moleward/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -1,4 +1,4 @@
-package moleward;
+package reedmux.policy;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -8,10 +8,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import moleward.Gateway.Plan;
-import moleward.Gateway.Request;
-import moleward.Gateway.RequestClass;
-import moleward.Gateway.Server;
+import reedmux.policy.Gateway.Plan;
+import reedmux.policy.Gateway.Request;
+import reedmux.policy.Gateway.RequestClass;
+import reedmux.policy.Gateway.Server;
 
 /** What a {@link Brain} remembers; it holds values and decides nothing. */
 final class State {
--- a/src/main/java/moleward/wire/Drill.java
+++ b/src/main/java/reedmux/wire/Drill.java
@@ -1,4 +1,4 @@
-package moleward.wire;
+package reedmux.wire;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -9,23 +9,23 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiFunction;
-import moleward.Gateway;
-import moleward.Gateway.AttemptEnded;
-import moleward.Gateway.Counted;
-import moleward.Gateway.Event;
-import moleward.Gateway.Metric;
-import moleward.Gateway.Outcome;
-import moleward.Gateway.PeerMessage;
-import moleward.Gateway.Probed;
-import moleward.Gateway.Request;
-import moleward.Gateway.Scope;
-import moleward.Gateway.Server;
-import moleward.Gateway.ServerList;
-import moleward.Gateway.Settings;
-import moleward.Gateway.Status;
-import moleward.Gateway.StreamStarted;
-import moleward.Gateway.TimerDue;
-import moleward.Gateway.Withdrawn;
+import reedmux.policy.Gateway;
+import reedmux.policy.Gateway.AttemptEnded;
+import reedmux.policy.Gateway.Counted;
+import reedmux.policy.Gateway.Event;
+import reedmux.policy.Gateway.Metric;
+import reedmux.policy.Gateway.Outcome;
+import reedmux.policy.Gateway.PeerMessage;
+import reedmux.policy.Gateway.Probed;
+import reedmux.policy.Gateway.Request;
+import reedmux.policy.Gateway.Scope;
+import reedmux.policy.Gateway.Server;
+import reedmux.policy.Gateway.ServerList;
+import reedmux.policy.Gateway.Settings;
+import reedmux.policy.Gateway.Status;
+import reedmux.policy.Gateway.StreamStarted;
+import reedmux.policy.Gateway.TimerDue;
+import reedmux.policy.Gateway.Withdrawn;
 
 /** Reads batches of the wire, hands each event to its instance and writes the replies. */
 final class Drill {
--- a/src/main/java/moleward/wire/Fields.java
+++ b/src/main/java/reedmux/wire/Fields.java
@@ -1,11 +1,11 @@
-package moleward.wire;
+package reedmux.wire;
 
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
-import moleward.Gateway.Metric;
+import reedmux.policy.Gateway.Metric;
 
 /** The tab-separated parts of one line, read from left to right. */
 final class Fields {
--- a/src/main/java/moleward/wire/Main.java
+++ b/src/main/java/reedmux/wire/Main.java
@@ -1,4 +1,4 @@
-package moleward.wire;
+package reedmux.wire;
 
 import java.io.BufferedReader;
 import java.io.FileDescriptor;
@@ -8,22 +8,13 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
-import moleward.Brain;
+import reedmux.policy.Brain;
 
-/** The command line: {@code drill} speaks the wire on standard input and output. */
+/** The simulator's adapter on standard input and output. */
 public final class Main {
 
     private Main() { }
 
-    /** Runs the adapter until its input ends; malformed input ends it with one line on standard error. */
-    public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: java -jar moleward.jar drill");
-            System.exit(2);
-        }
-        System.exit(host());
-    }
-
     /** Answers batches on standard input and output until they end; returns the exit code. */
     public static int host() {
         InputStreamReader in = new InputStreamReader(System.in, StandardCharsets.UTF_8);
@@ -38,7 +29,7 @@
             drill.run(in, out);
             return 0;
         } catch (Malformed | IOException e) {
-            err.println("moleward: " + e.getMessage());
+            err.println("reedmux: " + e.getMessage());
             return 1;
         }
     }
--- a/src/main/java/moleward/wire/Malformed.java
+++ b/src/main/java/reedmux/wire/Malformed.java
@@ -1,4 +1,4 @@
-package moleward.wire;
+package reedmux.wire;
 
 /** Input that the wire does not allow; the message names the line. */
 final class Malformed extends Exception {
--- a/src/main/java/moleward/wire/Reply.java
+++ b/src/main/java/reedmux/wire/Reply.java
@@ -1,7 +1,7 @@
-package moleward.wire;
+package reedmux.wire;
 
 import java.util.HexFormat;
-import moleward.Gateway.Actions;
+import reedmux.policy.Gateway.Actions;
 
 /** Writes one instance's actions as lines of the reply. */
 final class Reply implements Actions {
--- a/src/test/java/moleward/Example.java
+++ b/src/test/java/reedmux/policy/Example.java
@@ -1,14 +1,14 @@
-package moleward;
+package reedmux.policy;
 
 import java.lang.reflect.Proxy;
 import java.util.List;
-import moleward.Gateway.Actions;
-import moleward.Gateway.Request;
-import moleward.Gateway.Scope;
-import moleward.Gateway.Server;
-import moleward.Gateway.ServerList;
-import moleward.Gateway.Settings;
-import moleward.Gateway.Status;
+import reedmux.policy.Gateway.Actions;
+import reedmux.policy.Gateway.Request;
+import reedmux.policy.Gateway.Scope;
+import reedmux.policy.Gateway.Server;
+import reedmux.policy.Gateway.ServerList;
+import reedmux.policy.Gateway.Settings;
+import reedmux.policy.Gateway.Status;
 
 /** The README's example. */
 final class Example {
--- a/src/test/java/moleward/Group.java
+++ b/src/test/java/reedmux/policy/Group.java
@@ -1,4 +1,4 @@
-package moleward;
+package reedmux.policy;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -8,22 +8,22 @@
 import java.util.PriorityQueue;
 import java.util.function.BiPredicate;
 import java.util.function.Function;
-import moleward.Gateway.Actions;
-import moleward.Gateway.AttemptEnded;
-import moleward.Gateway.Event;
-import moleward.Gateway.Outcome;
-import moleward.Gateway.PeerMessage;
-import moleward.Gateway.Plan;
-import moleward.Gateway.Repeat;
-import moleward.Gateway.Request;
-import moleward.Gateway.RequestClass;
-import moleward.Gateway.Rules;
-import moleward.Gateway.Scope;
-import moleward.Gateway.Server;
-import moleward.Gateway.ServerList;
-import moleward.Gateway.Settings;
-import moleward.Gateway.Status;
-import moleward.Gateway.TimerDue;
+import reedmux.policy.Gateway.Actions;
+import reedmux.policy.Gateway.AttemptEnded;
+import reedmux.policy.Gateway.Event;
+import reedmux.policy.Gateway.Outcome;
+import reedmux.policy.Gateway.PeerMessage;
+import reedmux.policy.Gateway.Plan;
+import reedmux.policy.Gateway.Repeat;
+import reedmux.policy.Gateway.Request;
+import reedmux.policy.Gateway.RequestClass;
+import reedmux.policy.Gateway.Rules;
+import reedmux.policy.Gateway.Scope;
+import reedmux.policy.Gateway.Server;
+import reedmux.policy.Gateway.ServerList;
+import reedmux.policy.Gateway.Settings;
+import reedmux.policy.Gateway.Status;
+import reedmux.policy.Gateway.TimerDue;
 
 /** Modules that hear each other through a small event queue; each test says what is lost and what answers. */
 final class Group {
--- a/src/test/java/moleward/GuardTest.java
+++ b/src/test/java/reedmux/policy/GuardTest.java
@@ -1,4 +1,4 @@
-package moleward;
+package reedmux.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -11,15 +11,15 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.IntStream;
-import moleward.Gateway.Limits;
-import moleward.Gateway.Outcome;
-import moleward.Gateway.Plan;
-import moleward.Gateway.Scope;
-import moleward.Gateway.Server;
-import moleward.Gateway.ServerList;
-import moleward.Gateway.Settings;
-import moleward.Gateway.Status;
-import moleward.Gateway.Withdrawn;
+import reedmux.policy.Gateway.Limits;
+import reedmux.policy.Gateway.Outcome;
+import reedmux.policy.Gateway.Plan;
+import reedmux.policy.Gateway.Scope;
+import reedmux.policy.Gateway.Server;
+import reedmux.policy.Gateway.ServerList;
+import reedmux.policy.Gateway.Settings;
+import reedmux.policy.Gateway.Status;
+import reedmux.policy.Gateway.Withdrawn;
 import org.junit.jupiter.api.Test;
 
 /** The rules' guards, the caps and the care of servers. */
--- a/src/test/java/moleward/ModuleTest.java
+++ b/src/test/java/reedmux/policy/ModuleTest.java
@@ -1,4 +1,4 @@
-package moleward;
+package reedmux.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,7 +12,7 @@
 
 /** The module's size and width, and its first line. */
 class ModuleTest {
-    private static final Path SOURCES = Path.of("src/main/java/moleward");
+    private static final Path SOURCES = Path.of("src/main/java/reedmux/policy");
 
     @Test
     void theModuleCanBeReadWithinAnHour() throws IOException {
@@ -37,7 +37,7 @@
 
     @Test
     void readmeShowsTheExampleThatIsCompiledHere() throws IOException {
-        String example = Files.readString(Path.of("src/test/java/moleward/Example.java"));
+        String example = Files.readString(Path.of("src/test/java/reedmux/policy/Example.java"));
         String shown = example.substring(example.indexOf("    static void serve"), example.lastIndexOf('}'));
         assertTrue(Files.readString(Path.of("README.md")).contains(shown.stripTrailing()));
         assertEquals(1, Example.sentFor(Group.settings(0, 1, Group.quota(1, 1))));
--- a/src/test/java/moleward/PeerPacketTest.java
+++ b/src/test/java/reedmux/policy/PeerPacketTest.java
@@ -1,4 +1,4 @@
-package moleward;
+package reedmux.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/src/test/java/moleward/QuotaTest.java
+++ b/src/test/java/reedmux/policy/QuotaTest.java
@@ -1,4 +1,4 @@
-package moleward;
+package reedmux.policy;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -12,7 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.IntStream;
-import moleward.Gateway.Plan;
+import reedmux.policy.Gateway.Plan;
 import org.junit.jupiter.api.Test;
 
 /** The quota over a heap of gateways, also through lost, doubled and garbled messages, cuts and restarts. */
--- a/src/test/java/moleward/wire/DrillTest.java
+++ b/src/test/java/reedmux/wire/DrillTest.java
@@ -1,4 +1,4 @@
-package moleward.wire;
+package reedmux.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,9 +11,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import moleward.Gateway;
-import moleward.Gateway.Event;
-import moleward.Gateway.Outcome;
+import reedmux.policy.Gateway;
+import reedmux.policy.Gateway.Event;
+import reedmux.policy.Gateway.Outcome;
 import org.junit.jupiter.api.Test;
 
 class DrillTest {
@@ -76,7 +76,7 @@
             err.reset();
             assertEquals(1, drill(batch), batch);
             String line = err.toString(StandardCharsets.UTF_8);
-            assertTrue(line.startsWith("moleward: line ") && line.indexOf('\n') == line.length() - 1, line);
+            assertTrue(line.startsWith("reedmux: line ") && line.indexOf('\n') == line.length() - 1, line);
         }
     }
 
