--- /dev/null
+++ b/src/main/java/reedmux/http/Body.java
@@ -0,0 +1,62 @@
+package reedmux.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+
+/** The body of one message: gathered from a connection up to the bound, or written to one. */
+final class Body {
+    static final byte[] NONE = {};
+
+    /** Gathers a body; past the bound it is thrown away, as there is no use for a part. */
+    static final class In {
+        private final ByteArrayOutputStream bytes;
+        private boolean tooLong;
+
+        In(EntityDetails details) {
+            long told = Math.max(0, details.getContentLength());
+            bytes = new ByteArrayOutputStream((int) Math.min(Transport.MOST_BODY, told));
+        }
+
+        void take(ByteBuffer source) {
+            tooLong |= bytes.size() + source.remaining() > Transport.MOST_BODY;
+            byte[] chunk = new byte[source.remaining()];
+            source.get(chunk);
+            if (!tooLong) {
+                bytes.write(chunk, 0, chunk.length);
+            }
+        }
+
+        boolean tooLong() {
+            return tooLong;
+        }
+
+        byte[] bytes() {
+            return bytes.toByteArray();
+        }
+    }
+
+    /** Writes a body as far as the connection takes it. */
+    static final class Out {
+        private final ByteBuffer bytes;
+
+        Out(byte[] bytes) {
+            this.bytes = ByteBuffer.wrap(bytes);
+        }
+
+        int available() {
+            return bytes.remaining();
+        }
+
+        void write(DataStreamChannel channel) throws IOException {
+            channel.write(bytes);
+            if (!bytes.hasRemaining()) {
+                channel.endStream();
+            }
+        }
+    }
+
+    private Body() { }
+}
--- a/src/main/java/reedmux/http/CallExchange.java
+++ b/src/main/java/reedmux/http/CallExchange.java
@@ -1,6 +1,5 @@
 package reedmux.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -38,10 +37,10 @@
     private volatile EndpointDetails endpoint;
     private long sentBefore;
     private long length;
-    private ByteBuffer out;
+    private Body.Out out;
     private HttpRequest head;
     private HttpResponse response;
-    private ByteArrayOutputStream body;
+    private Body.In body;
     private boolean reusable;
 
     CallExchange(Calls calls, OutgoingRequest request, Consumer<CallResult> done) {
@@ -103,21 +102,18 @@
         sentBefore = details.getSentBytesCount();
         endpoint = details;
         int bytes = request.body().length;
-        out = ByteBuffer.wrap(request.body());
+        out = new Body.Out(request.body());
         channel.sendRequest(head, bytes == 0 ? null : new BasicEntityDetails(bytes, null), context);
     }
 
     @Override
     public int available() {
-        return out == null ? 0 : out.remaining();
+        return out == null ? 0 : out.available();
     }
 
     @Override
     public void produce(DataStreamChannel channel) throws IOException {
-        channel.write(out);
-        if (!out.hasRemaining()) {
-            channel.endStream();
-        }
+        out.write(channel);
     }
 
     // ---- The response ------------------------------------------------------------------------------
@@ -130,10 +126,9 @@
         response = received;
         reusable = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(head, received, context);
         if (entity == null) {
-            answered(new byte[0]);
+            answered(Body.NONE);
         } else {
-            body = new ByteArrayOutputStream((int) Math.min(Transport.MOST_BODY,
-                    Math.max(0, entity.getContentLength())));
+            body = new Body.In(entity);
         }
     }
 
@@ -144,17 +139,15 @@
 
     @Override
     public void consume(ByteBuffer source) throws IOException {
-        if (body.size() + source.remaining() > Transport.MOST_BODY) {
+        body.take(source);
+        if (body.tooLong()) {
             throw new IOException("the answer is over 64 KiB");
         }
-        while (source.hasRemaining()) {
-            body.write(source.get());
-        }
     }
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
-        answered(body.toByteArray());
+        answered(body.bytes());
     }
 
     private void answered(byte[] bytes) {
--- a/src/main/java/reedmux/http/ConsumerExchange.java
+++ b/src/main/java/reedmux/http/ConsumerExchange.java
@@ -1,6 +1,5 @@
 package reedmux.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -24,18 +23,15 @@
 
 /** One request of a consumer and its one answer. */
 final class ConsumerExchange implements AsyncServerExchangeHandler, Invocation.Reply {
-    private static final byte[] NOTHING = {};
-
     private final ConsumerServer server;
     private final ConsumerServer.Link link;
     private final AtomicBoolean answered = new AtomicBoolean();
     private HttpRequest request;
     private ResponseChannel channel;
     private HttpContext context;
-    private ByteArrayOutputStream body;
-    private boolean tooLong;
+    private Body.In body;
     private volatile Invocation invocation;
-    private volatile ByteBuffer out;
+    private volatile Body.Out out;
     private long takenAt;
 
     ConsumerExchange(ConsumerServer server, ConsumerServer.Link link) {
@@ -57,10 +53,9 @@
         link.used();
         takenAt = server.reader().now();
         if (entity == null) {
-            take(NOTHING);
+            take(Body.NONE);
         } else {
-            body = new ByteArrayOutputStream((int) Math.min(Transport.MOST_BODY,
-                    Math.max(0, entity.getContentLength())));
+            body = new Body.In(entity);
         }
     }
 
@@ -71,22 +66,15 @@
 
     @Override
     public void consume(ByteBuffer source) {
-        // What is too long is read to its end and thrown away, so that the connection lives on.
-        tooLong |= body.size() + source.remaining() > Transport.MOST_BODY;
-        while (source.hasRemaining()) {
-            byte next = source.get();
-            if (!tooLong) {
-                body.write(next);
-            }
-        }
+        body.take(source); // one that is too long is read to its end, so that the connection lives on
     }
 
     @Override
     public void streamEnd(List<? extends Header> trailers) throws HttpException, IOException {
-        if (tooLong) {
+        if (body.tooLong()) {
             respond(413, "text/plain", text("the body is over 64 KiB"), -1);
         } else {
-            take(body.toByteArray());
+            take(body.bytes());
         }
     }
 
@@ -144,7 +132,7 @@
         if (server.leaving()) {
             response.addHeader("Connection", "close");
         }
-        out = ByteBuffer.wrap(bytes);
+        out = new Body.Out(bytes);
         channel.sendResponse(response, bytes.length == 0 ? null
                 : new BasicEntityDetails(bytes.length, null), context);
     }
@@ -162,15 +150,12 @@
 
     @Override
     public int available() {
-        return out == null ? 0 : out.remaining();
+        return out == null ? 0 : out.available();
     }
 
     @Override
     public void produce(DataStreamChannel stream) throws IOException {
-        stream.write(out);
-        if (!out.hasRemaining()) {
-            stream.endStream();
-        }
+        out.write(stream);
     }
 
     // ---- The end -----------------------------------------------------------------------------------
--- a/src/main/java/reedmux/http/OutgoingRequest.java
+++ b/src/main/java/reedmux/http/OutgoingRequest.java
@@ -12,7 +12,7 @@
     private static final int END_OF_HEAD = "\r\n".length();
 
     static OutgoingRequest get(String target, String host) {
-        return new OutgoingRequest("GET", target, host, null, -1, null, new byte[0]);
+        return new OutgoingRequest("GET", target, host, null, -1, null, Body.NONE);
     }
 
     HttpRequest head() {
