Timers of ended calls no longer wake the loop

Checked: posted events account for about 75 of them, peers' datagrams and the module's own timer for about 50; the rest were turns for CallOverdue, ConnectOverdue and DeadlinePassed of calls and invocations that had long ended (lines: Reducer.nextDue gave the head of the heap whatever it was).

--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -76,8 +76,14 @@
         }
     }
 
-    /** When the next timer is due; the far future if there is none. */
+    /**
+     * When the next timer is due; the far future if there is none. Timers whose subject has ended are passed
+     * over: nearly all of them end that way, and a turn for each would cost more than the request did.
+     */
     public long nextDue() {
+        while (!timers.isEmpty() && pointless(timers.peek().event)) {
+            timers.poll();
+        }
         return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at;
     }
 
@@ -86,6 +92,12 @@
         return unanswered;
     }
 
+    private static boolean pointless(Event event) {
+        return event instanceof Event.CallOverdue overdue ? overdue.call().ended
+                : event instanceof Event.ConnectOverdue connect ? connect.call().ended
+                : event instanceof Event.DeadlinePassed deadline && deadline.invocation().over;
+    }
+
     private void take(Event event) {
         if (event instanceof Event.InvocationTaken e) {
             onTaken(e.invocation());
