Faults stop where they happen; health only with a provider known; descriptors bounded for bursts

Seen: read through what could end the program or make it look alive in vain. A port in use left the main thread with a stack trace and the leave hook waiting 8 s (Node.run never counted 'ended' down); an exception in one decision ended the loop (Reducer.reduce); a dead reactor thread went unnoticed (the library closes its sockets on an accept failure and says nothing); /healthz said 200 with an empty list; 512 accepted at one go on top of both bounds came to more than 1,024 descriptors.

Expect: 100-continue is answered.

--- a/src/main/java/reedmux/cli/Main.java
+++ b/src/main/java/reedmux/cli/Main.java
@@ -80,7 +80,12 @@
                     Thread.currentThread().interrupt();
                 }
             }, "reedmux-leave"));
-            node.run();
+            try {
+                node.run();
+            } catch (IOException | IllegalStateException e) {
+                System.err.println("reedmux: " + e.getMessage());
+                return 1;
+            }
             return -1; // the program ends when its hook, which waits for us, returns
         }
     }
--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -66,10 +66,10 @@
         this.log = log;
         peers = new PeerLink(config.peerListen(), config.peers(), config.everyPeer());
         loop = new Loop(clock, peers);
-        int connections = (config.sockets() - OTHER_DESCRIPTORS) / 2;
-        consumers = new ConsumerServer(new RequestReader(config.settings(), clock), loop::post, () -> serving,
-                connections);
-        reactor = Transport.reactor(() -> consumers(), log);
+        int connections = (config.sockets() - OTHER_DESCRIPTORS - Transport.BACKLOG) / 2;
+        RequestReader reader = new RequestReader(config.settings(), clock);
+        consumers = new ConsumerServer(reader, loop::post, this::canServe, connections);
+        reactor = Transport.reactor(consumers, log);
         calls = new Calls(reactor, clock, connections, (long) (config.connIdle() * IDLE_SHARE));
         providers = new ProviderClient(calls, loop::post);
         watch = new Watch(providers, config.discovery(), config.lists(), loop::post, log);
@@ -77,10 +77,6 @@
                 config.settings().limits().maxAttempts(), config.connectTimeout(), this);
     }
 
-    private ConsumerServer consumers() {
-        return consumers;
-    }
-
     /** Listens, and serves until {@link #leave}; the calling thread owns the reducer. */
     public void run() throws IOException, InterruptedException {
         loop.post(new Event.ProvidersTold(config.known()));
@@ -88,14 +84,19 @@
         watch.ask();
         try {
             listener = reactor.listen(config.listen(), null).get();
+            serving = true;
+            listening.countDown();
+            loop.run(reducer, this::afterTurn);
         } catch (ExecutionException e) {
             throw new IOException("cannot listen on " + config.listen() + ": " + e.getCause().getMessage());
+        } finally {
+            reactor.close(CloseMode.IMMEDIATE);
+            ended.countDown();
         }
-        serving = true;
-        listening.countDown();
-        loop.run(reducer, this::afterTurn);
-        reactor.close(CloseMode.IMMEDIATE);
-        ended.countDown();
+    }
+
+    private boolean canServe() {
+        return serving && reducer.anyProvider();
     }
 
     private long afterTurn(long now) {
@@ -104,6 +105,11 @@
             calls.sweep();
         }
         if (leavingSince == 0) {
+            // A reactor whose thread has died closes its sockets and says nothing. To go on without
+            // sockets would look alive and serve nobody, so the program ends and is started again.
+            if (listener.isClosed()) {
+                throw new IllegalStateException("the reactor has ended");
+            }
             return sweptAt + SWEEP;
         }
         if (now < leavingSince + ACCEPT_ON) {
--- a/src/main/java/reedmux/config/Config.java
+++ b/src/main/java/reedmux/config/Config.java
@@ -28,7 +28,7 @@
                      InetSocketAddress everyPeer, Settings settings, long connectTimeout, long connIdle,
                      ProviderList known, ProviderListReader lists) {
     private static final int DEFAULT_SOCKETS = 1024;
-    private static final int LEAST_SOCKETS = 128;
+    private static final int LEAST_SOCKETS = 256;
     private static final long DEFAULT_CONNECT_TIMEOUT = 250_000;
     private static final long DEFAULT_CONN_IDLE = 30_000_000;
 
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -47,6 +47,7 @@
     private final Map<String, InetSocketAddress> providers = new HashMap<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final ArrayDeque<Event> followUps = new ArrayDeque<>();
+    private volatile boolean anyProvider;
     private long timersSet;
     private int unanswered;
     private long now;
@@ -61,9 +62,23 @@
     /** Takes in one event at {@code now}, with all that follows from it at once. */
     public void reduce(long now, Event event) {
         this.now = now;
-        take(event);
+        protect(event);
         for (Event next = followUps.poll(); next != null; next = followUps.poll()) {
-            take(next);
+            protect(next);
+        }
+    }
+
+    /**
+     * A fault in a decision must not take all other consumers' answers along. The invocation it concerned is
+     * answered at its deadline at the latest, as every invocation is.
+     */
+    private void protect(Event event) {
+        try {
+            take(event);
+        } catch (RuntimeException e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            effects.log("fault at " + event.getClass().getSimpleName() + ": " + e
+                    + (trace.length == 0 ? "" : " at " + trace[0]));
         }
     }
 
@@ -92,6 +107,11 @@
         return unanswered;
     }
 
+    /** Whether there is anyone to send to; may be asked from any thread. */
+    public boolean anyProvider() {
+        return anyProvider;
+    }
+
     private static boolean pointless(Event event) {
         return event instanceof Event.CallOverdue overdue ? overdue.call().ended
                 : event instanceof Event.ConnectOverdue connect ? connect.call().ended
@@ -195,6 +215,7 @@
                 providers.put(server.id(), provider.address());
             }
         }
+        anyProvider = !providers.isEmpty();
         module.handle(now, new ServerList(list.scope(),
                 list.providers().stream().map(ProviderList.Provider::server).toList()), actions);
     }
--- a/src/main/java/reedmux/http/ConsumerExchange.java
+++ b/src/main/java/reedmux/http/ConsumerExchange.java
@@ -56,6 +56,9 @@
             take(Body.NONE);
         } else {
             body = new Body.In(entity);
+            if (request.containsHeader("Expect")) { // some consumers hold the body back until told to go on
+                channel.sendInformation(new BasicHttpResponse(100), context);
+            }
         }
     }
 
--- a/src/main/java/reedmux/http/ConsumerServer.java
+++ b/src/main/java/reedmux/http/ConsumerServer.java
@@ -128,6 +128,7 @@
                         link.session.close(CloseMode.GRACEFUL);
                     }
                 }
+                // The newest is idle as well: where all others are busy, it goes itself.
             }
         }
 
--- a/src/main/java/reedmux/http/Transport.java
+++ b/src/main/java/reedmux/http/Transport.java
@@ -1,7 +1,6 @@
 package reedmux.http;
 
 import java.util.concurrent.ThreadFactory;
-import java.util.function.Supplier;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
@@ -16,7 +15,8 @@
     private static final int BUFFER = 4096;
     private static final int MOST_HEADERS = 64;
     private static final int LONGEST_LINE = 8192;
-    private static final int BACKLOG = 512;
+    /** Connections that may be accepted at one go, before those over the bound are closed again. */
+    public static final int BACKLOG = 128;
     /** Connections have no time-outs of their own, so the reactor need not look for them often. */
     private static final TimeValue LOOK = TimeValue.ofSeconds(5);
 
@@ -27,14 +27,14 @@
     private Transport() { }
 
     /** A reactor whose accepted connections and calls are handled by these two. */
-    public static DefaultListeningIOReactor reactor(Supplier<ConsumerServer> server, Consumer<String> log) {
+    public static DefaultListeningIOReactor reactor(ConsumerServer server, Consumer<String> log) {
         ThreadFactory daemon = task -> {
             Thread thread = new Thread(task, "reedmux-io");
             thread.setDaemon(true);
             return thread;
         };
         return new DefaultListeningIOReactor((session, attachment) ->
-                attachment instanceof Connection ours ? ours.handler(session) : server.get().handler(session),
+                attachment instanceof Connection ours ? ours.handler(session) : server.handler(session),
                 IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoReuseAddress(true)
                         .setBacklogSize(BACKLOG).setSelectInterval(LOOK).build(),
                 daemon, daemon, null, failure -> log.accept("reactor: " + failure), null, null);
