--- a/src/main/java/reedmux/cli/Main.java
+++ b/src/main/java/reedmux/cli/Main.java
@@ -5,6 +5,7 @@
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
@@ -14,7 +15,13 @@
 
 /** The command line. */
 public final class Main {
-    private static final String USAGE = "serve | wirehost | check-config | self-check | version";
+    private static final String USAGE = """
+            usage: reedmux COMMAND
+              serve         run a gatekeeper until SIGTERM; RELAY_CONFIG names its configuration
+              wirehost      speak the simulator's wire on standard input and output
+              check-config  say whether the configuration can be used, or which key is at fault
+              self-check    start a gatekeeper from a sample configuration, ask it once, end it
+              version       print the version""";
     private static final int BAD_USAGE = 2;
     private static final int BAD_CONFIG = 3;
 
@@ -24,7 +31,7 @@
     }
 
     @Argument(index = 0, required = true, metaVar = "COMMAND", handler = SubCommandHandler.class,
-            usage = USAGE)
+            usage = "what to do")
     @SubCommands({
         @SubCommand(name = "serve", impl = Serve.class),
         @SubCommand(name = "wirehost", impl = WireHost.class),
@@ -34,6 +41,9 @@
     })
     private Command command;
 
+    @Option(name = "--help", aliases = "-h", help = true, usage = "print this")
+    private boolean help;
+
     private Main() { }
 
     public static void main(String[] args) throws IOException, InterruptedException {
@@ -43,9 +53,13 @@
             parser.parseArgument(args);
         } catch (CmdLineException e) {
             System.err.println("reedmux: " + e.getMessage());
-            System.err.println("usage: reedmux " + USAGE);
+            System.err.println(USAGE);
             System.exit(BAD_USAGE);
         }
+        if (main.help || main.command == null) {
+            System.out.println(USAGE);
+            System.exit(0);
+        }
         int code = main.command.run();
         if (code >= 0) {
             System.exit(code);
