What breaks while an answer or a call is handed over stays with that connection

Seen in the code: ConsumerExchange.send caught checked exceptions only, and Calls.start let the reactor's shutdown exception through; either would have come out inside Brain in the middle of a decision and left its counts half changed. Both now end at the connection or as a value.

--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -87,6 +87,7 @@
             serving = true;
             listening.countDown();
             loop.run(reducer, this::afterTurn);
+            log.accept("ended; datagrams dropped " + peers.dropped() + ", not sent " + peers.unsent());
         } catch (ExecutionException e) {
             throw new IOException("cannot listen on " + config.listen() + ": " + e.getCause().getMessage());
         } finally {
--- a/src/main/java/reedmux/http/Calls.java
+++ b/src/main/java/reedmux/http/Calls.java
@@ -43,7 +43,12 @@
         if (kept != null) {
             exchange.run(kept);
         } else if (makeRoom()) {
-            connect(to, exchange);
+            try {
+                connect(to, exchange);
+            } catch (RuntimeException e) { // the reactor has been shut down, as at the very end of leaving
+                closed();
+                exchange.end(new CallResult.Broken(Stage.CONNECTING, String.valueOf(e.getMessage())));
+            }
         } else {
             exchange.end(new CallResult.Broken(Stage.CONNECTING, "all connections are in use"));
         }
--- a/src/main/java/reedmux/http/ConsumerExchange.java
+++ b/src/main/java/reedmux/http/ConsumerExchange.java
@@ -110,9 +110,10 @@
                 boolean late = ((Answer.Failed) answer).late();
                 respond(late ? 504 : 502, "text/plain", text(late ? "no answer in time" : "failed"), -1);
             }
-        } catch (HttpException | IOException e) {
-            // The consumer's connection broke just now; its end is told as that of a consumer who left.
-            answered.set(true);
+        } catch (HttpException | IOException | RuntimeException e) {
+            // The consumer's connection broke just now, and nobody is left to be told. Anything thrown on
+            // from here would come out in the middle of a decision.
+            link.broken();
         }
     }
 
--- a/src/main/java/reedmux/http/ConsumerServer.java
+++ b/src/main/java/reedmux/http/ConsumerServer.java
@@ -116,6 +116,10 @@
             }
         }
 
+        void broken() {
+            session.close(CloseMode.IMMEDIATE);
+        }
+
         private void opened() {
             synchronized (links) {
                 links.add(this);
--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -17,6 +17,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,7 +34,8 @@
  * Plays the recorded exchanges in {@code src/test/resources/exchanges} against the program, line by line.
  * A line names a party and what it does: {@code >} sends a line, {@code >>} sends without a line's end,
  * {@code <} expects a line, in which {@code *} stands for anything, {@code <<} expects just these bytes,
- * {@code skip} reads on to the end of a head. c1, c2 are consumers, p1 a provider, d is discovery, u1 a peer.
+ * {@code skip} reads on to the end of a head, {@code node log} compares what was logged.
+ * c1, c2 are consumers, p1 a provider, d is discovery, u1 a peer.
  */
 @RunWith(Parameterized.class)
 public final class ExchangeTest {
@@ -54,6 +56,7 @@
     private final Map<String, Socket> sockets = new HashMap<>();
     private final Map<String, DatagramSocket> datagrams = new HashMap<>();
     private final List<Exception> crashes = new ArrayList<>();
+    private final List<String> log = Collections.synchronizedList(new ArrayList<>());
     private Node node;
     private Thread running;
     private InetSocketAddress peerListen;
@@ -126,7 +129,7 @@
         if (node != null) {
             return;
         }
-        node = new Node(read(config), new Clock(), line -> { });
+        node = new Node(read(config), new Clock(), log::add);
         running = new Thread(() -> {
             try {
                 node.run();
@@ -157,6 +160,8 @@
         if (party.equals("node")) {
             if (parts[1].equals("leave")) {
                 node.leave();
+            } else if (parts[1].equals("log")) {
+                expect(rest, String.join("|", log));
             } else {
                 running.join(HANGS);
                 assertTrue("still running", !running.isAlive());
