The watch ends before the reactor does

After the end of serving the log said 'discovery: Connection is closed; the known list goes on serving', and the watch went on to ask a closed reactor. The faulty lines: Node.run closed the reactor only, and Watch.onAnswer took the end of its own call for discovery's. Checked: nothing else was logged after the end; serving itself was not touched.

--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -91,6 +91,7 @@
         } catch (ExecutionException e) {
             throw new IOException("cannot listen on " + config.listen() + ": " + e.getCause().getMessage());
         } finally {
+            watch.close();
             reactor.close(CloseMode.IMMEDIATE);
             ended.countDown();
         }
@@ -144,7 +145,6 @@
 
     @Override
     public void close() throws IOException {
-        watch.close();
         peers.close();
     }
 
--- a/src/main/java/reedmux/discovery/Watch.java
+++ b/src/main/java/reedmux/discovery/Watch.java
@@ -37,6 +37,7 @@
     });
     private long revision = -1;
     private boolean failing;
+    private boolean closed;
 
     public Watch(ProviderClient client, InetSocketAddress discovery, ProviderListReader lists,
                  Consumer<Event> events, Consumer<String> log) {
@@ -49,6 +50,9 @@
 
     /** Makes the next call. */
     public synchronized void ask() {
+        if (closed) {
+            return;
+        }
         String target = "/v1/servers"
                 + (revision < 0 ? "" : "?since=" + revision + "&timeout_ms=" + WAIT_MILLIS);
         Timeout timeout = new Timeout();
@@ -81,6 +85,9 @@
     }
 
     private synchronized void onAnswer(CallResult result) {
+        if (closed) {
+            return; // the call ended with the program, which says nothing of discovery
+        }
         String problem = result instanceof CallResult.Broken broken ? broken.reason() : null;
         if (result instanceof CallResult.Answered answered) {
             problem = answered.status() == 200 ? take(answered.body()) : "status " + answered.status();
@@ -111,7 +118,8 @@
     }
 
     @Override
-    public void close() {
+    public synchronized void close() {
+        closed = true;
         timers.shutdownNow();
     }
 }
