Leaving waits until after the last answer, not only until the reducer has given it

Seen in the code: Node.afterTurn ended the loop in the very turn in which the last invocation was answered and the reactor was closed at once, while the answer's bytes are written by the I/O thread. The faulty line: 'done' looked at leavingSince only, so LAST_WRITES was no grace for an answer given later.

Tried and not kept: writing answers on the I/O thread, on the guess that head and body cost two wake-ups and two writes.

Conclusion: the fix stays, the guess does not.

--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -59,6 +59,7 @@
     private volatile ListenerEndpoint listener;
     private boolean accepting = true;
     private long sweptAt;
+    private long quietSince = Long.MAX_VALUE;
 
     public Node(Config config, Clock clock, Consumer<String> log) throws IOException {
         this.config = config;
@@ -122,8 +123,11 @@
             listener.close(CloseMode.IMMEDIATE);
             consumers.closeIdle();
         }
-        boolean done = reducer.unanswered() == 0 && now >= leavingSince + ACCEPT_ON + LAST_WRITES;
-        return done ? Loop.END : now + LAST_WRITES;
+        // An answer is still to be written by the I/O thread when the reducer has done with it: only a
+        // while after the last one may the sockets go.
+        boolean quiet = reducer.unanswered() == 0;
+        quietSince = quiet ? Math.min(quietSince, now) : Long.MAX_VALUE;
+        return quiet && now - quietSince >= LAST_WRITES ? Loop.END : now + LAST_WRITES;
     }
 
     /** Stops taking in new work a little later, answers all that was taken, and ends. */
--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -181,6 +181,7 @@
                 }
                 case "accept" -> sockets.put(party, listeners.get(party).accept());
                 case "refuse" -> listeners.get(party).close();
+                case "refused" -> untilRefused();
                 case "end" -> socket(party).shutdownOutput();
                 case "reset" -> {
                     socket(party).setSoLinger(true, 0);
@@ -205,6 +206,17 @@
         return socket;
     }
 
+    /** Connects again and again until nobody listens any more. */
+    private void untilRefused() throws Exception {
+        while (true) {
+            try (Socket socket = new Socket()) {
+                socket.connect(node.awaitListening(), HANGS);
+            } catch (SocketException e) {
+                return; // refused, or reset while the listener was just being closed
+            }
+        }
+    }
+
     private void send(String party, String text) throws Exception {
         socket(party).getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
