Consumers that dawdle, flood or frame badly are bounded; SIGHUP moves the watch

Checked: of 256 and 384 descriptors consumers had (sockets - 64 - 128) / 2 = 32 and 96, while consumers alone may hold a third, so connections were being closed all the time. ConsumerServer.Link.idle() took an exchange for over as soon as answered() was set, before its bytes were written, so the ones closed were cut off in the middle of the answer. Ruled out: the reducer (every invocation had its answer), deadlines. Read in the library: at the end of the input its parser takes a cut-off head for a whole one; it prefers Transfer-Encoding to a length that contradicts it; LENGTH in ConsumerServer turned a bad length into "no body", so that the body was parsed as the next request; a pipeline has no bound.

Now: connections that give way are those without a request, dawdlers first, and only once their answer is written; a request must be whole 2 s after its first byte; an unreadable head, a bad length or a body over 64 KiB is answered at once, nothing behind it is read, and the connection closes after the consumer could read it. Values are read strictly. SIGHUP has a handler before ready; the file is read off the I/O thread; the watch asks the new discovery for the whole list; a bad file keeps the old settings and names the key.

--- a/src/main/java/reedmux/cli/Main.java
+++ b/src/main/java/reedmux/cli/Main.java
@@ -1,6 +1,7 @@
 package reedmux.cli;
 
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.util.Map;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
@@ -86,6 +87,8 @@
             Clock clock = new Clock();
             Config config = config(System.getenv(), clock);
             Node node = new Node(config, clock, line -> System.err.println("reedmux: " + line));
+            // Set before anything is ready: without a handler SIGHUP ends the program.
+            onHangUp(() -> node.reload(() -> Config.reload(System.getenv(), clock)));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 node.leave();
                 try {
@@ -104,6 +107,38 @@
         }
     }
 
+    /**
+     * Runs this at each SIGHUP, on a thread of its own. The JDK's class for signals is no part of its
+     * documented interface, and a use of it in the text is a warning that nothing can silence; so it is
+     * looked up, and where there is none the program starts all the same and says so.
+     */
+    static void onHangUp(Runnable task) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object proxy = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
+                    (self, method, arguments) -> {
+                        switch (method.getName()) {
+                            case "handle" -> task.run();
+                            case "equals" -> {
+                                return self == arguments[0];
+                            }
+                            case "hashCode" -> {
+                                return System.identityHashCode(self);
+                            }
+                            default -> {
+                                return "reload at SIGHUP";
+                            }
+                        }
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
+        } catch (ReflectiveOperationException | RuntimeException e) {
+            System.err.println("reedmux: SIGHUP is not handled here: " + e);
+        }
+    }
+
     /** Speaks the simulator's wire on standard input and output. */
     public static final class WireHost implements Command {
         @Override
--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +13,7 @@
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import reedmux.config.Config;
+import reedmux.config.ConfigException;
 import reedmux.core.Answer;
 import reedmux.core.Clock;
 import reedmux.core.Effects;
@@ -34,7 +36,8 @@
     private static final int OTHER_DESCRIPTORS = 64;
     /** The share of a provider's idle limit after which we close and no longer use a connection. */
     private static final double IDLE_SHARE = 0.5;
-    private static final long SWEEP = TimeUnit.SECONDS.toMicros(2);
+    /** Between looks for connections whose time is up: a bad consumer is owed its end within 3 s. */
+    private static final long SWEEP = TimeUnit.MILLISECONDS.toMicros(250);
     /** After a SIGTERM new connections come for a while yet, and are served. */
     private static final long ACCEPT_ON = TimeUnit.MILLISECONDS.toMicros(600);
 
@@ -106,6 +109,7 @@
         if (now - sweptAt >= SWEEP) {
             sweptAt = now;
             calls.sweep();
+            consumers.sweep();
         }
         if (leavingSince == 0) {
             // A reactor whose thread has died closes its sockets and says nothing. To go on without
@@ -137,6 +141,28 @@
         loop.wake();
     }
 
+    /**
+     * Takes over what a new configuration says of discovery and keeps all else; may be called by any thread
+     * but the I/O thread, which has no time for files. One that cannot be read changes nothing.
+     */
+    public void reload(Reading reading) {
+        try {
+            Config told = reading.read();
+            List<String> kept = config.fixedAtStart(told);
+            if (!kept.isEmpty()) {
+                log.accept("configuration: a change takes a restart: " + String.join(", ", kept));
+            }
+            watch.move(told.discovery());
+        } catch (ConfigException e) {
+            log.accept("configuration: " + e.getMessage() + "; the old settings stay");
+        }
+    }
+
+    /** Reads a configuration, or says which key is at fault. */
+    public interface Reading {
+        Config read() throws ConfigException;
+    }
+
     public boolean awaitEnd(long millis) throws InterruptedException {
         return ended.await(millis, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/reedmux/config/Config.java
+++ b/src/main/java/reedmux/config/Config.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import reedmux.policy.Gateway.Scope;
 import reedmux.policy.Gateway.Settings;
 import reedmux.core.Clock;
@@ -47,6 +48,33 @@
         }
     }
 
+    /** Reads the file anew: what it says of discovery now is news, and comes before the environment. */
+    public static Config reload(Map<String, String> environment, Clock clock) throws ConfigException {
+        Map<String, String> rest = new HashMap<>(environment);
+        rest.remove("RELAY_DISCOVERY");
+        return load(rest, clock);
+    }
+
+    /** What differs from another configuration but is only read at the start, by its keys. */
+    public List<String> fixedAtStart(Config other) {
+        List<String> keys = new ArrayList<>();
+        if (!listen.equals(other.listen)) {
+            keys.add("listen");
+        }
+        if (sockets != other.sockets) {
+            keys.add("limits.sockets");
+        }
+        if (!Objects.equals(peerListen, other.peerListen) || !peers.equals(other.peers)
+                || !Objects.equals(everyPeer, other.everyPeer)) {
+            keys.add("peers");
+        }
+        if (!settings.equals(other.settings) || connectTimeout != other.connectTimeout
+                || connIdle != other.connIdle) {
+            keys.add("settings");
+        }
+        return keys;
+    }
+
     /** Reads a configuration from its bytes. */
     public static Config read(byte[] bytes, Map<String, String> environment, Clock clock)
             throws ConfigException {
--- a/src/main/java/reedmux/config/SettingsReader.java
+++ b/src/main/java/reedmux/config/SettingsReader.java
@@ -17,6 +17,8 @@
  * are passed over. The simulator's adapter and the real gatekeeper read their settings here and only here.
  */
 public final class SettingsReader {
+    /** For units of one request, where no bound is told. */
+    private static final double NO_BOUND = 1e9;
     private final Map<String, String> values;
 
     private final String place;
@@ -49,7 +51,7 @@
             throw bad((classes.isEmpty() ? "lanes" : "packages") + ".count must be above nought");
         }
         return new Settings(self, groupSize, (int) number("az", 0), text("discovery", "push").equals("ask"),
-                flag("extra.truedUp"), number("extra.unitsTop", 1), time("tickUs", 1000),
+                flag("extra.truedUp"), number("extra.unitsTop", NO_BOUND), time("tickUs", 1000),
                 List.copyOf(classes), List.copyOf(plans), rules(), limits());
     }
 
--- a/src/main/java/reedmux/discovery/Watch.java
+++ b/src/main/java/reedmux/discovery/Watch.java
@@ -1,9 +1,8 @@
 package reedmux.discovery;
 
 import java.net.InetSocketAddress;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import reedmux.config.ConfigException;
@@ -26,15 +25,16 @@
     private static final long PAUSE_MILLIS = 100;
 
     private final ProviderClient client;
-    private final InetSocketAddress discovery;
     private final ProviderListReader lists;
     private final Consumer<Event> events;
     private final Consumer<String> log;
-    private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor(task -> {
+    private final ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1, task -> {
         Thread thread = new Thread(task, "reedmux-watch");
         thread.setDaemon(true);
         return thread;
     });
+    private InetSocketAddress discovery;
+    private Runnable stopCall = () -> { };
     private long revision = -1;
     private boolean failing;
     private boolean closed;
@@ -46,6 +46,8 @@
         this.lists = lists;
         this.events = events;
         this.log = log;
+        // The limits of calls that have ended would else hold on to them, and what they read, for 22 s.
+        timers.setRemoveOnCancelPolicy(true);
     }
 
     /** Makes the next call. */
@@ -56,10 +58,12 @@
         String target = "/v1/servers"
                 + (revision < 0 ? "" : "?since=" + revision + "&timeout_ms=" + WAIT_MILLIS);
         Timeout timeout = new Timeout();
-        Runnable stop = client.get(discovery, target, result -> {
+        InetSocketAddress asked = discovery;
+        Runnable stop = client.get(asked, target, result -> {
             timeout.clear();
-            onAnswer(result);
+            onAnswer(asked, result);
         });
+        stopCall = stop;
         timeout.set(timers.schedule(stop, (revision < 0 ? 0 : WAIT_MILLIS) + PATIENCE_MILLIS,
                 TimeUnit.MILLISECONDS));
     }
@@ -84,9 +88,29 @@
         }
     }
 
-    private synchronized void onAnswer(CallResult result) {
-        if (closed) {
-            return; // the call ended with the program, which says nothing of discovery
+    /**
+     * Goes on at another address, with the whole list first: revisions there need not go on from here. Where
+     * the address is the same the watch that runs is left alone, as its next answer is as good as any.
+     */
+    public synchronized void move(InetSocketAddress to) {
+        if (closed || to.equals(discovery)) {
+            return;
+        }
+        InetSocketAddress from = discovery;
+        discovery = to;
+        revision = -1;
+        failing = false;
+        log.accept("discovery: now at " + to);
+        stopCall.run();
+        client.closeIdle(from);
+        ask();
+    }
+
+    private synchronized void onAnswer(InetSocketAddress asked, CallResult result) {
+        // A call that ended with the program says nothing of discovery, and what a discovery tells that is
+        // no longer ours must neither be taken for a change to the new one's list nor start a second watch.
+        if (closed || !asked.equals(discovery)) {
+            return;
         }
         String problem = result instanceof CallResult.Broken broken ? broken.reason() : null;
         if (result instanceof CallResult.Answered answered) {
@@ -101,7 +125,13 @@
             log.accept("discovery: " + problem + "; the known list goes on serving");
         }
         failing = true;
-        timers.schedule(this::ask, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        timers.schedule(() -> askAgain(asked), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized void askAgain(InetSocketAddress of) {
+        if (of.equals(discovery)) {
+            ask();
+        }
     }
 
     /** Takes in an answer; returns what is wrong with it, or null. */
--- a/src/main/java/reedmux/http/ConsumerExchange.java
+++ b/src/main/java/reedmux/http/ConsumerExchange.java
@@ -23,26 +23,37 @@
 
 /** One request of a consumer and its one answer. */
 final class ConsumerExchange implements AsyncServerExchangeHandler, Invocation.Reply {
+    private static final String TOO_LONG = "the body is over 64 KiB";
+
     private final ConsumerServer server;
     private final ConsumerServer.Link link;
+    private final boolean alone;
     private final AtomicBoolean answered = new AtomicBoolean();
     private HttpRequest request;
     private ResponseChannel channel;
     private HttpContext context;
     private Body.In body;
+    private volatile boolean reading;
     private volatile Invocation invocation;
     private volatile Body.Out out;
     private long takenAt;
 
-    ConsumerExchange(ConsumerServer server, ConsumerServer.Link link) {
+    /** {@code alone}: no request is open before it on its connection. */
+    ConsumerExchange(ConsumerServer server, ConsumerServer.Link link, boolean alone) {
         this.server = server;
         this.link = link;
+        this.alone = alone;
     }
 
     boolean answered() {
         return answered.get();
     }
 
+    /** Whether its request's body is still coming in. */
+    boolean reading() {
+        return reading && !answered();
+    }
+
     // ---- The request -------------------------------------------------------------------------------
     @Override
     public void handleRequest(HttpRequest request, EntityDetails entity, ResponseChannel channel,
@@ -50,12 +61,18 @@
         this.request = request;
         this.channel = channel;
         this.context = context;
-        link.used();
         takenAt = server.reader().now();
-        if (entity == null) {
+        if (link.problem() != null) {
+            last(link.problemStatus(), link.problem());
+        } else if (!alone) {
+            last(400, "one request at a time on a connection");
+        } else if (entity == null) {
             take(Body.NONE);
+        } else if (entity.getContentLength() > Transport.MOST_BODY) {
+            last(413, TOO_LONG); // told at once: to read 60 MB first would only cost
         } else {
             body = new Body.In(entity);
+            reading = true;
             if (request.containsHeader("Expect")) { // some consumers hold the body back until told to go on
                 channel.sendInformation(new BasicHttpResponse(100), context);
             }
@@ -68,20 +85,48 @@
     }
 
     @Override
-    public void consume(ByteBuffer source) {
-        body.take(source); // one that is too long is read to its end, so that the connection lives on
+    public void consume(ByteBuffer source) throws IOException {
+        if (body == null || answered()) {
+            source.position(source.limit());
+            return;
+        }
+        body.take(source);
+        if (body.tooLong()) {
+            lastOrNone(413, TOO_LONG);
+        }
     }
 
     @Override
     public void streamEnd(List<? extends Header> trailers) throws HttpException, IOException {
-        if (body.tooLong()) {
-            respond(413, "text/plain", text("the body is over 64 KiB"), -1);
-        } else {
+        if (!answered()) {
             take(body.bytes());
         }
     }
 
+    /** The request did not come in whole in time; returns whether that could be told. */
+    boolean timedOut() {
+        return !answered() && lastOrNone(408, "the request did not come in whole in time");
+    }
+
+    private boolean lastOrNone(int status, String why) {
+        try {
+            last(status, why);
+            return true;
+        } catch (HttpException | IOException e) {
+            link.broken();
+            return false;
+        }
+    }
+
+    /** An answer after which the connection is closed, as what comes behind it makes no sense. */
+    private void last(int status, String why) throws HttpException, IOException {
+        link.last();
+        respond(status, "text/plain", text(why), -1);
+    }
+
     private void take(byte[] bytes) throws HttpException, IOException {
+        reading = false;
+        link.taken();
         String path = request.getPath();
         if (path.equals("/healthz")) {
             boolean ready = server.ready();
@@ -133,9 +178,10 @@
         if (status == 405) {
             response.addHeader("Allow", request.getMethod().equals("GET") ? "POST" : "GET");
         }
-        if (server.leaving()) {
+        if (server.leaving() || link.deaf()) {
             response.addHeader("Connection", "close");
         }
+        link.answering();
         out = new Body.Out(bytes);
         channel.sendResponse(response, bytes.length == 0 ? null
                 : new BasicEntityDetails(bytes.length, null), context);
--- a/src/main/java/reedmux/http/ConsumerServer.java
+++ b/src/main/java/reedmux/http/ConsumerServer.java
@@ -2,18 +2,24 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Iterator;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.apache.hc.core5.http.ContentLengthStrategy;
-import org.apache.hc.core5.http.ProtocolException;
-import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
+import org.apache.hc.core5.http.ConnectionReuseStrategy;
+import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
+import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.io.CloseMode;
@@ -22,28 +28,34 @@
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import reedmux.core.Event;
 
-/** The consumers' side: accepted connections, each with at most one exchange at a time. */
+/** The consumers' side: accepted connections, each with at most one invocation at a time. */
 public final class ConsumerServer {
     /** Headers are set by the exchanges themselves; the library need not add any. */
     static final HttpProcessor NOTHING_ADDED = HttpProcessorBuilder.create().build();
-    private static final DefaultHttpRequestParserFactory PARSERS =
-            new DefaultHttpRequestParserFactory(Transport.HTTP);
     private static final DefaultHttpResponseWriterFactory WRITERS =
             new DefaultHttpResponseWriterFactory(Transport.HTTP);
-    /** A bad length must not cost the connection before it was answered: the exchange looks again. */
-    private static final ContentLengthStrategy LENGTH = message -> {
-        try {
-            return DefaultContentLengthStrategy.INSTANCE.determineLength(message);
-        } catch (ProtocolException e) {
-            return ContentLengthStrategy.UNDEFINED;
-        }
-    };
+    /** A request must be whole so long after its first byte, the first one so long after connecting. */
+    private static final long REQUEST_LIMIT = TimeUnit.MILLISECONDS.toMicros(2_000);
+    /** How long the last answer may take to be read before the connection is closed all the same. */
+    private static final long LINGER = TimeUnit.MILLISECONDS.toMicros(500);
+    /** An answer that its consumer does not read is given up after so long. */
+    private static final long WRITE_LIMIT = TimeUnit.SECONDS.toMicros(5);
+    /** A connection without a request is closed after so long: some consumers never come back. */
+    private static final long IDLE_LIMIT = TimeUnit.SECONDS.toMicros(15);
+    /** A usual consumer sends at once; those that dawdle give way first when connections are scarce. */
+    private static final long DAWDLES = TimeUnit.MILLISECONDS.toMicros(100);
+    /** Bytes read from a connection that is being closed, so that a small rest does not reset it. */
+    private static final int MOST_DISCARDED = 256 * 1024;
+
+    /** What a connection is doing, those that give way first in front. */
+    private enum Doing { CLOSING, DAWDLING, IDLE, STARTING, SERVING }
 
     private final RequestReader reader;
     private final Consumer<Event> events;
     private final BooleanSupplier ready;
     private final int mostConnections;
-    /** Open connections, those longest without an exchange first. */
+    /** Used on the I/O thread alone. */
+    private final ByteBuffer scrap = ByteBuffer.allocate(16 * 1024);
     private final Set<Link> links = new LinkedHashSet<>();
     private volatile boolean leaving;
 
@@ -82,61 +94,216 @@
 
     /** Closes the connections that wait for nothing. */
     public void closeIdle() {
+        open().forEach(Link::askToClose);
+    }
+
+    /** Closes the connections whose time is up. */
+    public void sweep() {
+        long now = reader.now();
+        for (Link link : open()) {
+            if (link.overdue(now)) {
+                link.askToClose();
+            }
+        }
+    }
+
+    private List<Link> open() {
         synchronized (links) {
-            links.stream().filter(Link::idle).toList()
-                    .forEach(link -> link.session.close(CloseMode.GRACEFUL));
+            return List.copyOf(links);
         }
     }
 
-    /** One accepted connection. */
-    final class Link {
+    /**
+     * Descriptors are bounded, so where there are too many connections one gives way: one that sends nothing
+     * or half a request before one that is idle, and of these the one that has been so the longest. One that
+     * is being served never does; where all others are, the newest goes itself.
+     */
+    private void makeRoom(Link newest) {
+        long now = reader.now();
+        synchronized (links) {
+            links.add(newest);
+        }
+        List<Link> all = open().stream().filter(link -> !link.gone).toList();
+        for (int over = all.size() - mostConnections; over > 0; over--) {
+            Link first = newest;
+            Doing least = Doing.STARTING;
+            for (Link link : all) {
+                Doing doing = link.gone ? Doing.SERVING : link.doing(now);
+                if (doing.compareTo(least) < 0 || doing == least && link.since < first.since) {
+                    first = link;
+                    least = doing;
+                }
+            }
+            first.close();
+        }
+    }
+
+    /** One accepted connection. All but {@link #askToClose} and what sweeps read is the I/O thread's. */
+    final class Link implements Http1StreamListener, ConnectionReuseStrategy {
         private final ProtocolIOSession session;
+        private final ServerHttp1StreamDuplexer duplexer;
+        private final Heads.Requests heads = new Heads.Requests();
         private final IOEventHandler events;
+        /** The one exchange that may hold an invocation. */
         private volatile ConsumerExchange current;
+        /** Exchanges whose answer is not written yet. */
+        private volatile int unwritten;
+        /** Bytes that had come in when the last request was whole. */
+        private volatile long takenBytes;
+        /** Since when it is idle, has been reading a request, or is being closed. */
+        private volatile long since = reader.now();
+        private volatile boolean closing;
+        private volatile boolean gone;
+        private volatile boolean toldToClose;
+        private int discarded;
 
         Link(ProtocolIOSession session) {
             this.session = session;
-            ServerHttp1StreamDuplexer duplexer = new ServerHttp1StreamDuplexer(session, NOTHING_ADDED,
-                    (request, context) -> current = new ConsumerExchange(ConsumerServer.this, this), null,
-                    Transport.HTTP, null, null, PARSERS.create(), WRITERS.create(), LENGTH, null, null, null);
-            events = new Events(duplexer);
+            duplexer = new ServerHttp1StreamDuplexer(session, NOTHING_ADDED, (request, context) -> exchange(),
+                    null, Transport.HTTP, null, this, heads, WRITERS.create(), null, null, this, null);
+            events = new Events();
         }
 
-        boolean idle() {
-            ConsumerExchange exchange = current;
-            return exchange == null || exchange.answered();
+        private ConsumerExchange exchange() {
+            ConsumerExchange before = current;
+            boolean free = before == null || before.answered();
+            ConsumerExchange made = new ConsumerExchange(ConsumerServer.this, this, free);
+            unwritten++;
+            if (free) {
+                current = made;
+            }
+            return made;
         }
 
-        /** Moves to the end of the line for closing. */
-        void used() {
-            synchronized (links) {
-                if (links.remove(this)) {
-                    links.add(this);
-                }
-            }
+        /** What was wrong with the head just read, or null. */
+        String problem() {
+            return heads.problem();
+        }
+
+        int problemStatus() {
+            return heads.status();
+        }
+
+        /** A request has come in whole. */
+        void taken() {
+            takenBytes = duplexer.getEndpointDetails().getReceivedBytesCount();
+            since = reader.now();
+        }
+
+        /** An answer is on its way out. */
+        void answering() {
+            since = reader.now();
+        }
+
+        /** The answer being given is the last one, and nothing more is read. */
+        void last() {
+            heads.deafen();
         }
 
         void broken() {
             session.close(CloseMode.IMMEDIATE);
         }
 
-        private void opened() {
-            synchronized (links) {
-                links.add(this);
-                // Descriptors are bounded: the connection that has been idle the longest gives way.
-                Iterator<Link> oldest = links.iterator();
-                while (links.size() > mostConnections && oldest.hasNext()) {
-                    Link link = oldest.next();
-                    if (link.idle()) {
-                        oldest.remove();
-                        link.session.close(CloseMode.GRACEFUL);
-                    }
-                }
-                // The newest is idle as well: where all others are busy, it goes itself.
+        boolean deaf() {
+            return heads.deaf();
+        }
+
+        private boolean reading() {
+            return duplexer.getEndpointDetails().getReceivedBytesCount() > takenBytes;
+        }
+
+        private Doing doing(long now) {
+            return closing ? Doing.CLOSING : unwritten > 0 && !readingBody() ? Doing.SERVING
+                    : takenBytes > 0 && !reading() ? Doing.IDLE
+                    : now - since > DAWDLES ? Doing.DAWDLING : Doing.STARTING;
+        }
+
+        private boolean readingBody() {
+            ConsumerExchange exchange = current;
+            return exchange != null && exchange.reading();
+        }
+
+        private boolean overdue(long now) {
+            ConsumerExchange exchange = current;
+            return switch (doing(now)) {
+                case CLOSING -> now - since > LINGER;
+                case DAWDLING, STARTING -> now - since > REQUEST_LIMIT;
+                case IDLE -> now - since > IDLE_LIMIT;
+                case SERVING -> exchange != null && exchange.answered() && now - since > WRITE_LIMIT;
+            };
+        }
+
+        /** Has the I/O thread close it, unless a request has come in by then; may be called by any thread. */
+        private void askToClose() {
+            toldToClose = true;
+            session.setEvent(SelectionKey.OP_WRITE);
+        }
+
+        /** Closes it at once; whoever is being served has gone away. */
+        private void close() {
+            gone = true;
+            session.close(CloseMode.GRACEFUL);
+        }
+
+        /** What a sweep found may have changed since, and only here nothing more can come in between. */
+        private void closeIfStillDue(IOSession ioSession) throws IOException {
+            toldToClose = false;
+            boolean due = leaving || overdue(reader.now());
+            if (due && !heads.deaf()) {
+                events.inputReady(ioSession, null); // the next request may have just arrived
+            }
+            boolean waits = unwritten == 0 && !reading();
+            if ((waits && due || overdue(reader.now())) && !(readingBody() && current.timedOut())) {
+                close();
+            }
+        }
+
+        /** The answer is out: no more of them, and a moment for the consumer to read it. */
+        private void linger() {
+            closing = true;
+            since = reader.now();
+            try {
+                ((SocketChannel) session.channel()).shutdownOutput();
+            } catch (IOException e) {
+                close();
+            }
+        }
+
+        private void discard(IOSession ioSession) throws IOException {
+            int read = ioSession.read(scrap.clear());
+            discarded += Math.max(0, read);
+            if (read < 0) {
+                close();
+            } else if (discarded > MOST_DISCARDED) {
+                ioSession.clearEvent(SelectionKey.OP_READ); // 60 MB are not worth reading to the end
+            }
+        }
+
+        // ---- The library's questions and news ------------------------------------------------------
+        /** A connection that has gone deaf is closed by us, after a moment, not by the library at once. */
+        @Override
+        public boolean keepAlive(HttpRequest request, HttpResponse response, HttpContext context) {
+            return heads.deaf()
+                    || DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, response, context);
+        }
+
+        @Override
+        public void onRequestHead(HttpConnection connection, HttpRequest request) { }
+
+        @Override
+        public void onResponseHead(HttpConnection connection, HttpResponse response) { }
+
+        @Override
+        public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
+            unwritten--;
+            since = reader.now();
+            if (heads.deaf() && unwritten == 0) {
+                linger();
             }
         }
 
         private void closed() {
+            gone = true;
             synchronized (links) {
                 links.remove(this);
             }
@@ -148,21 +315,28 @@
 
         /** The library's handler, which also notices a consumer that has left. */
         private final class Events extends ServerHttp1IOEventHandler {
-            private final ServerHttp1StreamDuplexer duplexer;
 
-            Events(ServerHttp1StreamDuplexer duplexer) {
+            Events() {
                 super(duplexer);
-                this.duplexer = duplexer;
             }
 
             @Override
             public void connected(IOSession ioSession) throws IOException {
-                opened();
-                super.connected(ioSession);
+                makeRoom(Link.this);
+                if (!gone) {
+                    super.connected(ioSession);
+                }
             }
 
             @Override
             public void inputReady(IOSession ioSession, ByteBuffer source) throws IOException {
+                if (heads.deaf()) {
+                    discard(ioSession);
+                    return;
+                }
+                if (takenBytes > 0 && unwritten == 0 && !reading()) {
+                    since = reader.now(); // the first bytes of a further request
+                }
                 super.inputReady(ioSession, source);
                 // The library takes the end of the input for half a close and goes on to answer; here a
                 // consumer that closes has gone away, and the module must hear of it at once.
@@ -172,6 +346,14 @@
                 }
             }
 
+            @Override
+            public void outputReady(IOSession ioSession) throws IOException {
+                super.outputReady(ioSession);
+                if (toldToClose) {
+                    closeIfStillDue(ioSession);
+                }
+            }
+
             @Override
             public void disconnected(IOSession ioSession) {
                 super.disconnected(ioSession);
--- /dev/null
+++ b/src/main/java/reedmux/http/Heads.java
@@ -0,0 +1,188 @@
+package reedmux.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Iterator;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.impl.ServerSupport;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.NHttpMessageParser;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+
+/**
+ * The library's parsers of heads, made strict. On its own the library takes a head that was cut off by the
+ * end of the connection for a whole one, prefers one of two contradicting lengths, and reads what it could
+ * not frame as the next message; each of these would let one message pass for another.
+ */
+final class Heads {
+    private static final DefaultHttpRequestParserFactory REQUESTS =
+            new DefaultHttpRequestParserFactory(Transport.HTTP);
+    private static final DefaultHttpResponseParserFactory RESPONSES =
+            new DefaultHttpResponseParserFactory(Transport.HTTP);
+    private static final int LONGEST_LENGTH = 18;
+    private static final int UNREADABLE = 400;
+    private static final int TOO_LARGE = 431;
+
+    private Heads() { }
+
+    /** What is wrong with how the end of the message's body is told, or with its headers' names, or null. */
+    private static String problem(HttpMessage message) {
+        int lengths = 0;
+        int codings = 0;
+        for (Iterator<Header> headers = message.headerIterator(); headers.hasNext();) {
+            Header header = headers.next();
+            String name = header.getName();
+            if (!isToken(name)) {
+                return "a header's name holds a character that has no place there";
+            }
+            if (name.equalsIgnoreCase("Content-Length")) {
+                lengths++;
+                if (!isLength(header.getValue())) {
+                    return "Content-Length is not a whole number";
+                }
+            } else if (name.equalsIgnoreCase("Transfer-Encoding")) {
+                codings++;
+                if (!header.getValue().equalsIgnoreCase("chunked")) {
+                    return "Transfer-Encoding is not chunked";
+                }
+            }
+        }
+        boolean old = message.getVersion() != null && message.getVersion().lessEquals(HttpVersion.HTTP_1_0);
+        return lengths + codings > 1 ? "the body's length is told more than once"
+                : codings > 0 && old ? "Transfer-Encoding is not of this version" : null;
+    }
+
+    private static boolean isLength(String value) {
+        boolean good = !value.isEmpty() && value.length() <= LONGEST_LENGTH;
+        for (int i = 0; good && i < value.length(); i++) {
+            good = value.charAt(i) >= '0' && value.charAt(i) <= '9';
+        }
+        return good;
+    }
+
+    private static boolean isToken(String name) {
+        for (int i = 0; i < name.length(); i++) {
+            char c = name.charAt(i);
+            if (c <= ' ' || c >= 0x7f || "()<>@,;:\\\"/[]?={}".indexOf(c) >= 0) {
+                return false;
+            }
+        }
+        return !name.isEmpty();
+    }
+
+    private static void discard(SessionInputBuffer in) {
+        if (in.hasData()) {
+            in.read(ByteBuffer.allocate(in.length()));
+        }
+    }
+
+    /**
+     * Reads a consumer's heads. The first that cannot be read is handed on as a request that says so, to be
+     * told; nothing behind it is read, as nobody can tell where the next request would begin.
+     */
+    static final class Requests implements NHttpMessageParser<HttpRequest> {
+        private final NHttpMessageParser<HttpRequest> parser = REQUESTS.create();
+        private boolean deaf;
+        private int status = UNREADABLE;
+        private String problem;
+
+        /** From now on whatever comes in is thrown away. */
+        void deafen() {
+            deaf = true;
+        }
+
+        boolean deaf() {
+            return deaf;
+        }
+
+        /** What was wrong with the head that could not be read, or null. */
+        String problem() {
+            return problem;
+        }
+
+        int status() {
+            return status;
+        }
+
+        @Override
+        public void reset() {
+            parser.reset();
+        }
+
+        @Override
+        public HttpRequest parse(SessionInputBuffer in, boolean endOfStream) {
+            if (deaf) {
+                discard(in);
+                return null;
+            }
+            HttpRequest request = null;
+            try {
+                request = parser.parse(in, false);
+                problem = request == null ? null : Heads.problem(request);
+            } catch (HttpException e) {
+                status = ServerSupport.toStatusCode(e);
+                problem = status == TOO_LARGE ? "the head is too large" : "the head cannot be read";
+            } catch (IOException e) {
+                problem = "the head cannot be read";
+            }
+            if (problem == null) {
+                if (endOfStream && request == null) {
+                    discard(in); // half a request is none, and would keep the connection from ending
+                }
+                return request;
+            }
+            deaf = true;
+            discard(in);
+            return new BasicHttpRequest("GET", "/");
+        }
+    }
+
+    /** Reads a provider's heads; those that cannot be read, or that nobody asked for, end the connection. */
+    static final class Responses implements NHttpMessageParser<HttpResponse> {
+        private static final int MOST_STATUS = 599;
+        private final NHttpMessageParser<HttpResponse> parser = RESPONSES.create();
+        private boolean ended;
+
+        /** Whether the provider has ended the connection. */
+        boolean ended() {
+            return ended;
+        }
+
+        @Override
+        public void reset() {
+            parser.reset();
+        }
+
+        @Override
+        public HttpResponse parse(SessionInputBuffer in, boolean endOfStream)
+                throws IOException, HttpException {
+            ended |= endOfStream;
+            HttpResponse response = parser.parse(in, false);
+            if (response == null) {
+                return null;
+            }
+            String problem = problem(response);
+            if (problem == null && response.getCode() > MOST_STATUS) {
+                problem = "there is no such status";
+            }
+            // Without a length only the connection's end would tell where the body ends, and a break looks
+            // just like it: half an answer would be passed on as a whole one.
+            if (problem == null && response.getCode() >= 200 && !response.containsHeader("Content-Length")
+                    && !response.containsHeader("Transfer-Encoding")) {
+                problem = "the answer does not tell its length";
+            }
+            if (problem != null) {
+                throw new ProtocolException(problem);
+            }
+            return response;
+        }
+    }
+}
--- a/src/main/java/reedmux/http/ProviderClient.java
+++ b/src/main/java/reedmux/http/ProviderClient.java
@@ -41,6 +41,10 @@
         return calls.start(from, OutgoingRequest.get(target, host(from)), done)::stop;
     }
 
+    public void closeIdle(InetSocketAddress address) {
+        calls.closeIdle(address);
+    }
+
     private static String host(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ':' + address.getPort();
     }
--- a/src/main/java/reedmux/http/RequestReader.java
+++ b/src/main/java/reedmux/http/RequestReader.java
@@ -1,8 +1,10 @@
 package reedmux.http;
 
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 import reedmux.policy.Gateway.Plan;
 import reedmux.policy.Gateway.Repeat;
 import reedmux.policy.Gateway.Request;
@@ -18,6 +20,8 @@
     private static final long MOST_CUSTOMERS = 1L << 33;
     private static final long MOST_MILLIS = 3_600_000;
     private static final int HEX_DIGITS = 16;
+    private static final Pattern DIGITS = Pattern.compile("[0-9]{1,18}");
+    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
     /**
      * The deadline runs from when the consumer sent the request, a little before we took it: this much is
      * taken off, and leaves time for the answer's way back.
@@ -59,6 +63,9 @@
     }
 
     Result read(HttpRequest request, byte[] body, long takenAt, Invocation.Reply reply) {
+        if (!plain(request.getPath())) {
+            return new Result(null, 400, "the target holds a character that has no place there");
+        }
         Integer requestClass = classes.get(className(request.getPath()));
         if (requestClass == null) {
             return new Result(null, 404, "no such class");
@@ -68,9 +75,6 @@
             return new Result(null, 405, "the class does not take this method");
         }
         try {
-            if (request.containsHeader("Content-Length") && body.length == 0) {
-                number(request, "Content-Length", Long.MAX_VALUE); // a bad one came through as no body
-            }
             String traceId = hex(request, "X-Trace-Id");
             Integer plan = plans.get(text(request, "X-Plan"));
             if (plan == null) {
@@ -85,7 +89,7 @@
             Header secondTry = request.getFirstHeader("X-Second-Try");
             Header type = request.getFirstHeader("Content-Type");
             return new Result(new Invocation(new Request(traceId, requestClass, plan, customer,
-                    takenAt + Math.max(0, wait - ON_THE_WAY), quota.units, quota.spread, quota.first,
+                    takenAt + Math.max(0, wait - ON_THE_WAY), quota.units(), quota.spread(), quota.first(),
                     secondTry != null && "1".equals(secondTry.getValue())), repeat == Repeat.SAFE,
                     new Message(request.getMethod(), request.getPath(), traceId,
                             type == null ? null : type.getValue(), body), reply), 200, null);
@@ -94,6 +98,11 @@
         }
     }
 
+    /** What is not plain would reach the provider as something else. */
+    private static boolean plain(String path) {
+        return path.startsWith("/") && path.chars().allMatch(c -> c > ' ' && c < 0x7f);
+    }
+
     private static String className(String path) {
         int end = 1;
         while (end < path.length() && path.charAt(end) != '/' && path.charAt(end) != '?') {
@@ -107,6 +116,9 @@
         if (header == null || header.getValue() == null || header.getValue().isEmpty()) {
             throw new BadHeader(name + " is missing");
         }
+        if (request.countHeaders(name) > 1) {
+            throw new BadHeader(name + " is repeated"); // which of them counts would be a guess
+        }
         return header.getValue();
     }
 
@@ -114,7 +126,7 @@
         String value = text(request, name);
         boolean good = value.length() == HEX_DIGITS;
         for (int i = 0; good && i < HEX_DIGITS; i++) {
-            good = Character.digit(value.charAt(i), HEX_DIGITS) >= 0;
+            good = HexFormat.isHexDigit(value.charAt(i)); // Character.digit knows digits of all scripts
         }
         if (!good) {
             throw new BadHeader(name + " is not 16 hex digits");
@@ -123,46 +135,43 @@
     }
 
     private static long number(HttpRequest request, String name, long most) throws BadHeader {
-        try {
-            long value = Long.parseLong(text(request, name));
-            if (value >= 0 && value <= most) {
-                return value;
-            }
-        } catch (NumberFormatException e) {
-            // told below, like a number out of range
+        long value = whole(text(request, name), most);
+        if (value < 0) {
+            throw new BadHeader(name + " is not a whole number from 0 to " + most);
         }
-        throw new BadHeader(name + " is not a whole number from 0 to " + most);
+        return value;
     }
 
-    /** What {@code X-Quota} says; fields that we do not know are passed over. */
-    private static final class Quota {
-        double units = -1;
-        int spread = -1;
-        int first = -1;
+    /** A whole number in plain digits, or -1; the library's readers also take signs and other scripts. */
+    private static long whole(String text, long most) {
+        return DIGITS.matcher(text).matches() && Long.parseLong(text) <= most ? Long.parseLong(text) : -1;
     }
 
+    /** What {@code X-Quota} says; fields that we do not know are passed over. */
+    private record Quota(double units, int spread, int first) { }
+
     private Quota quota(String header) throws BadHeader {
-        Quota quota = new Quota();
-        try {
-            for (String field : header.split(",")) {
-                String[] pair = field.trim().split("=", 2);
-                switch (pair[0]) {
-                    case "units" -> quota.units = Double.parseDouble(pair[pair.length - 1]);
-                    case "spread" -> quota.spread = Integer.parseInt(pair[pair.length - 1]);
-                    case "first" -> quota.first = Integer.parseInt(pair[pair.length - 1]);
-                    default -> { }
-                }
+        Map<String, String> fields = new HashMap<>();
+        for (String field : header.split(",", -1)) {
+            String[] pair = field.trim().split("=", 2);
+            if (fields.put(pair[0], pair[pair.length - 1]) != null) {
+                throw new BadHeader("X-Quota tells " + pair[0] + " twice");
             }
-        } catch (NumberFormatException e) {
-            throw new BadHeader("X-Quota holds something that is not a number");
         }
-        if (!(quota.units > 0) || Double.isInfinite(quota.units)) {
+        String told = fields.getOrDefault("units", "");
+        double units = DECIMAL.matcher(told).matches() ? Double.parseDouble(told) : 0;
+        if (!(units > 0)) {
             throw new BadHeader("X-Quota needs units above 0");
         }
+        if (units > settings.mostUnits()) {
+            throw new BadHeader("X-Quota has more units than one request may count");
+        }
         int group = settings.groupSize();
-        if (quota.spread < 1 || quota.spread > group || quota.first < 0 || quota.first >= group) {
+        long spread = whole(fields.getOrDefault("spread", ""), group);
+        long first = whole(fields.getOrDefault("first", ""), group - 1);
+        if (spread < 1 || first < 0) {
             throw new BadHeader("X-Quota needs spread and first within the group of " + group);
         }
-        return quota;
+        return new Quota(units, (int) spread, (int) first);
     }
 }
--- a/src/main/java/reedmux/http/Transport.java
+++ b/src/main/java/reedmux/http/Transport.java
@@ -13,8 +13,9 @@
     public static final int MOST_BODY = 64 * 1024;
     /** Bytes of a connection's buffers: a usual request with its body fits, so that it is one write. */
     private static final int BUFFER = 4096;
-    private static final int MOST_HEADERS = 64;
-    private static final int LONGEST_LINE = 8192;
+    /** With the lines' length these bound what a head without end can take up, some hundred times over. */
+    private static final int MOST_HEADERS = 40;
+    private static final int LONGEST_LINE = 4096;
     /** Connections that may be accepted at one go, before those over the bound are closed again. */
     public static final int BACKLOG = 128;
     /** Connections have no time-outs of their own, so the reactor need not look for them often. */
--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -35,7 +35,7 @@
  * A line names a party and what it does: {@code >} sends a line, {@code >>} sends without a line's end,
  * {@code <} expects a line, in which {@code *} stands for anything, {@code <<} expects just these bytes,
  * {@code skip} reads on to the end of a head, {@code node log} compares what was logged.
- * c1, c2 are consumers, p1 a provider, d is discovery, u1 a peer.
+ * c1, c2 are consumers, p1, p2 providers, d, d2 are discovery, u1 a peer.
  */
 @RunWith(Parameterized.class)
 public final class ExchangeTest {
@@ -56,6 +56,7 @@
     private final Map<String, Socket> sockets = new HashMap<>();
     private final Map<String, DatagramSocket> datagrams = new HashMap<>();
     private final List<Exception> crashes = new ArrayList<>();
+    private String config;
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
     private Node node;
     private Thread running;
@@ -68,7 +69,7 @@
     @Test
     public void goesAsRecorded() throws Exception {
         InetAddress here = InetAddress.getByName("127.0.0.1");
-        for (String name : List.of("p1", "d")) {
+        for (String name : List.of("p1", "p2", "d", "d2")) {
             listeners.put(name, new ServerSocket(0, 50, here));
             listeners.get(name).setSoTimeout(HANGS);
         }
@@ -79,17 +80,13 @@
         try (DatagramSocket free = datagrams.remove("node")) {
             peerListen = (InetSocketAddress) free.getLocalSocketAddress();
         }
-        String config = Files.readString(FOLDER.resolve("config.json"))
-                .replace("$p1", "127.0.0.1:" + listeners.get("p1").getLocalPort())
-                .replace("$d", "127.0.0.1:" + listeners.get("d").getLocalPort())
-                .replace("$node", "127.0.0.1:" + peerListen.getPort())
-                .replace("$u1", "127.0.0.1:" + datagrams.get("u1").getLocalPort());
+        config = named(Files.readString(FOLDER.resolve("config.json")));
         int number = 0;
         try {
             for (String line : Files.readAllLines(FOLDER.resolve(script))) {
                 number++;
                 if (line.startsWith("with ")) {
-                    config = replaced(config, line.substring(5));
+                    config = replaced(config, named(line.substring(5)));
                 } else if (line.startsWith("fails ")) {
                     expectFailure(config, line.substring(6));
                 } else if (!line.startsWith("#")) {
@@ -105,6 +102,16 @@
         assertEquals(List.of(), crashes);
     }
 
+    /** Puts in the addresses of the parties that a text names. */
+    private String named(String text) {
+        String all = text.replace("$node", "127.0.0.1:" + peerListen.getPort())
+                .replace("$u1", "127.0.0.1:" + datagrams.get("u1").getLocalPort());
+        for (Map.Entry<String, ServerSocket> party : listeners.entrySet()) {
+            all = all.replace("${" + party.getKey() + '}', "127.0.0.1:" + party.getValue().getLocalPort());
+        }
+        return all;
+    }
+
     private static String replaced(String text, String change) {
         String[] pair = change.split(" => ", 2);
         assertTrue(change, text.contains(pair[0]));
@@ -160,6 +167,8 @@
         if (party.equals("node")) {
             if (parts[1].equals("leave")) {
                 node.leave();
+            } else if (parts[1].equals("reload")) {
+                node.reload(() -> read(replaced(config, named(rest))));
             } else if (parts[1].equals("log")) {
                 expect(rest, String.join("|", log));
             } else {
@@ -180,6 +189,7 @@
                     while (!readLine(socket(party)).isEmpty()) { }
                 }
                 case "accept" -> sockets.put(party, listeners.get(party).accept());
+                case "connect" -> socket(party);
                 case "refuse" -> listeners.get(party).close();
                 case "refused" -> untilRefused();
                 case "end" -> socket(party).shutdownOutput();
