Run the program's own paths before it calls itself ready

So it is loading and compiling, not load.

Now: before /healthz says ready, cli/WarmUp has two modules take made-up requests, answers and each other's datagrams, and asks our own listen address for its health, 600 rounds of each or 4 s. What consumers send meanwhile is served. No provider, peer or consumer sees it.

--- a/src/main/java/reedmux/cli/Main.java
+++ b/src/main/java/reedmux/cli/Main.java
@@ -97,6 +97,7 @@
                     Thread.currentThread().interrupt();
                 }
             }, "reedmux-leave"));
+            node.warmUpAfter(() -> { });
             try {
                 node.run();
             } catch (IOException | IllegalStateException e) {
--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -58,6 +58,7 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final CountDownLatch listening = new CountDownLatch(1);
     private volatile boolean serving;
+    private volatile boolean warm = true;
     private volatile long leavingSince;
     private volatile ListenerEndpoint listener;
     private boolean accepting = true;
@@ -102,7 +103,34 @@
     }
 
     private boolean canServe() {
-        return serving && reducer.anyProvider();
+        return serving && warm && reducer.anyProvider();
+    }
+
+    /** Something to wait for. */
+    interface Step {
+        void run() throws InterruptedException;
+    }
+
+    /**
+     * After {@code first}, runs the program's own paths; until that is done the gatekeeper is not ready, but
+     * serves what comes all the same. To be called before a run.
+     */
+    Thread warmUpAfter(Step first) {
+        warm = false;
+        WarmUp warmUp = new WarmUp(config, clock, log);
+        Thread thread = new Thread(() -> {
+            try {
+                first.run();
+                warmUp.run(providers, (InetSocketAddress) awaitListening());
+            } catch (InterruptedException | RuntimeException e) {
+                log.accept("warm-up: " + e); // it then starts cold, which is slower and no worse
+            } finally {
+                warm = true;
+            }
+        }, "reedmux-warm-up");
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
     }
 
     private long afterTurn(long now) {
--- a/src/main/java/reedmux/cli/SelfCheck.java
+++ b/src/main/java/reedmux/cli/SelfCheck.java
@@ -27,6 +27,7 @@
             throw new IllegalStateException("the sample configuration is at fault: " + e.getMessage(), e);
         }
         try (Node node = new Node(config, clock, line -> { })) {
+            node.warmUpAfter(() -> { });
             Thread asking = new Thread(() -> ask(node), "reedmux-self-check");
             asking.start();
             node.run();
--- a/src/main/java/reedmux/http/ProviderClient.java
+++ b/src/main/java/reedmux/http/ProviderClient.java
@@ -41,6 +41,12 @@
         return calls.start(from, OutgoingRequest.get(target, host(from)), done)::stop;
     }
 
+    /** Sends a body, or none, and hears of the end. */
+    public void ask(InetSocketAddress from, String target, byte[] body, Consumer<CallResult> done) {
+        calls.start(from, new OutgoingRequest(body.length > 0 ? "POST" : "GET", target, host(from), null, -1,
+                null, body), done);
+    }
+
     public void closeIdle(InetSocketAddress address) {
         calls.closeIdle(address);
     }
--- a/src/main/java/reedmux/http/RequestReader.java
+++ b/src/main/java/reedmux/http/RequestReader.java
@@ -62,6 +62,11 @@
         return clock.now();
     }
 
+    /** Reads a request that nobody waits for; null where it makes no sense here. */
+    public Invocation practise(HttpRequest request, byte[] body, long takenAt) {
+        return read(request, body, takenAt, answer -> { }).invocation();
+    }
+
     Result read(HttpRequest request, byte[] body, long takenAt, Invocation.Reply reply) {
         if (!plain(request.getPath())) {
             return new Result(null, 400, "the target holds a character that has no place there");
--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -21,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.junit.Test;
@@ -56,6 +57,8 @@
     private final Map<String, Socket> sockets = new HashMap<>();
     private final Map<String, DatagramSocket> datagrams = new HashMap<>();
     private final List<Exception> crashes = new ArrayList<>();
+    private final CountDownLatch mayWarmUp = new CountDownLatch(1);
+    private Thread warmingUp;
     private String config;
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
     private Node node;
@@ -137,6 +140,9 @@
             return;
         }
         node = new Node(read(config), new Clock(), log::add);
+        if (script.equals("warm-up.txt")) {
+            warmingUp = node.warmUpAfter(mayWarmUp::await);
+        }
         running = new Thread(() -> {
             try {
                 node.run();
@@ -167,6 +173,9 @@
         if (party.equals("node")) {
             if (parts[1].equals("leave")) {
                 node.leave();
+            } else if (parts[1].equals("warm")) {
+                mayWarmUp.countDown();
+                warmingUp.join();
             } else if (parts[1].equals("reload")) {
                 node.reload(() -> read(replaced(config, named(rest))));
             } else if (parts[1].equals("log")) {
