A connection to a provider carries one call, for one provider, and nothing that was not asked for

At fault: CallExchange.answered() released the connection before the rest was read, so the copy could meet the next call; the library takes a head cut off by the end for a whole one (200 with an empty body); an answer without a length ended by the connection's break; 64 KiB were read of 3 GB before it was noticed. Calls.stop closed a connection that its call had just left to the next; cancelling a connect that came up at that moment left a connection open and counted it closed twice. The pool was keyed by address, so a provider's end closed its successor's connections, and a whole list without it closed nothing. In the module (State.Fleet.apply): a restarted provider's new box took over the open count, and the ends went to the old box: it counted as busy for ever. Removed boxes went on changing the sums.

--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -233,8 +233,8 @@
     }
 
     @Override
-    public void closeIdle(InetSocketAddress address) {
-        calls.closeIdle(address);
+    public void closeIdle(String provider, InetSocketAddress address) {
+        providers.closeIdle(provider, address);
     }
 
     @Override
--- a/src/main/java/reedmux/cli/WarmUp.java
+++ b/src/main/java/reedmux/cli/WarmUp.java
@@ -109,7 +109,7 @@
         public void probe(String provider, InetSocketAddress address, long askedAt) { }
 
         @Override
-        public void closeIdle(InetSocketAddress address) { }
+        public void closeIdle(String provider, InetSocketAddress address) { }
 
         @Override
         public void tell(int peer, byte[] bytes) {
--- a/src/main/java/reedmux/core/Effects.java
+++ b/src/main/java/reedmux/core/Effects.java
@@ -20,8 +20,8 @@
     /** Asks a provider's health; ends as {@link Event.ProbeEnded}. */
     void probe(String provider, InetSocketAddress address, long askedAt);
 
-    /** Closes the idle connections to an address. */
-    void closeIdle(InetSocketAddress address);
+    /** Closes the idle connections to a provider, but not those to another one at its address. */
+    void closeIdle(String provider, InetSocketAddress address);
 
     /** Sends a datagram to a peer, or to all at -1. */
     void tell(int peer, byte[] bytes);
--- a/src/main/java/reedmux/core/InvokerCall.java
+++ b/src/main/java/reedmux/core/InvokerCall.java
@@ -31,6 +31,10 @@
         return invocation;
     }
 
+    public String provider() {
+        return provider;
+    }
+
     public InetSocketAddress address() {
         return address;
     }
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -201,20 +201,25 @@
     }
 
     private void onProviders(ProviderList list) {
+        Map<String, InetSocketAddress> before = Map.copyOf(providers);
         if (list.scope() == Scope.FULL) {
             providers.clear();
         }
         for (ProviderList.Provider provider : list.providers()) {
             Server server = provider.server();
             if (server.status() == Status.GONE) {
-                InetSocketAddress gone = providers.remove(server.id());
-                if (gone != null) {
-                    effects.closeIdle(gone);
-                }
+                providers.remove(server.id());
             } else {
                 providers.put(server.id(), provider.address());
             }
         }
+        // Also one that a whole list no longer names, or names at another address: its connections would
+        // else hold descriptors, and a provider's slots, until they had been idle for long.
+        before.forEach((id, address) -> {
+            if (!address.equals(providers.get(id))) {
+                effects.closeIdle(id, address);
+            }
+        });
         anyProvider = !providers.isEmpty();
         module.handle(now, new ServerList(list.scope(),
                 list.providers().stream().map(ProviderList.Provider::server).toList()), actions);
@@ -322,7 +327,7 @@
         public void closeIdle(String server) {
             InetSocketAddress address = providers.get(server);
             if (address != null) {
-                effects.closeIdle(address);
+                effects.closeIdle(server, address);
             }
         }
 
--- a/src/main/java/reedmux/http/CallExchange.java
+++ b/src/main/java/reedmux/http/CallExchange.java
@@ -13,27 +13,26 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
-import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.RequestChannel;
-import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
-import org.apache.hc.core5.reactor.Command;
 import reedmux.core.CallResult;
 import reedmux.core.CallResult.Stage;
 
 /** One request of ours and what came of it. */
 final class CallExchange implements AsyncClientExchangeHandler {
     private final Calls calls;
+    private final Connection.Origin origin;
     private final OutgoingRequest request;
     private final Consumer<CallResult> done;
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile boolean stopped;
     private volatile Future<?> connecting;
-    private volatile Connection connection;
+    /** The connection that carries it; set by the pool. */
+    volatile Connection connection;
     private volatile EndpointDetails endpoint;
     private long sentBefore;
     private long length;
@@ -41,10 +40,11 @@
     private HttpRequest head;
     private HttpResponse response;
     private Body.In body;
-    private boolean reusable;
+    private CallResult result;
 
-    CallExchange(Calls calls, OutgoingRequest request, Consumer<CallResult> done) {
+    CallExchange(Calls calls, Connection.Origin origin, OutgoingRequest request, Consumer<CallResult> done) {
         this.calls = calls;
+        this.origin = origin;
         this.request = request;
         this.done = done;
     }
@@ -53,16 +53,12 @@
         connecting = future;
     }
 
-    /** Goes out on a connection that is up. */
-    void run(Connection on) {
-        connection = on;
-        if (stopped) {
-            on.close();
-            end(new CallResult.Broken(Stage.CONNECTING, "given up"));
-            return;
-        }
-        on.session().enqueue(new RequestExecutionCommand(this, null, null, HttpCoreContext.create()),
-                Command.Priority.IMMEDIATE);
+    Connection.Origin origin() {
+        return origin;
+    }
+
+    boolean stopped() {
+        return stopped;
     }
 
     /**
@@ -71,12 +67,7 @@
      */
     void stop() {
         stopped = true;
-        Connection on = connection;
-        if (on != null) {
-            on.close();
-        } else {
-            stopConnecting();
-        }
+        calls.giveUp(this);
     }
 
     void stopConnecting() {
@@ -96,6 +87,7 @@
     @Override
     public void produceRequest(RequestChannel channel, HttpContext context)
             throws HttpException, IOException {
+        connection.asked();
         head = request.head();
         length = request.length(head);
         EndpointDetails details = HttpCoreContext.cast(context).getEndpointDetails();
@@ -124,9 +116,10 @@
     public void consumeResponse(HttpResponse received, EntityDetails entity, HttpContext context)
             throws HttpException, IOException {
         response = received;
-        reusable = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(head, received, context);
         if (entity == null) {
             answered(Body.NONE);
+        } else if (entity.getContentLength() > Transport.MOST_BODY) {
+            throw new IOException("the answer is over 64 KiB"); // it may go on for 3 GB
         } else {
             body = new Body.In(entity);
         }
@@ -151,23 +144,36 @@
     }
 
     private void answered(byte[] bytes) {
-        Connection on = connection;
-        if (reusable && !stopped) {
-            calls.release(on);
-        }
         Header neverRan = response.getFirstHeader("X-Never-Ran");
         Header type = response.getFirstHeader("Content-Type");
-        end(new CallResult.Answered(response.getCode(), neverRan != null && "1".equals(neverRan.getValue()),
-                type == null ? null : type.getValue(), bytes));
+        result = new CallResult.Answered(response.getCode(),
+                neverRan != null && "1".equals(neverRan.getValue()), type == null ? null : type.getValue(),
+                bytes);
+        connection.answered();
+    }
+
+    /**
+     * Told by the connection when it has read what there was. Only now is it known whether more has come
+     * than the answer; then the answer still counts, but the connection must never carry another call.
+     */
+    void settle(boolean good) {
+        CallResult whole = result;
+        if (whole != null) {
+            result = null;
+            calls.release(connection, good && !stopped && sent());
+            end(whole);
+        }
+    }
+
+    private boolean sent() {
+        EndpointDetails details = endpoint;
+        return details != null && details.getSentBytesCount() - sentBefore >= length;
     }
 
     // ---- The end without an answer -----------------------------------------------------------------
     @Override
     public void failed(Exception cause) {
-        EndpointDetails details = endpoint;
-        Stage stage = response != null ? Stage.ANSWERING
-                : details != null && details.getSentBytesCount() - sentBefore >= length ? Stage.ON_WIRE
-                : Stage.WRITING;
+        Stage stage = response != null ? Stage.ANSWERING : sent() ? Stage.ON_WIRE : Stage.WRITING;
         end(new CallResult.Broken(stage, String.valueOf(cause.getMessage())));
     }
 
--- a/src/main/java/reedmux/http/Calls.java
+++ b/src/main/java/reedmux/http/Calls.java
@@ -1,6 +1,5 @@
 package reedmux.http;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -15,6 +14,7 @@
 import reedmux.core.CallResult;
 import reedmux.core.CallResult.Stage;
 import reedmux.core.Clock;
+import reedmux.http.Connection.Origin;
 
 /**
  * Calls to providers and to discovery, over kept connections. Each call is written to one connection once;
@@ -25,7 +25,7 @@
     private final Clock clock;
     private final int mostConnections;
     private final long mostIdle;
-    private final Map<InetSocketAddress, Deque<Connection>> idle = new HashMap<>();
+    private final Map<Origin, Deque<Connection>> idle = new HashMap<>();
     private int open;
 
     /** Connections idle for {@code mostIdle} microseconds are closed, and never used after that. */
@@ -37,61 +37,73 @@
     }
 
     /** Starts a call; {@code done} hears of its end exactly once, on whatever thread that happens. */
-    CallExchange start(InetSocketAddress to, OutgoingRequest request, Consumer<CallResult> done) {
-        CallExchange exchange = new CallExchange(this, request, done);
-        Connection kept = lease(to);
+    CallExchange start(Origin to, OutgoingRequest request, Consumer<CallResult> done) {
+        CallExchange exchange = new CallExchange(this, to, request, done);
+        go(exchange);
+        return exchange;
+    }
+
+    /** Finds a connection for a call of which nothing has been written yet. */
+    void go(CallExchange exchange) {
+        Connection kept = lease(exchange);
         if (kept != null) {
-            exchange.run(kept);
+            kept.carry(exchange);
+        } else if (exchange.stopped()) {
+            exchange.end(new CallResult.Broken(Stage.CONNECTING, "given up"));
         } else if (makeRoom()) {
-            try {
-                connect(to, exchange);
-            } catch (RuntimeException e) { // the reactor has been shut down, as at the very end of leaving
-                closed();
-                exchange.end(new CallResult.Broken(Stage.CONNECTING, String.valueOf(e.getMessage())));
-            }
+            connect(exchange);
         } else {
             exchange.end(new CallResult.Broken(Stage.CONNECTING, "all connections are in use"));
         }
-        return exchange;
     }
 
-    private void connect(InetSocketAddress to, CallExchange exchange) {
-        Connection connection = new Connection(to, this::closed);
-        Future<IOSession> future = reactor.connect(new HttpHost(to.getAddress(), to.getPort()), to, null,
-                Timeout.DISABLED, connection, new FutureCallback<>() {
-                    @Override
-                    public void completed(IOSession session) {
-                        exchange.run(connection);
-                    }
-
-                    @Override
-                    public void failed(Exception cause) {
-                        neverUp(connection, exchange, String.valueOf(cause.getMessage()));
-                    }
-
-                    @Override
-                    public void cancelled() {
-                        neverUp(connection, exchange, "given up");
-                    }
-                });
-        exchange.connecting(future);
-    }
+    private void connect(CallExchange exchange) {
+        Origin to = exchange.origin();
+        Connection connection = new Connection(to, this);
+        try {
+            Future<IOSession> future = reactor.connect(new HttpHost(to.address().getAddress(),
+                    to.address().getPort()), to.address(), null, Timeout.DISABLED, connection,
+                    new FutureCallback<>() {
+                        @Override
+                        public void completed(IOSession session) {
+                            if (own(connection, exchange)) {
+                                connection.carryFirst(exchange);
+                            } else {
+                                neverUp("given up");
+                            }
+                        }
 
-    private void neverUp(Connection connection, CallExchange exchange, String reason) {
-        if (connection.session() == null) {
-            closed();
+                        @Override
+                        public void failed(Exception cause) {
+                            neverUp(String.valueOf(cause.getMessage()));
+                        }
+
+                        @Override
+                        public void cancelled() {
+                            neverUp("given up");
+                        }
+
+                        private void neverUp(String reason) {
+                            connection.abandon();
+                            exchange.end(new CallResult.Broken(Stage.CONNECTING, reason));
+                        }
+                    });
+            exchange.connecting(future);
+        } catch (RuntimeException e) { // the reactor has been shut down, as at the very end of leaving
+            connection.abandon();
+            exchange.end(new CallResult.Broken(Stage.CONNECTING, String.valueOf(e.getMessage())));
         }
-        exchange.end(new CallResult.Broken(Stage.CONNECTING, reason));
     }
 
-    private synchronized Connection lease(InetSocketAddress to) {
-        Deque<Connection> kept = idle.get(to);
+    private synchronized Connection lease(CallExchange exchange) {
+        Deque<Connection> kept = exchange.stopped() ? null : idle.get(exchange.origin());
         long usable = clock.now() - mostIdle;
         while (kept != null && !kept.isEmpty()) {
             Connection connection = kept.pollLast();
             // One that is near the provider's own limit may be closed there while our request is on its
             // way; that would be a reset, and a call that must not run twice could not be made again.
             if (connection.isOpen() && connection.idleSince > usable) {
+                own(connection, exchange);
                 return connection;
             }
             connection.close();
@@ -99,6 +111,33 @@
         return null;
     }
 
+    /** Gives a connection to a call, unless that has been given up. */
+    private synchronized boolean own(Connection connection, CallExchange exchange) {
+        if (exchange.stopped()) {
+            return false;
+        }
+        connection.user = exchange;
+        exchange.connection = connection;
+        return true;
+    }
+
+    synchronized CallExchange userOf(Connection connection) {
+        return connection.user;
+    }
+
+    /**
+     * Closes the connection of a call that is given up, but only as long as that call has it: one that has
+     * just been answered has left it to the next.
+     */
+    synchronized void giveUp(CallExchange exchange) {
+        Connection on = exchange.connection;
+        if (on != null && on.user == exchange) {
+            on.close();
+        } else if (on == null) {
+            exchange.stopConnecting();
+        }
+    }
+
     /** Counts one more connection; where too many are open, the one that is idle the longest goes. */
     private synchronized boolean makeRoom() {
         if (open >= mostConnections) {
@@ -118,19 +157,24 @@
         return true;
     }
 
-    private synchronized void closed() {
+    synchronized void closed() {
         open--;
     }
 
-    /** Keeps a connection whose answer has come in whole. */
-    synchronized void release(Connection connection) {
-        connection.idleSince = clock.now();
-        idle.computeIfAbsent(connection.address, address -> new ArrayDeque<>()).add(connection);
+    /** Takes a connection back from a call that has ended; {@code good}: it may carry a further one. */
+    synchronized void release(Connection connection, boolean good) {
+        connection.user = null;
+        if (good) {
+            connection.idleSince = clock.now();
+            idle.computeIfAbsent(connection.origin, origin -> new ArrayDeque<>()).add(connection);
+        } else {
+            connection.close();
+        }
     }
 
-    /** Closes idle connections to an address. */
-    public synchronized void closeIdle(InetSocketAddress address) {
-        Deque<Connection> kept = idle.remove(address);
+    /** Closes idle connections. */
+    synchronized void closeIdle(Origin origin) {
+        Deque<Connection> kept = idle.remove(origin);
         if (kept != null) {
             kept.forEach(Connection::close);
         }
@@ -140,9 +184,13 @@
     public synchronized void sweep() {
         long usable = clock.now() - mostIdle;
         for (Deque<Connection> kept : idle.values()) {
-            while (!kept.isEmpty() && (kept.peek().idleSince <= usable || !kept.peek().isOpen())) {
-                kept.poll().close();
-            }
+            kept.removeIf(connection -> {
+                boolean over = connection.idleSince <= usable || !connection.isOpen();
+                if (over) {
+                    connection.close();
+                }
+                return over;
+            });
         }
         idle.values().removeIf(Deque::isEmpty);
     }
--- a/src/main/java/reedmux/http/Heads.java
+++ b/src/main/java/reedmux/http/Heads.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Iterator;
+import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
@@ -149,8 +150,14 @@
     static final class Responses implements NHttpMessageParser<HttpResponse> {
         private static final int MOST_STATUS = 599;
         private final NHttpMessageParser<HttpResponse> parser = RESPONSES.create();
+        private final BooleanSupplier expected;
         private boolean ended;
 
+        /** {@code expected}: whether an answer is due on the connection. */
+        Responses(BooleanSupplier expected) {
+            this.expected = expected;
+        }
+
         /** Whether the provider has ended the connection. */
         boolean ended() {
             return ended;
@@ -165,6 +172,12 @@
         public HttpResponse parse(SessionInputBuffer in, boolean endOfStream)
                 throws IOException, HttpException {
             ended |= endOfStream;
+            if (!expected.getAsBoolean()) {
+                if (in.hasData()) {
+                    throw new ProtocolException("bytes that belong to no answer");
+                }
+                return null;
+            }
             HttpResponse response = parser.parse(in, false);
             if (response == null) {
                 return null;
--- a/src/main/java/reedmux/http/ProviderClient.java
+++ b/src/main/java/reedmux/http/ProviderClient.java
@@ -5,9 +5,12 @@
 import reedmux.core.CallResult;
 import reedmux.core.Event;
 import reedmux.core.InvokerCall;
+import reedmux.http.Connection.Origin;
 
 /** Invoker calls and probes, in HTTP. */
 public final class ProviderClient {
+    /** In place of a provider's id where it is discovery that is called, or ourselves. */
+    private static final String NOBODY = "";
     private final Calls calls;
     private final Consumer<Event> events;
 
@@ -19,9 +22,10 @@
     /** Starts a call; the provider is told that we wait for {@code timeout} microseconds. */
     public void call(InvokerCall call, long timeout) {
         Message message = (Message) call.invocation().message();
-        call.transport(calls.start(call.address(), new OutgoingRequest(message.method(), message.target(),
-                host(call.address()), message.traceId(), timeout / 1000, message.contentType(),
-                message.body()), result -> events.accept(new Event.CallEnded(call, result))));
+        call.transport(calls.start(new Origin(call.provider(), call.address()),
+                new OutgoingRequest(message.method(), message.target(), host(call.address()),
+                message.traceId(), timeout / 1000, message.contentType(), message.body()),
+                result -> events.accept(new Event.CallEnded(call, result))));
     }
 
     public void stop(InvokerCall call) {
@@ -33,22 +37,30 @@
     }
 
     public void probe(String provider, InetSocketAddress address, long askedAt) {
-        get(address, "/healthz", result -> events.accept(new Event.ProbeEnded(provider, askedAt, result)));
+        calls.start(new Origin(provider, address), OutgoingRequest.get("/healthz", host(address)),
+                result -> events.accept(new Event.ProbeEnded(provider, askedAt, result)));
     }
 
     /** Fetches a document; the handle given back ends the call when run. */
     public Runnable get(InetSocketAddress from, String target, Consumer<CallResult> done) {
-        return calls.start(from, OutgoingRequest.get(target, host(from)), done)::stop;
+        return calls.start(new Origin(NOBODY, from), OutgoingRequest.get(target, host(from)), done)::stop;
     }
 
     /** Sends a body, or none, and hears of the end. */
     public void ask(InetSocketAddress from, String target, byte[] body, Consumer<CallResult> done) {
-        calls.start(from, new OutgoingRequest(body.length > 0 ? "POST" : "GET", target, host(from), null, -1,
-                null, body), done);
+        String method = body.length > 0 ? "POST" : "GET";
+        calls.start(new Origin(NOBODY, from),
+                new OutgoingRequest(method, target, host(from), null, -1, null, body), done);
     }
 
+    /** Closes the idle connections to a provider. */
+    public void closeIdle(String provider, InetSocketAddress address) {
+        calls.closeIdle(new Origin(provider, address));
+    }
+
+    /** Closes the idle connections to whoever is no provider. */
     public void closeIdle(InetSocketAddress address) {
-        calls.closeIdle(address);
+        closeIdle(NOBODY, address);
     }
 
     private static String host(InetSocketAddress address) {
--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -172,6 +172,10 @@
 
     // ---- Requests: quota first, then worth, then a server ------------------------------------------
     private void onRequest(Request request) {
+        if (now - sweptAt > ACCOUNT_IDLE / 4) { // here, as a gateway without peers has no other turn
+            sweptAt = now;
+            accounts.values().removeIf(a -> a.open == 0 && now - a.usedAt > ACCOUNT_IDLE);
+        }
         RequestClass kind = settings.classes().get(request.requestClass());
         Account account = account(request.customer(), request.plan(), request.first(), request.spread());
         ClassTimes times = classes.get(request.requestClass());
@@ -469,10 +473,6 @@
     // ---- Packets: send, take in, acknowledge -------------------------------------------------------
     /** Every Δs, which the mail limit sets: send each neighbour its counters, judge who is silent. */
     private void synchronise() {
-        if (now - sweptAt > ACCOUNT_IDLE / 4) {
-            sweptAt = now;
-            accounts.values().removeIf(a -> a.open == 0 && now - a.usedAt > ACCOUNT_IDLE);
-        }
         patience = Math.max(SILENT_LEAST, patience * SILENT_FADE);
         double paces = 0;
         int heard = 0;
@@ -794,11 +794,11 @@
         box.goods = good ? box.goods + 1 : 0;
         if (box.out() && good && box.goods >= GOOD_BACK) {
             box.outUntil = -1;
-            fleet.out--;
+            fleet.out -= box.ready ? 1 : 0;
             box.errors = Math.min(box.errors, ERRORS_OUT / 2);
             box.timesOut = Math.max(0, box.timesOut - 1);
         } else if (!good && (box.out() || box.failures >= FAILURES_OUT || box.errors > ERRORS_OUT)) {
-            fleet.out += box.out() ? 0 : 1;
+            fleet.out += box.out() || !box.ready ? 0 : 1;
             box.outUntil = now + Math.min(OUT_MOST, OUT_FIRST << Math.min(OUT_DOUBLED, box.timesOut));
             box.timesOut++;
         }
--- a/src/main/java/reedmux/policy/PeerPacket.java
+++ b/src/main/java/reedmux/policy/PeerPacket.java
@@ -4,8 +4,11 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 import java.util.zip.CRC32;
 
 /**
@@ -25,6 +28,8 @@
     private static final int HEAD = CHECK + 3 * Short.BYTES;
     private static final int MASK = 0xffff;
     private static final int FLAGS = 5;
+    /** Customers of one edge with a short name at a time. */
+    static final int NAMED = 1024;
     /** Units travel as whole hundredths, up to this amount. */
     private static final double GRAIN = 100, MOST = 1e6;
 
@@ -44,18 +49,29 @@
         }
     }
 
-    /** The short names of customers on one edge, ours and the other side's; both begin anew with a life. */
+    /**
+     * The short names of customers on one edge, ours and the other side's; both begin anew with a life. Only
+     * the latest {@link #NAMED} hold, on both sides by the same rule: many customers come once and never
+     * again, and names without end would fill the memory.
+     */
     static final class Names {
-        private final Map<Long, Integer> ours = new HashMap<>();
+        private final Map<Long, Integer> ours = new LinkedHashMap<>();
         private final Map<Integer, Long> sentIn = new HashMap<>();
-        private final Map<Integer, Entry> theirs = new HashMap<>();
+        private final NavigableMap<Integer, Entry> theirs = new TreeMap<>();
+        private int named;
 
         void clear() {
+            named = 0;
             ours.clear();
             sentIn.clear();
             theirs.clear();
         }
 
+        /** Names held, of both sides. */
+        int size() {
+            return ours.size() + sentIn.size() + theirs.size();
+        }
+
         /** The packet was taken in: names that it told may stand alone. */
         void acknowledged(long number) {
             sentIn.values().removeIf(first -> first == number);
@@ -65,6 +81,7 @@
         Entry full(Entry entry) {
             if (entry.plan >= 0) {
                 theirs.put(entry.alias, entry);
+                theirs.headMap(theirs.lastKey() - NAMED, true).clear();
                 return entry;
             }
             Entry known = theirs.get(entry.alias);
@@ -74,9 +91,12 @@
 
         private int alias(Entry entry, long number) {
             Integer known = ours.get(entry.customer);
-            int alias = known != null ? known : ours.size();
+            int alias = known != null ? known : named++;
             if (known == null) {
                 ours.put(entry.customer, alias);
+                if (ours.size() > NAMED) {
+                    sentIn.remove(ours.remove(ours.keySet().iterator().next()));
+                }
             }
             if (known == null || sentIn.containsKey(alias)) {
                 sentIn.put(alias, number);
--- a/src/main/java/reedmux/policy/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -241,18 +241,26 @@
             if (list.scope() == Gateway.Scope.FULL) {
                 Set<String> listed = new LinkedHashSet<>();
                 list.servers().forEach(server -> listed.add(server.id()));
-                boxes.keySet().retainAll(listed);
+                boxes.values().removeIf(box -> {
+                    box.ready &= listed.contains(box.listed.id());
+                    return !listed.contains(box.listed.id());
+                });
             }
             List<Box> fresh = new ArrayList<>();
             for (Server server : list.servers()) {
                 Box box = boxes.get(server.id());
+                // What is still out at one that is gone or has started anew ends on its old box; that box
+                // must not go on counting, or the sums over the fleet would drift with each replacement.
+                if (box != null && (server.status() == Gateway.Status.GONE
+                        || box.listed.started() != server.started())) {
+                    box.ready = false;
+                }
                 if (server.status() == Gateway.Status.GONE) {
                     boxes.remove(server.id());
                 } else if (box == null || box.listed.started() != server.started()) {
                     Box now = new Box(server, limitOfNew,
                             kinds.computeIfAbsent(server.kind(), k -> new Kind()),
                             zones.computeIfAbsent(server.zone(), z -> new Zone()));
-                    now.open = box == null ? 0 : box.open;
                     boxes.put(server.id(), now);
                     fresh.add(now);
                 } else {
--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -33,7 +33,8 @@
 
 /**
  * Plays the recorded exchanges in {@code src/test/resources/exchanges} against the program, line by line.
- * A line names a party and what it does: {@code >} sends a line, {@code >>} sends without a line's end,
+ * A line names a party and what it does: {@code >} sends a line, {@code >>} sends all at one go and without
+ * a line's end, {@code answers} sends a whole answer with this body,
  * {@code <} expects a line, in which {@code *} stands for anything, {@code <<} expects just these bytes,
  * {@code skip} reads on to the end of a head, {@code node log} compares what was logged.
  * c1, c2 are consumers, p1, p2 providers, d, d2 are discovery, u1 a peer.
@@ -189,7 +190,7 @@
         } else {
             switch (parts[1]) {
                 case ">" -> send(party, rest + "\r\n");
-                case ">>" -> send(party, rest);
+                case ">>" -> send(party, rest.replace("\\r\\n", "\r\n"));
                 case "fill" -> send(party, "x".repeat(Integer.parseInt(rest)));
                 case "<" -> expect(rest, readLine(socket(party)));
                 case "<<" -> expect(rest, new String(socket(party).getInputStream()
@@ -198,6 +199,10 @@
                     while (!readLine(socket(party)).isEmpty()) { }
                 }
                 case "accept" -> sockets.put(party, listeners.get(party).accept());
+                case "answers" -> {
+                    String body = named(rest);
+                    send(party, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                }
                 case "connect" -> socket(party);
                 case "refuse" -> listeners.get(party).close();
                 case "refused" -> untilRefused();
--- /dev/null
+++ b/src/test/java/reedmux/policy/MemoryTest.java
@@ -0,0 +1,66 @@
+package reedmux.policy;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertTrue;
+
+import java.util.List;
+import org.junit.Test;
+import reedmux.policy.Gateway.Scope;
+import reedmux.policy.Gateway.Server;
+import reedmux.policy.Gateway.ServerList;
+import reedmux.policy.Gateway.Status;
+
+/** What is remembered of servers and customers that come and go has an end, and sums stay true. */
+public final class MemoryTest {
+    private final State.Fleet fleet = new State.Fleet();
+
+    private State.Box told(Scope scope, String id, long started) {
+        Server server = new Server(id, 0, 0, 0, Status.READY, 1, started);
+        fleet.apply(new ServerList(scope, List.of(server)), 6);
+        return fleet.ready.get(0);
+    }
+
+    @Test
+    public void attemptsAtAServerThatStartsAnewAreNotOutAtItsNewLife() {
+        State.Box old = told(Scope.FULL, "s", 0);
+        fleet.changeOpen(old, 3);
+        State.Box fresh = told(Scope.CHANGES, "s", 7);
+        assertEquals(0, fresh.open);
+        fleet.changeOpen(fresh, 1);
+        fleet.changeOpen(old, -3);
+        assertEquals(1, fresh.open);
+        assertEquals(1, fleet.open);
+    }
+
+    @Test
+    public void attemptsAtAServerThatIsGoneLeaveTheSumsAlone() {
+        State.Box old = told(Scope.FULL, "s", 0);
+        fleet.changeOpen(old, 3);
+        told(Scope.FULL, "other", 0);
+        fleet.changeOpen(old, -3);
+        fleet.changeLimit(old, 1);
+        assertEquals(0, fleet.open);
+        assertEquals(6, fleet.limit, 0);
+    }
+
+    @Test
+    public void shortNamesOfCustomersAreUnderstoodAndBounded() {
+        PeerPacket.Names ours = new PeerPacket.Names();
+        PeerPacket.Names theirs = new PeerPacket.Names();
+        int packets = 5 * PeerPacket.NAMED;
+        for (int number = 1; number <= packets; number++) {
+            PeerPacket.Writer writer = new PeerPacket.Writer(ours, 1, 1, 0, number, 0, false, 40, List.of());
+            writer.add(new PeerPacket.Entry(number, 0, 0, 2, 1, null, null, 0)); // comes once
+            writer.add(new PeerPacket.Entry(0, 0, 0, 2, 1, null, null, 0)); // comes always
+            for (PeerPacket.Entry entry : PeerPacket.read(writer.finish()).entries()) {
+                PeerPacket.Entry full = theirs.full(entry);
+                assertNotNull(full);
+                assertTrue(full.customer() == number || full.customer() == 0);
+            }
+            ours.acknowledged(number);
+        }
+        assertTrue(ours.size() <= 2 * PeerPacket.NAMED);
+        assertTrue(theirs.size() <= 2 * PeerPacket.NAMED);
+    }
+}
