The throttle recovers within seconds; consumers may hold two fifths of the descriptors

Checked with a build that logged why it refused: 70 to 95% of these by Brain.throttled(), none by the first sight of a customer or its ceiling; nothing was out at the providers (open 0 to 3 of 54). Answers come late while the JVM is cold, so none counts as good; then one trial at a time is let through, and good answers grow by e only every 2 s: 9 s from 1% of 100 requests a second to all. It is not the fleet that is bad. Also: consumers had 96 connections of 384, a third is 128; 84 new ones were closed unserved.

Now: while most answers are bad a twentieth of what is wanted is a trial. A tenth was tried: it let 23 of 40 through in the module's test of a jam, which allows 15. Consumers have 42% and providers 25% of the descriptors; the rest is for the JVM (24 seen) and for accepted connections.

--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -32,8 +32,13 @@
 
 /** One gatekeeper, put together: the reducer in the middle, and round it what reads and writes for it. */
 public final class Node implements Effects, AutoCloseable {
-    /** Descriptors for all but consumers and providers: the JVM's own files, selectors, discovery, peers. */
-    private static final int OTHER_DESCRIPTORS = 64;
+    /**
+     * Shares of the descriptors. Usual consumers hold up to a third of them and must not be closed for want
+     * of room. What is left is for the JVM's own files, discovery and peers, about 20, and for connections
+     * that are accepted before there is time to close others for them.
+     */
+    private static final double CONSUMERS_SHARE = 0.42;
+    private static final double PROVIDERS_SHARE = 0.25;
     /** The share of a provider's idle limit after which we close and no longer use a connection. */
     private static final double IDLE_SHARE = 0.5;
     /** Between looks for connections whose time is up: a bad consumer is owed its end within 3 s. */
@@ -72,11 +77,12 @@
         this.log = log;
         peers = new PeerLink(config.peerListen(), config.peers(), config.everyPeer());
         loop = new Loop(clock, peers);
-        int connections = (config.sockets() - OTHER_DESCRIPTORS - Transport.BACKLOG) / 2;
+        int providerConnections = (int) (config.sockets() * PROVIDERS_SHARE);
         RequestReader reader = new RequestReader(config.settings(), clock);
-        consumers = new ConsumerServer(reader, loop::post, this::canServe, connections);
+        consumers = new ConsumerServer(reader, loop::post, this::canServe,
+                (int) (config.sockets() * CONSUMERS_SHARE));
         reactor = Transport.reactor(consumers, log);
-        calls = new Calls(reactor, clock, connections, (long) (config.connIdle() * IDLE_SHARE));
+        calls = new Calls(reactor, clock, providerConnections, (long) (config.connIdle() * IDLE_SHARE));
         providers = new ProviderClient(calls, loop::post);
         watch = new Watch(providers, config.discovery(), config.lists(), loop::post, log);
         module = new Brain(config.settings(), config.seed());
--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -81,8 +81,12 @@
     private static final double RETRY_EARNED = 0.15, RETRY_MOST = 15;
     /** Part of the fall budget in use, the rest is for estimates; and what a cold server does at least. */
     private static final double FALL_USED = 0.5, COLD_LEAST = 0.01;
-    /** First sends for a good answer, its memory, a trial; first guesses that what is out counts as good. */
+    /**
+     * First sends for a good answer, its memory, a trial; first guesses that what is out counts as good; and
+     * the share of what is wanted that is a trial at least, as from single ones it took 9 s to recover.
+     */
     private static final double SENDS_PER_GOOD = 2, GOOD_MEMORY = 2 * SECOND, TRIAL = 1, YOUNG = 2;
+    private static final double TRIAL_SHARE = 0.05;
     /** Advice to stay away after a refusal in overload; pause before discovery is asked again. */
     private static final long OVERLOAD_ADVICE = 700_000, ASK_AGAIN = 500_000;
 
@@ -230,7 +234,8 @@
      */
     private boolean throttled(double relativeWorth) {
         fadeGood();
-        double chance = SENDS_PER_GOOD * (good + young + TRIAL) / (wanted + TRIAL);
+        double trial = Math.max(TRIAL, TRIAL_SHARE * wanted);
+        double chance = SENDS_PER_GOOD * (good + young + trial) / (wanted + TRIAL);
         wanted++;
         return random.nextDouble() >= chance * Math.sqrt(relativeWorth);
     }
--- a/src/test/java/reedmux/policy/MemoryTest.java
+++ b/src/test/java/reedmux/policy/MemoryTest.java
@@ -5,8 +5,10 @@
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertTrue;
 
+import java.util.Arrays;
 import java.util.List;
 import org.junit.Test;
+import reedmux.policy.Gateway.Outcome;
 import reedmux.policy.Gateway.Scope;
 import reedmux.policy.Gateway.Server;
 import reedmux.policy.Gateway.ServerList;
@@ -58,6 +60,23 @@
         assertTrue(group.brains[1].restarted());
     }
 
+    /** A cold start of ours looks like a jam: it must not go on refusing for long after answers are good. */
+    @Test
+    public void theThrottleOpensWithinSecondsOnceAnswersAreGood() {
+        Group group = Group.of(1, Group.quota(1000, 1000));
+        long until = group.now + 2 * Group.SECOND;
+        group.ends = sent -> sent.at() < until ? Outcome.RESET : Outcome.OK;
+        int[] sent = new int[6];
+        for (int i = 0; i < 600; i++) {
+            int before = group.sent.size();
+            group.request(0, Group.UNSAFE, 1, 0, 1);
+            group.run(10 * Group.MS);
+            sent[i / 100] += group.sent.size() - before;
+        }
+        assertTrue(Arrays.toString(sent), sent[1] < 50);
+        assertTrue(Arrays.toString(sent), sent[4] > 80);
+    }
+
     @Test
     public void shortNamesOfCustomersAreUnderstoodAndBounded() {
         PeerPacket.Names ours = new PeerPacket.Names();
