--- a/src/main/java/reedmux/cli/WarmUp.java
+++ b/src/main/java/reedmux/cli/WarmUp.java
@@ -46,7 +46,7 @@
     private static final long ROUND = TimeUnit.MILLISECONDS.toMicros(5);
     /** The most time for it; at a restart the others bear our load meanwhile, and every second counts. */
     private static final long FRAME = TimeUnit.MILLISECONDS.toNanos(4_000);
-    private static final long FRAME_AT_RESTART = TimeUnit.MILLISECONDS.toNanos(1_000);
+    private static final long FRAME_AT_RESTART = TimeUnit.MILLISECONDS.toNanos(2_000);
     private static final long HANGS_MILLIS = 500;
     private static final byte[] BODY = new byte[200];
 
