--- a/src/main/java/reedmux/http/Calls.java
+++ b/src/main/java/reedmux/http/Calls.java
@@ -89,6 +89,9 @@
                         }
                     });
             exchange.connecting(future);
+            if (exchange.stopped()) {
+                future.cancel(true); // given up just before there was something to cancel
+            }
         } catch (RuntimeException e) { // the reactor has been shut down, as at the very end of leaving
             connection.abandon();
             exchange.end(new CallResult.Broken(Stage.CONNECTING, String.valueOf(e.getMessage())));
@@ -96,6 +99,7 @@
     }
 
     private synchronized Connection lease(CallExchange exchange) {
+        exchange.connection = null; // a kept one that proved spoilt must not hide that a new one is coming up
         Deque<Connection> kept = exchange.stopped() ? null : idle.get(exchange.origin());
         long usable = clock.now() - mostIdle;
         while (kept != null && !kept.isEmpty()) {
