A provider that turns us away while nothing of ours is out there counts as failing

Checked: Brain.judge() passed over FULL, and bound() only cut the provider's limit, to one at least; so one that turns everything away has nothing out, answers at once and looks like the best of all. Ruled out: our own load (the median and the number out were as in the good spells).

--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -794,7 +794,10 @@
     }
 
     private void judge(Box box, Outcome outcome) {
-        if (outcome == Outcome.CANCELLED || outcome == Outcome.MOOT || outcome == Outcome.FULL) {
+        // Being turned away says nothing of health where its line may be full of our own; where nothing of
+        // ours is out it is of no use to us now, though it answers faster than any and so looks free.
+        if (outcome == Outcome.CANCELLED || outcome == Outcome.MOOT
+                || outcome == Outcome.FULL && box.open > 0) {
             return;
         }
         boolean good = outcome == Outcome.OK;
--- a/src/test/java/reedmux/policy/MemoryTest.java
+++ b/src/test/java/reedmux/policy/MemoryTest.java
@@ -60,6 +60,17 @@
         assertTrue(group.brains[1].restarted());
     }
 
+    /** It answers at once and never has anything of ours out, so by these alone it is the best of all. */
+    @Test
+    public void aServerThatTurnsAllAwayIsLeftAlone() {
+        Group group = Group.of(1, Group.quota(1000, 1000));
+        String away = "10.0.0.0:80";
+        group.ends = sent -> sent.server().equals(away) ? Outcome.FULL : Outcome.OK;
+        group.traffic(0, 1, 1, 10 * Group.MS, 10 * Group.SECOND);
+        long there = group.sent.stream().filter(sent -> sent.server().equals(away)).count();
+        assertTrue("of " + group.sent.size() + " there: " + there, there > 0 && there < 60);
+    }
+
     /** A cold start of ours looks like a jam: it must not go on refusing for long after answers are good. */
     @Test
     public void theThrottleOpensWithinSecondsOnceAnswersAreGood() {
