Idle consumers' connections give way well before the bound

Checked: a build that logged why the module refuses: it saw 33 to 110 requests a second and refused few of them, so the refusals were not its own; the report's field "unreached" says 4714 requests found no connection. The gatekeeper's sockets, listed once a second: 140 to 161 from consumers, the bound being 161, none with unread bytes and none waiting to be accepted. Consumers may open 128 to each gatekeeper: they held their share idle. At fault: ConsumerServer.makeRoom let nobody go before its own bound was reached.

Now: over 65% of the bound, which is less than what consumers may open, the connection that waits for nothing longest gives way, after a last look whether its next request has arrived. The bound itself is as before.

--- a/src/main/java/reedmux/http/ConsumerServer.java
+++ b/src/main/java/reedmux/http/ConsumerServer.java
@@ -42,6 +42,11 @@
     private static final long WRITE_LIMIT = TimeUnit.SECONDS.toMicros(5);
     /** A connection without a request is closed after so long: some consumers never come back. */
     private static final long IDLE_LIMIT = TimeUnit.SECONDS.toMicros(15);
+    /**
+     * Share of the bound over which connections that wait for nothing give way. It is less than what usual
+     * consumers may open, as these would else be held up by what they keep open themselves.
+     */
+    private static final double ROOMY = 0.65;
     /** A usual consumer sends at once; those that dawdle give way first when connections are scarce. */
     private static final long DAWDLES = TimeUnit.MILLISECONDS.toMicros(100);
     /** Bytes read from a connection that is being closed, so that a small rest does not reset it. */
@@ -114,27 +119,36 @@
     }
 
     /**
-     * Descriptors are bounded, so where there are too many connections one gives way: one that sends nothing
-     * or half a request before one that is idle, and of these the one that has been so the longest. One that
-     * is being served never does; where all others are, the newest goes itself.
+     * Descriptors are bounded, ours and what consumers may open to us. So over a share of the bound a new
+     * connection takes the place of one that sends nothing or half a request, or else of one that is idle,
+     * and of these of the one that has been so the longest: some ask once and keep their connection for
+     * good. One that is being served never gives way; where all are, at the bound the newest goes itself.
      */
-    private void makeRoom(Link newest) {
-        long now = reader.now();
+    private void makeRoom(Link newest) throws IOException {
         synchronized (links) {
             links.add(newest);
         }
         List<Link> all = open().stream().filter(link -> !link.gone).toList();
-        for (int over = all.size() - mostConnections; over > 0; over--) {
-            Link first = newest;
+        int over = all.size() - (int) (mostConnections * ROOMY);
+        while (over > 0) {
+            long now = reader.now();
+            Link first = null;
             Doing least = Doing.STARTING;
             for (Link link : all) {
                 Doing doing = link.gone ? Doing.SERVING : link.doing(now);
-                if (doing.compareTo(least) < 0 || doing == least && link.since < first.since) {
+                if (doing.compareTo(least) < 0
+                        || first != null && doing == least && link.since < first.since) {
                     first = link;
                     least = doing;
                 }
             }
-            first.close();
+            if (first == null) {
+                break;
+            }
+            over -= first.giveWay() ? 1 : 0;
+        }
+        if (all.stream().filter(link -> !link.gone).count() > mostConnections) {
+            newest.close();
         }
     }
 
@@ -245,6 +259,18 @@
             session.close(CloseMode.GRACEFUL);
         }
 
+        /** Closes it for want of room, unless its next request has just arrived. */
+        private boolean giveWay() throws IOException {
+            if (doing(reader.now()) == Doing.IDLE) {
+                events.inputReady(session, null);
+                if (!gone && doing(reader.now()) != Doing.IDLE) {
+                    return false;
+                }
+            }
+            close();
+            return true;
+        }
+
         /** What a sweep found may have changed since, and only here nothing more can come in between. */
         private void closeIfStillDue(IOSession ioSession) throws IOException {
             toldToClose = false;
