Connections are accepted only while there is room for them

Seen in a probe: under a limit of 256 descriptors 300 connections at once that say nothing end HttpCore's listener ("reactor: Too many open files"); the program lives on and refuses every connection. The look at listener.isClosed() did not notice it.

Checked: SingleCoreListeningIOReactor accepts until nobody waits and ends at the first IOException; neither it nor DefaultListeningIOReactor has a hook between two connections, and pausing closes the port. Ruled out: a shorter queue, as it is emptied as fast as it is filled.

Now: http/Acceptor accepts with a permit for each connection there is room for, and hands it to the reactor through the one class that has to lie in the library's package. While connections are scarce, those that say nothing go after 0.1 s. A dead thread of the reactor is noticed by the thread itself.

The played exchange (150 with room for 107) fails without the change.

--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -3,15 +3,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import reedmux.policy.Brain;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
-import org.apache.hc.core5.reactor.ListenerEndpoint;
 import reedmux.config.Config;
 import reedmux.config.ConfigException;
 import reedmux.core.Answer;
@@ -23,6 +22,7 @@
 import reedmux.core.Loop;
 import reedmux.core.Reducer;
 import reedmux.discovery.Watch;
+import reedmux.http.Acceptor;
 import reedmux.http.Calls;
 import reedmux.http.ConsumerServer;
 import reedmux.http.ProviderClient;
@@ -54,6 +54,7 @@
     private final Consumer<String> log;
     private final PeerLink peers;
     private final Loop loop;
+    private final List<Thread> reactorThreads = new ArrayList<>(2);
     private final DefaultListeningIOReactor reactor;
     private final Calls calls;
     private final ProviderClient providers;
@@ -66,7 +67,8 @@
     private volatile boolean serving;
     private volatile boolean warm = true;
     private volatile long leavingSince;
-    private volatile ListenerEndpoint listener;
+    private volatile Acceptor listener;
+    private volatile SocketAddress listenAddress;
     private boolean accepting = true;
     private long sweptAt;
     private long quietSince = Long.MAX_VALUE;
@@ -81,7 +83,7 @@
         RequestReader reader = new RequestReader(config.settings(), clock);
         consumers = new ConsumerServer(reader, loop::post, this::canServe,
                 (int) (config.sockets() * CONSUMERS_SHARE));
-        reactor = Transport.reactor(consumers, log);
+        reactor = Transport.reactor(consumers, log, reactorThreads);
         calls = new Calls(reactor, clock, providerConnections, (long) (config.connIdle() * IDLE_SHARE));
         providers = new ProviderClient(calls, loop::post);
         watch = new Watch(providers, config.discovery(), config.lists(), loop::post, log);
@@ -96,20 +98,30 @@
         reactor.start();
         watch.ask();
         try {
-            listener = reactor.listen(config.listen(), null).get();
+            listener = listen();
+            listenAddress = listener.address();
             serving = true;
             listening.countDown();
             loop.run(reducer, this::afterTurn);
             log.accept("ended; datagrams dropped " + peers.dropped() + ", not sent " + peers.unsent());
-        } catch (ExecutionException e) {
-            throw new IOException("cannot listen on " + config.listen() + ": " + e.getCause().getMessage());
         } finally {
             watch.close();
+            if (listener != null) {
+                listener.close();
+            }
             reactor.close(CloseMode.IMMEDIATE);
             ended.countDown();
         }
     }
 
+    private Acceptor listen() throws IOException {
+        try {
+            return new Acceptor(config.listen(), reactor, consumers.room(), log);
+        } catch (IOException e) {
+            throw new IOException("cannot listen on " + config.listen() + ": " + e.getMessage());
+        }
+    }
+
     private boolean canServe() {
         return serving && warm && reducer.anyProvider();
     }
@@ -151,7 +163,7 @@
         if (leavingSince == 0) {
             // A reactor whose thread has died closes its sockets and says nothing. To go on without
             // sockets would look alive and serve nobody, so the program ends and is started again.
-            if (listener.isClosed()) {
+            if (!reactorThreads.stream().allMatch(Thread::isAlive)) {
                 throw new IllegalStateException("the reactor has ended");
             }
             return sweptAt + SWEEP;
@@ -161,7 +173,7 @@
         }
         if (accepting) {
             accepting = false;
-            listener.close(CloseMode.IMMEDIATE);
+            stopListening();
             consumers.closeIdle();
         }
         // An answer is still to be written by the I/O thread when the reducer has done with it: only a
@@ -171,6 +183,14 @@
         return quiet && now - quietSince >= LAST_WRITES ? Loop.END : now + LAST_WRITES;
     }
 
+    private void stopListening() {
+        try {
+            listener.close();
+        } catch (IOException e) {
+            log.accept("the port could not be closed: " + e.getMessage());
+        }
+    }
+
     /** Stops taking in new work a little later, answers all that was taken, and ends. */
     public void leave() {
         consumers.leave();
@@ -207,7 +227,7 @@
     /** Where consumers connect, once they can; what was configured, or the port that port 0 brought. */
     public SocketAddress awaitListening() throws InterruptedException {
         listening.await();
-        return listener.getAddress();
+        return listenAddress;
     }
 
     @Override
--- a/src/main/java/reedmux/http/ConsumerServer.java
+++ b/src/main/java/reedmux/http/ConsumerServer.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -62,6 +63,8 @@
     /** Used on the I/O thread alone. */
     private final ByteBuffer scrap = ByteBuffer.allocate(16 * 1024);
     private final Set<Link> links = new LinkedHashSet<>();
+    private final Semaphore room;
+    private volatile long requestLimit = REQUEST_LIMIT;
     private volatile boolean leaving;
 
     public ConsumerServer(RequestReader reader, Consumer<Event> events, BooleanSupplier ready,
@@ -70,6 +73,12 @@
         this.events = events;
         this.ready = ready;
         this.mostConnections = mostConnections;
+        room = new Semaphore(mostConnections);
+    }
+
+    /** A permit for each connection that there is still room for. */
+    public Semaphore room() {
+        return room;
     }
 
     IOEventHandler handler(ProtocolIOSession session) {
@@ -105,7 +114,10 @@
     /** Closes the connections whose time is up. */
     public void sweep() {
         long now = reader.now();
-        for (Link link : open()) {
+        List<Link> all = open();
+        // Those that wait to be accepted may be usual consumers, behind hundreds that say nothing.
+        requestLimit = all.size() > mostConnections * ROOMY ? DAWDLES : REQUEST_LIMIT;
+        for (Link link : all) {
             if (link.overdue(now)) {
                 link.askToClose();
             }
@@ -122,7 +134,7 @@
      * Descriptors are bounded, ours and what consumers may open to us. So over a share of the bound a new
      * connection takes the place of one that sends nothing or half a request, or else of one that is idle,
      * and of these of the one that has been so the longest: some ask once and keep their connection for
-     * good. One that is being served never gives way; where all are, at the bound the newest goes itself.
+     * good. One that is being served never gives way; at the bound itself no more are accepted.
      */
     private void makeRoom(Link newest) throws IOException {
         synchronized (links) {
@@ -147,9 +159,6 @@
             }
             over -= first.giveWay() ? 1 : 0;
         }
-        if (all.stream().filter(link -> !link.gone).count() > mostConnections) {
-            newest.close();
-        }
     }
 
     /** One accepted connection. All but {@link #askToClose} and what sweeps read is the I/O thread's. */
@@ -241,7 +250,7 @@
             ConsumerExchange exchange = current;
             return switch (doing(now)) {
                 case CLOSING -> now - since > LINGER;
-                case DAWDLING, STARTING -> now - since > REQUEST_LIMIT;
+                case DAWDLING, STARTING -> now - since > requestLimit;
                 case IDLE -> now - since > IDLE_LIMIT;
                 case SERVING -> exchange != null && exchange.answered() && now - since > WRITE_LIMIT;
             };
@@ -330,6 +339,7 @@
 
         private void closed() {
             gone = true;
+            room.release();
             synchronized (links) {
                 links.remove(this);
             }
--- a/src/main/java/reedmux/http/Transport.java
+++ b/src/main/java/reedmux/http/Transport.java
@@ -1,5 +1,6 @@
 package reedmux.http;
 
+import java.util.Collection;
 import java.util.concurrent.ThreadFactory;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -7,7 +8,7 @@
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.TimeValue;
 
-/** The one reactor: a thread that waits for new connections, and one that does all reading and writing. */
+/** The one reactor, whose one thread does all reading and writing; its listener is left idle. */
 public final class Transport {
     /** Most bytes of a body, either way; a consumer that sends more is told so. */
     public static final int MOST_BODY = 64 * 1024;
@@ -16,8 +17,6 @@
     /** With the lines' length these bound what a head without end can take up, some hundred times over. */
     private static final int MOST_HEADERS = 40;
     private static final int LONGEST_LINE = 4096;
-    /** Connections that may be accepted at one go, before those over the bound are closed again. */
-    public static final int BACKLOG = 128;
     /** Connections have no time-outs of their own, so the reactor need not look for them often. */
     private static final TimeValue LOOK = TimeValue.ofSeconds(5);
 
@@ -27,17 +26,19 @@
 
     private Transport() { }
 
-    /** A reactor whose accepted connections and calls are handled by these two. */
-    public static DefaultListeningIOReactor reactor(ConsumerServer server, Consumer<String> log) {
+    /** A reactor whose accepted connections and calls are handled by these two, and its threads. */
+    public static DefaultListeningIOReactor reactor(ConsumerServer server, Consumer<String> log,
+                                                    Collection<Thread> threads) {
         ThreadFactory daemon = task -> {
             Thread thread = new Thread(task, "reedmux-io");
             thread.setDaemon(true);
+            threads.add(thread);
             return thread;
         };
         return new DefaultListeningIOReactor((session, attachment) ->
                 attachment instanceof Connection ours ? ours.handler(session) : server.handler(session),
                 IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoReuseAddress(true)
-                        .setBacklogSize(BACKLOG).setSelectInterval(LOOK).build(),
+                        .setSelectInterval(LOOK).build(),
                 daemon, daemon, null, failure -> log.accept("reactor: " + failure), null, null);
     }
 }
--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -36,7 +36,7 @@
  * A line names a party and what it does: {@code >} sends a line, {@code >>} sends all at one go and without
  * a line's end, {@code answers} sends a whole answer with this body,
  * {@code <} expects a line, in which {@code *} stands for anything, {@code <<} expects just these bytes,
- * {@code crowd} has so many consumers ask for health and stay,
+ * {@code crowd} has so many consumers ask for health and stay, {@code silent} so many say nothing,
  * {@code skip} reads on to the end of a head, {@code node log} compares what was logged.
  * c1, c2 are consumers, p1, p2 providers, d, d2 are discovery, u1 a peer.
  */
@@ -179,6 +179,10 @@
                     play(party + i + ' ' + step);
                 }
             }
+        } else if (parts[1].equals("silent")) {
+            for (int i = 0; i < Integer.parseInt(rest); i++) {
+                socket(party + i);
+            }
         } else if (party.equals("node")) {
             if (parts[1].equals("leave")) {
                 node.leave();
