A last look for a request before any connection gives way, not only an idle one

Read in ConsumerServer.giveWay(): a connection counts as dawdling 0.1 s after it was accepted, but on 0.3 of a core the I/O thread may itself be held up that long, with the request waiting in the socket. Closing it then would be our fault. Now what has arrived is read first, whatever the connection was doing.

--- a/src/main/java/reedmux/http/ConsumerServer.java
+++ b/src/main/java/reedmux/http/ConsumerServer.java
@@ -268,11 +268,14 @@
             session.close(CloseMode.GRACEFUL);
         }
 
-        /** Closes it for want of room, unless its next request has just arrived. */
+        /**
+         * Closes it for want of room, unless a request of its has arrived: on a part of a core the thread
+         * may be held up for longer than any usual consumer dawdles, with the request waiting to be read.
+         */
         private boolean giveWay() throws IOException {
-            if (doing(reader.now()) == Doing.IDLE) {
+            if (!heads.deaf()) {
                 events.inputReady(session, null);
-                if (!gone && doing(reader.now()) != Doing.IDLE) {
+                if (!gone && unwritten > 0) {
                     return false;
                 }
             }
