A watch waits 2 s, so that a silent connection is noticed after 3 s, not 22 s

Checked: a build that logged why the module refuses, with each provider's calls out: its list stayed at the ten providers of the start until 23.6 s, though discovery told of changes from 8 s on; by then eight of ten were left out, with 102 failed connects in a second, as they no longer existed. At 23.6 s the log says "discovery: Connection is closed", and a second later all was well: the watch's connection had gone silent, and the call was given up 22 s after it was made. At fault: Watch.WAIT_MILLIS 20 s and PATIENCE_MILLIS 2 s. Ruled out: the module, which left out what it had to, and the quota.

--- a/src/main/java/reedmux/discovery/Watch.java
+++ b/src/main/java/reedmux/discovery/Watch.java
@@ -18,9 +18,13 @@
  * the list that is known goes on serving.
  */
 public final class Watch implements AutoCloseable {
-    private static final long WAIT_MILLIS = 20_000;
+    /**
+     * The wait asked for. A connection that has gone silent looks like one with no news until the wait is
+     * over, so it bounds how old the list may get; a call with no news costs next to nothing.
+     */
+    private static final long WAIT_MILLIS = 2_000;
     /** How much longer than the agreed wait an answer may take before the call is made anew. */
-    private static final long PATIENCE_MILLIS = 2_000;
+    private static final long PATIENCE_MILLIS = 1_000;
     /** A pause after a failure, so that a broken agent is not asked in a tight circle. */
     private static final long PAUSE_MILLIS = 100;
 
