A settings script in Starlark's manner, and the pure decisions about another region

Need: another region as last resort wants settings that the platform's configuration has no place for, and decisions that can be tested without sockets.

Change: package reedmux.settings reads deploy/*.star: grammar in ANTLR 4, indents by a token source between lexer and parser, an interpreter without while, recursion or I/O, bounded in steps, memory, length and depth. Errors name file, line, column and key, with the nearest known name (commons-text). Package reedmux.region decides what goes away, to which gateway and for how long, and which visitors are taken in. Nothing uses either package yet.

--- a/src/main/java/reedmux/config/Addresses.java
+++ b/src/main/java/reedmux/config/Addresses.java
@@ -5,13 +5,13 @@
 import java.net.UnknownHostException;
 
 /** Numeric addresses: there is no DNS, so a name is never looked up. */
-final class Addresses {
+public final class Addresses {
     private static final int MOST_PORTS = 65_535;
 
     private Addresses() { }
 
     /** The address in {@code a.b.c.d:port}, or null if it is none; port 0 stands for any free one. */
-    static InetSocketAddress parse(String text) {
+    public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
         String[] parts = colon < 0 ? new String[0] : text.substring(0, colon).split("\\.", -1);
         byte[] bytes = new byte[4];
--- /dev/null
+++ b/src/main/java/reedmux/region/Departure.java
@@ -0,0 +1,10 @@
+package reedmux.region;
+
+/**
+ * A request that goes to another region.
+ *
+ * @param gateway the gateway it goes to
+ * @param told    microseconds that the other region is told it has
+ * @param patience microseconds after which we give it up ourselves; more than {@code told} by the link's time
+ */
+public record Departure(String gateway, long told, long patience) { }
