--- a/src/main/java/reedmux/cli/Main.java
+++ b/src/main/java/reedmux/cli/Main.java
@@ -1,43 +1,58 @@
 package reedmux.cli;
 
 import java.io.IOException;
+import java.io.StringWriter;
 import java.lang.reflect.Proxy;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.OptionHandlerFilter;
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
 import reedmux.config.Config;
 import reedmux.config.ConfigException;
 import reedmux.core.Clock;
+import reedmux.settings.OperatorSettings;
+import reedmux.settings.ScriptException;
 
 /** The command line. */
 public final class Main {
-    private static final String USAGE = """
-            usage: reedmux COMMAND
-              serve         run a gatekeeper until SIGTERM; RELAY_CONFIG names its configuration
-              wirehost      speak the simulator's wire on standard input and output
-              check-config  say whether the configuration can be used, or which key is at fault
-              self-check    start a gatekeeper from a sample configuration, ask it once, end it
-              version       print the version""";
     private static final int BAD_USAGE = 2;
     private static final int BAD_CONFIG = 3;
 
-    /** What one sub-command does; returns the exit code. */
-    interface Command {
-        int run() throws IOException, InterruptedException;
+    /** What one sub-command does; its own options are read by args4j. */
+    abstract static class Command {
+        @Option(name = "--help", aliases = "-h", help = true, usage = "print this")
+        private boolean help;
+
+        /** Returns the exit code, or one below nought to leave the end to others. */
+        abstract int run() throws IOException, InterruptedException;
     }
 
-    @Argument(index = 0, required = true, metaVar = "COMMAND", handler = SubCommandHandler.class,
-            usage = "what to do")
+    /** The commands, with what {@code --help} says of each. */
+    private static final Map<String, String> COMMANDS = new LinkedHashMap<>();
+
+    static {
+        COMMANDS.put("serve", "run a gatekeeper until SIGTERM; RELAY_CONFIG names its configuration");
+        COMMANDS.put("wirehost", "speak the simulator's wire on standard input and output");
+        COMMANDS.put("check-config", "say whether the configuration can be used, or which key is at fault");
+        COMMANDS.put("self-check", "start a gatekeeper from a sample configuration, ask it once, end it");
+        COMMANDS.put("lab", "run a scene against real gatekeepers on loopback, or in virtual time");
+        COMMANDS.put("version", "print the version");
+    }
+
+    @Argument(index = 0, metaVar = "COMMAND", handler = SubCommandHandler.class, usage = "what to do")
     @SubCommands({
         @SubCommand(name = "serve", impl = Serve.class),
         @SubCommand(name = "wirehost", impl = WireHost.class),
         @SubCommand(name = "check-config", impl = CheckConfig.class),
         @SubCommand(name = "self-check", impl = SelfCheck.class),
+        @SubCommand(name = "lab", impl = Lab.class),
         @SubCommand(name = "version", impl = Version.class)
     })
     private Command command;
@@ -54,11 +69,23 @@
             parser.parseArgument(args);
         } catch (CmdLineException e) {
             System.err.println("reedmux: " + e.getMessage());
-            System.err.println(USAGE);
+            // A mistake within a sub-command is told by that command's own options.
+            if (args.length > 0 && COMMANDS.containsKey(args[0])) {
+                System.err.println("try: reedmux " + args[0] + " --help");
+            } else {
+                System.err.println(args.length > 0 ? "known commands: " + String.join(", ", COMMANDS.keySet())
+                        : usage());
+            }
             System.exit(BAD_USAGE);
         }
-        if (main.help || main.command == null) {
-            System.out.println(USAGE);
+        if (main.help) {
+            System.out.println(usage());
+            System.exit(0);
+        } else if (main.command == null) {
+            System.err.println(usage());
+            System.exit(BAD_USAGE);
+        } else if (main.command.help) {
+            System.out.println(usage(args[0], main.command));
             System.exit(0);
         }
         int code = main.command.run();
@@ -67,10 +94,24 @@
         }
     }
 
-    /** Reads the configuration, or ends with one line that names the key at fault. */
-    static Config config(Map<String, String> environment, Clock clock) {
+    private static String usage() {
+        StringBuilder text = new StringBuilder("usage: reedmux COMMAND [OPTION ...]\n");
+        COMMANDS.forEach((name, what) -> text.append(String.format("  %-13s %s%n", name, what)));
+        return text.append("reedmux COMMAND --help tells a command's options").toString();
+    }
+
+    private static String usage(String name, Command command) {
+        StringWriter options = new StringWriter();
+        CmdLineParser parser = new CmdLineParser(command);
+        parser.printUsage(options, null);
+        return "usage: reedmux " + name + parser.printExample(OptionHandlerFilter.REQUIRED)
+                + " [OPTION ...]: " + COMMANDS.get(name) + '\n' + options.toString().stripTrailing();
+    }
+
+    /** Reads all settings, or ends with one line that names the key at fault. */
+    static Loaded loaded(Map<String, String> environment, Path settings, Clock clock) {
         try {
-            return Config.load(environment, clock);
+            return Loaded.atStart(environment, settings, clock);
         } catch (ConfigException e) {
             System.err.println("reedmux: configuration: " + e.getMessage());
             System.exit(BAD_CONFIG);
@@ -79,16 +120,21 @@
     }
 
     /** Runs a real gatekeeper until it is told to leave. */
-    public static final class Serve implements Command {
+    public static final class Serve extends Command {
         private static final long LONGEST_LEAVE_MILLIS = 8_000;
 
+        @Option(name = "--settings", metaVar = "FILE", usage = "the operators' own settings, a .star script;"
+                + " SIGHUP reads them anew")
+        private Path settings;
+
         @Override
-        public int run() throws IOException, InterruptedException {
+        int run() throws IOException, InterruptedException {
             Clock clock = new Clock();
-            Config config = config(System.getenv(), clock);
-            Node node = new Node(config, clock, line -> System.err.println("reedmux: " + line));
+            Loaded loaded = loaded(System.getenv(), settings, clock);
+            Node node = new Node(loaded.config(), loaded.settings(), clock,
+                    line -> System.err.println("reedmux: " + line));
             // Set before anything is ready: without a handler SIGHUP ends the program.
-            onHangUp(() -> node.reload(() -> Config.reload(System.getenv(), clock)));
+            onHangUp(() -> node.reload(() -> Loaded.again(System.getenv(), settings, clock)));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 node.leave();
                 try {
@@ -141,28 +187,47 @@
     }
 
     /** Speaks the simulator's wire on standard input and output. */
-    public static final class WireHost implements Command {
+    public static final class WireHost extends Command {
         @Override
-        public int run() {
+        int run() {
             return reedmux.wire.Main.host();
         }
     }
 
-    /** Reads the configuration and says whether it can be used. */
-    public static final class CheckConfig implements Command {
+    /** Reads the settings and says whether they can be used. */
+    public static final class CheckConfig extends Command {
+        @Option(name = "--settings", metaVar = "FILE", usage = "also the operators' own settings; without"
+                + " RELAY_CONFIG these alone")
+        private Path settings;
+
         @Override
-        public int run() {
-            Config config = config(System.getenv(), new Clock());
+        int run() {
+            if (settings != null && !System.getenv().containsKey("RELAY_CONFIG")) {
+                try {
+                    OperatorSettings.read(settings).described().forEach(System.out::println);
+                    System.out.println("ok: " + settings + " by itself; its fit to a platform was not "
+                            + "checked");
+                    return 0;
+                } catch (ScriptException e) {
+                    System.err.println("reedmux: configuration: " + e.getMessage());
+                    return BAD_CONFIG;
+                }
+            }
+            Loaded loaded = loaded(System.getenv(), settings, new Clock());
+            Config config = loaded.config();
             System.out.println("ok: " + config.name() + " listens on " + config.listen() + ", number "
                     + config.settings().self() + " of " + config.settings().groupSize());
+            if (settings != null) {
+                loaded.settings().described().forEach(System.out::println);
+            }
             return 0;
         }
     }
 
     /** Prints the version. */
-    public static final class Version implements Command {
+    public static final class Version extends Command {
         @Override
-        public int run() {
+        int run() {
             String version = Main.class.getPackage().getImplementationVersion();
             System.out.println("reedmux " + (version == null ? "(unpackaged)" : version));
             return 0;
--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -29,6 +29,9 @@
 import reedmux.http.RequestReader;
 import reedmux.http.Transport;
 import reedmux.peer.PeerLink;
+import reedmux.region.Departure;
+import reedmux.settings.OperatorSettings;
+import reedmux.settings.OperatorSettings.Region;
 
 /** One gatekeeper, put together: the reducer in the middle, and round it what reads and writes for it. */
 public final class Node implements Effects, AutoCloseable {
@@ -59,6 +62,7 @@
     private final Calls calls;
     private final ProviderClient providers;
     private final ConsumerServer consumers;
+    private final RegionLink regions;
     private final Watch watch;
     private final Brain module;
     private final Reducer reducer;
@@ -73,7 +77,13 @@
     private long sweptAt;
     private long quietSince = Long.MAX_VALUE;
 
+    /** A gatekeeper for which the operators have set nothing of their own. */
     public Node(Config config, Clock clock, Consumer<String> log) throws IOException {
+        this(config, OperatorSettings.NONE, clock, log);
+    }
+
+    public Node(Config config, OperatorSettings settings, Clock clock, Consumer<String> log)
+            throws IOException {
         this.config = config;
         this.clock = clock;
         this.log = log;
@@ -83,13 +93,20 @@
         RequestReader reader = new RequestReader(config.settings(), clock);
         consumers = new ConsumerServer(reader, loop::post, this::canServe,
                 (int) (config.sockets() * CONSUMERS_SHARE));
-        reactor = Transport.reactor(consumers, log, reactorThreads);
+        regions = settings.region() == null ? null
+                : new RegionLink(settings.region(), config, clock, loop::post, this::canServe, log);
+        reactor = Transport.reactor(local -> regions == null ? consumers : regions.serverOf(local, consumers),
+                log, reactorThreads);
+        if (regions != null) {
+            regions.connect(reactor, config, clock, loop::post);
+        }
         calls = new Calls(reactor, clock, providerConnections, (long) (config.connIdle() * IDLE_SHARE));
         providers = new ProviderClient(calls, loop::post);
         watch = new Watch(providers, config.discovery(), config.lists(), loop::post, log);
         module = new Brain(config.settings(), config.seed());
         reducer = new Reducer(module,
-                config.settings().limits().maxAttempts(), config.connectTimeout(), this);
+                config.settings().limits().maxAttempts(), config.connectTimeout(), this,
+                regions == null ? null : regions.desk());
     }
 
     /** Listens, and serves until {@link #leave}; the calling thread owns the reducer. */
@@ -99,6 +116,9 @@
         watch.ask();
         try {
             listener = listen();
+            if (regions != null) {
+                regions.listen(reactor);
+            }
             listenAddress = listener.address();
             serving = true;
             listening.countDown();
@@ -109,6 +129,10 @@
             if (listener != null) {
                 listener.close();
             }
+            if (regions != null) {
+                regions.tell();
+                regions.close();
+            }
             reactor.close(CloseMode.IMMEDIATE);
             ended.countDown();
         }
@@ -159,6 +183,9 @@
             sweptAt = now;
             calls.sweep();
             consumers.sweep();
+            if (regions != null) {
+                regions.sweep(now);
+            }
         }
         if (leavingSince == 0) {
             // A reactor whose thread has died closes its sockets and says nothing. To go on without
@@ -186,6 +213,9 @@
     private void stopListening() {
         try {
             listener.close();
+            if (regions != null) {
+                regions.stopListening();
+            }
         } catch (IOException e) {
             log.accept("the port could not be closed: " + e.getMessage());
         }
@@ -194,6 +224,9 @@
     /** Stops taking in new work a little later, answers all that was taken, and ends. */
     public void leave() {
         consumers.leave();
+        if (regions != null) {
+            regions.leave();
+        }
         leavingSince = clock.now();
         loop.wake();
     }
@@ -202,22 +235,29 @@
      * Takes over what a new configuration says of discovery and keeps all else; may be called by any thread
      * but the I/O thread, which has no time for files. One that cannot be read changes nothing.
      */
-    public void reload(Reading reading) {
+    void reload(Reading reading) {
         try {
-            Config told = reading.read();
+            Loaded loaded = reading.read();
+            Config told = loaded.config();
             List<String> kept = config.fixedAtStart(told);
             if (!kept.isEmpty()) {
                 log.accept("configuration: a change takes a restart: " + String.join(", ", kept));
             }
             watch.move(told.discovery());
+            Region region = loaded.settings().region();
+            if (regions != null) {
+                loop.post(regions.reload(region));
+            } else if (region != null) {
+                log.accept("settings: a change takes a restart: region");
+            }
         } catch (ConfigException e) {
             log.accept("configuration: " + e.getMessage() + "; the old settings stay");
         }
     }
 
     /** Reads a configuration, or says which key is at fault. */
-    public interface Reading {
-        Config read() throws ConfigException;
+    interface Reading {
+        Loaded read() throws ConfigException;
     }
 
     public boolean awaitEnd(long millis) throws InterruptedException {
@@ -230,6 +270,12 @@
         return listenAddress;
     }
 
+    /** Where other regions connect, once they can; null where they may not. */
+    public InetSocketAddress awaitRegions() throws InterruptedException, IOException {
+        listening.await();
+        return regions == null ? null : regions.address();
+    }
+
     @Override
     public void close() throws IOException {
         peers.close();
@@ -246,6 +292,11 @@
         providers.call(call, timeout);
     }
 
+    @Override
+    public void callAway(InvokerCall call, Departure departure) {
+        regions.call(call, departure);
+    }
+
     @Override
     public void stopConnecting(InvokerCall call) {
         providers.stopConnecting(call);
--- a/src/main/java/reedmux/cli/SelfCheck.java
+++ b/src/main/java/reedmux/cli/SelfCheck.java
@@ -15,10 +15,10 @@
  * there is no provider, and ends it: shows that the program works on this machine. The build runs it to
  * record the classes that a start needs.
  */
-public final class SelfCheck implements Main.Command {
+public final class SelfCheck extends Main.Command {
 
     @Override
-    public int run() throws IOException, InterruptedException {
+    int run() throws IOException, InterruptedException {
         Clock clock = new Clock();
         Config config;
         try (InputStream sample = SelfCheck.class.getResourceAsStream("/sample-config.json")) {
--- a/src/main/java/reedmux/cli/WarmUp.java
+++ b/src/main/java/reedmux/cli/WarmUp.java
@@ -30,6 +30,7 @@
 import reedmux.policy.Gateway.Scope;
 import reedmux.policy.Gateway.Server;
 import reedmux.policy.Gateway.Status;
+import reedmux.region.Departure;
 
 /**
  * Runs the program's own paths some hundred times before it calls itself ready, so that they are compiled by
@@ -112,6 +113,9 @@
             out.add(call);
         }
 
+        @Override
+        public void callAway(InvokerCall call, Departure departure) { }
+
         @Override
         public void stopConnecting(InvokerCall call) { }
 
--- a/src/main/java/reedmux/core/CallResult.java
+++ b/src/main/java/reedmux/core/CallResult.java
@@ -8,8 +8,18 @@
     /** How far a call had come when it ended. */
     enum Stage { CONNECTING, WRITING, ON_WIRE, ANSWERING }
 
-    /** A whole answer; {@code neverRan} when the provider vouches that it did nothing. */
-    record Answered(int status, boolean neverRan, String contentType, byte[] body) implements CallResult { }
+    /**
+     * A whole answer; {@code neverRan} when the provider vouches that it did nothing. Another region also
+     * tells how long it had the request and when to come again, both in microseconds, -1 where not told.
+     */
+    record Answered(int status, boolean neverRan, String contentType, byte[] body, long took,
+                    long retryAfter) implements CallResult {
+
+        /** A provider's answer. */
+        public Answered(int status, boolean neverRan, String contentType, byte[] body) {
+            this(status, neverRan, contentType, body, -1, -1);
+        }
+    }
 
     /** No whole answer: the connection broke, was refused or was closed by us. */
     record Broken(Stage stage, String reason) implements CallResult { }
--- a/src/main/java/reedmux/core/Effects.java
+++ b/src/main/java/reedmux/core/Effects.java
@@ -1,6 +1,7 @@
 package reedmux.core;
 
 import java.net.InetSocketAddress;
+import reedmux.region.Departure;
 
 /** All reading and writing, as the reducer asks for it. What comes of it arrives later as events. */
 public interface Effects {
@@ -11,6 +12,9 @@
     /** Starts a call, which the provider is told we wait for so long; ends as {@link Event.CallEnded}. */
     void call(InvokerCall call, long timeout);
 
+    /** Starts a call to another region, as was decided; ends as {@link Event.CallEnded}. */
+    void callAway(InvokerCall call, Departure departure);
+
     /** Closes the call's connection if it has not come up yet. */
     void stopConnecting(InvokerCall call);
 
--- a/src/main/java/reedmux/core/Event.java
+++ b/src/main/java/reedmux/core/Event.java
@@ -1,6 +1,10 @@
 package reedmux.core;
 
+import java.net.InetSocketAddress;
+import java.util.Map;
 import reedmux.policy.Gateway.Outcome;
+import reedmux.region.Path;
+import reedmux.region.RegionRules;
 
 /** What the reducer is told; all changes of state come from these. */
 public sealed interface Event {
@@ -8,6 +12,12 @@
     /** A whole and well-formed request has come in. */
     record InvocationTaken(Invocation invocation) implements Event { }
 
+    /** A whole and well-formed request of another region has come in, having passed these. */
+    record VisitorTaken(Invocation invocation, Path path) implements Event { }
+
+    /** The operators have set other rules about regions, with the addresses of the other one's gateways. */
+    record RegionsTold(RegionRules rules, Map<String, InetSocketAddress> gateways) implements Event { }
+
     /** The consumer has closed its connection before the answer. */
     record ConsumerLeft(Invocation invocation) implements Event { }
 
--- a/src/main/java/reedmux/core/Invocation.java
+++ b/src/main/java/reedmux/core/Invocation.java
@@ -24,6 +24,10 @@
     final Reply reply;
     final List<InvokerCall> calls = new ArrayList<>(2);
     boolean over;
+    /** When it was taken, in microseconds; whether another region sent it; whether its service is noted. */
+    long takenAt;
+    boolean visitor;
+    boolean judged;
 
     public Invocation(Request request, boolean repeatable, Message message, Reply reply) {
         this.request = request;
@@ -36,6 +40,16 @@
         return request.id();
     }
 
+    /** The number of its class in the settings. */
+    public int requestClass() {
+        return request.requestClass();
+    }
+
+    /** The units that it takes from its customer's quota. */
+    public double units() {
+        return request.units();
+    }
+
     public Message message() {
         return message;
     }
--- a/src/main/java/reedmux/core/InvokerCall.java
+++ b/src/main/java/reedmux/core/InvokerCall.java
@@ -1,6 +1,7 @@
 package reedmux.core;
 
 import java.net.InetSocketAddress;
+import reedmux.region.Departure;
 
 /** One attempt of an invocation at a provider. */
 public final class InvokerCall {
@@ -13,6 +14,9 @@
     final String provider;
     final InetSocketAddress address;
     final long sentAt;
+    /** How it goes to another region, or null for a provider's call; and our own advice if that refuses. */
+    final Departure departure;
+    final long advice;
     Stop stop = Stop.NONE;
     boolean ended;
     boolean neverRan;
@@ -20,6 +24,13 @@
     private Object transport;
 
     InvokerCall(Invocation invocation, int number, String provider, InetSocketAddress address, long sentAt) {
+        this(invocation, number, provider, address, sentAt, null, 0);
+    }
+
+    InvokerCall(Invocation invocation, int number, String provider, InetSocketAddress address, long sentAt,
+                Departure departure, long advice) {
+        this.departure = departure;
+        this.advice = advice;
         this.invocation = invocation;
         this.number = number;
         this.provider = provider;
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -14,12 +14,16 @@
 import reedmux.policy.Gateway.Outcome;
 import reedmux.policy.Gateway.PeerMessage;
 import reedmux.policy.Gateway.Probed;
+import reedmux.policy.Gateway.Returned;
 import reedmux.policy.Gateway.Scope;
 import reedmux.policy.Gateway.Server;
 import reedmux.policy.Gateway.ServerList;
 import reedmux.policy.Gateway.Status;
 import reedmux.policy.Gateway.TimerDue;
 import reedmux.policy.Gateway.Withdrawn;
+import reedmux.region.Departure;
+import reedmux.region.Path;
+import reedmux.region.Refusal;
 
 /**
  * The one place where the gatekeeper's state changes. It tells the module what has happened, turns what the
@@ -27,6 +31,8 @@
  * nothing that the module could decide. Times are microseconds of the monotonic clock.
  */
 public final class Reducer {
+    /** The status by which another region tells that its time ran out. */
+    private static final int LATE = 504;
     private static final Map<Metric, Double> NO_REPORT = Map.copyOf(new EnumMap<>(Metric.class));
 
     /** An event that is due at a time; of those due together the one set first comes first. */
@@ -42,6 +48,7 @@
     private final long connectTimeout;
     private final int maxAttempts;
     private final Effects effects;
+    private final RegionDesk desk;
     private final Actions actions = new ModuleActions();
     private final Map<String, Invocation> invocations = new HashMap<>();
     private final Map<String, InetSocketAddress> providers = new HashMap<>();
@@ -53,6 +60,12 @@
     private long now;
 
     public Reducer(Gateway module, int maxAttempts, long connectTimeout, Effects effects) {
+        this(module, maxAttempts, connectTimeout, effects, null);
+    }
+
+    /** With other regions, or without where {@code desk} is null. */
+    public Reducer(Gateway module, int maxAttempts, long connectTimeout, Effects effects, RegionDesk desk) {
+        this.desk = desk;
         this.module = module;
         this.maxAttempts = maxAttempts;
         this.connectTimeout = connectTimeout;
@@ -145,6 +158,10 @@
             module.handle(now, new Probed(e.provider(), outcome, now - e.askedAt(), NO_REPORT), actions);
         } else if (event instanceof Event.CountRefused e) {
             module.handle(now, new Counted(e.name(), e.outcome(), 0, 0), actions);
+        } else if (event instanceof Event.VisitorTaken e) {
+            onVisitor(e.invocation(), e.path());
+        } else if (event instanceof Event.RegionsTold e && desk != null) {
+            desk.adopt(e.rules(), e.gateways(), now);
         }
     }
 
@@ -152,14 +169,33 @@
         // Ids are fresh on every request; a second one under a live id would mix up two consumers' answers.
         if (invocations.putIfAbsent(invocation.id(), invocation) != null) {
             invocation.over = true;
+            if (desk != null) {
+                desk.over(invocation);
+            }
             effects.answer(invocation, new Answer.Failed(false));
             return;
         }
         unanswered++;
+        invocation.takenAt = now;
+        if (desk != null) {
+            desk.taken(invocation);
+        }
         setTimer(invocation.request.deadline(), new Event.DeadlinePassed(invocation));
         module.handle(now, invocation.request, actions);
     }
 
+    /** Another region's request, if it is taken in, is served like one of a consumer, but never sent on. */
+    private void onVisitor(Invocation invocation, Path path) {
+        Refusal refusal = desk.admit(invocation, path, now);
+        if (refusal != null) {
+            invocation.over = true;
+            effects.answer(invocation, new Answer.Rejection(refusal.retryAfter(), false, true));
+            return;
+        }
+        invocation.visitor = true;
+        onTaken(invocation);
+    }
+
     private void onCallEnded(InvokerCall call, CallResult result) {
         if (call.ended) {
             return;
@@ -173,6 +209,10 @@
         call.ended = true;
         call.neverRan = outcome.neverRan();
         Invocation invocation = call.invocation;
+        if (call.departure != null) {
+            onReturned(call, result, outcome);
+            return;
+        }
         if (outcome == Outcome.OK) {
             finish(invocation, new Answer.Served((CallResult.Answered) result));
         }
@@ -181,10 +221,35 @@
         forgetIfSettled(invocation);
     }
 
+    /**
+     * Back from another region, which was the last resort: whatever came of it is final. It is a rejection
+     * only where a repeat is harmless, and then with the more cautious advice of the two regions.
+     */
+    private void onReturned(InvokerCall call, CallResult result, Outcome outcome) {
+        Invocation invocation = call.invocation;
+        desk.returned(call, result, outcome, now);
+        if (outcome == Outcome.OK) {
+            finish(invocation, new Answer.Served((CallResult.Answered) result));
+        } else if (invocation.repeatable || invocation.neverRan()) {
+            long told = result instanceof CallResult.Answered answered ? answered.retryAfter() : -1;
+            finish(invocation, new Answer.Rejection(Math.max(call.advice, told), true,
+                    invocation.neverRan()));
+        } else {
+            boolean late = result instanceof CallResult.Answered answered ? answered.status() == LATE
+                    : outcome == Outcome.TIMEOUT;
+            finish(invocation, new Answer.Failed(late));
+        }
+        module.handle(now, new Returned(invocation.id()), actions);
+        forgetIfSettled(invocation);
+    }
+
     private void withdraw(Invocation invocation) {
         if (!invocation.over) {
-            invocation.over = true;
-            unanswered--;
+            end(invocation);
+            // What another region does for nobody costs two regions; but one that must not run twice may
+            // have run by now, and nothing is gained by not hearing of it.
+            invocation.calls.stream().filter(call -> call.departure != null && invocation.repeatable)
+                    .forEach(call -> stop(call, InvokerCall.Stop.CANCELLED));
             module.handle(now, new Withdrawn(invocation.id()), actions);
             forgetIfSettled(invocation);
         }
@@ -194,7 +259,11 @@
     private void onDeadline(Invocation invocation) {
         if (!invocation.over) {
             boolean harmless = invocation.repeatable || invocation.neverRan();
-            effects.answer(invocation, harmless ? new Answer.Rejection(0, !invocation.calls.isEmpty())
+            if (desk != null) {
+                desk.judge(invocation, now, false);
+            }
+            effects.answer(invocation, harmless
+                    ? new Answer.Rejection(0, !invocation.calls.isEmpty(), invocation.neverRan())
                     : new Answer.Failed(true));
             withdraw(invocation);
         }
@@ -234,12 +303,22 @@
 
     private void finish(Invocation invocation, Answer answer) {
         if (!invocation.over) {
-            invocation.over = true;
-            unanswered--;
+            end(invocation);
+            if (desk != null) {
+                desk.answered(invocation, answer, now);
+            }
             effects.answer(invocation, answer);
         }
     }
 
+    private void end(Invocation invocation) {
+        invocation.over = true;
+        unanswered--;
+        if (desk != null) {
+            desk.over(invocation);
+        }
+    }
+
     private void forgetIfSettled(Invocation invocation) {
         if (invocation.settled()) {
             invocations.remove(invocation.id(), invocation);
@@ -281,7 +360,28 @@
 
         @Override
         public void refuse(String request, long retryAfter) {
-            end(request, new Answer.Rejection(retryAfter, false));
+            end(request, new Answer.Rejection(retryAfter, false, true));
+        }
+
+        @Override
+        public boolean sendAway(String request, long retryAfter) {
+            Invocation invocation = invocations.get(request);
+            if (desk == null || invocation == null || invocation.over) {
+                return false;
+            }
+            desk.judge(invocation, now, false);
+            int number = invocation.calls.size();
+            Departure departure = desk.depart(invocation, maxAttempts - number, now);
+            if (departure == null) {
+                return false;
+            }
+            InvokerCall call = new InvokerCall(invocation, number, departure.gateway(),
+                    desk.address(departure.gateway()), now, departure, retryAfter);
+            invocation.calls.add(call);
+            effects.callAway(call, departure);
+            setTimer(now + departure.patience(), new Event.CallOverdue(call));
+            setTimer(now + connectTimeout, new Event.ConnectOverdue(call));
+            return true;
         }
 
         @Override
@@ -295,7 +395,8 @@
                 return;
             }
             if (answer instanceof Answer.Rejection rejection && !invocation.calls.isEmpty()) {
-                finish(invocation, new Answer.Rejection(rejection.retryAfter(), true));
+                finish(invocation, new Answer.Rejection(rejection.retryAfter(), true,
+                        invocation.neverRan()));
             } else if (answer instanceof Answer.Failed) {
                 InvokerCall last = invocation.calls.isEmpty() ? null
                         : invocation.calls.get(invocation.calls.size() - 1);
--- a/src/main/java/reedmux/http/CallExchange.java
+++ b/src/main/java/reedmux/http/CallExchange.java
@@ -24,6 +24,9 @@
 
 /** One request of ours and what came of it. */
 final class CallExchange implements AsyncClientExchangeHandler {
+    private static final double SECOND = 1e6;
+    /** Of times that another region tells, in microseconds. */
+    private static final double LONGEST = 3.6e9;
     private final Calls calls;
     private final Connection.Origin origin;
     private final OutgoingRequest request;
@@ -144,11 +147,13 @@
     }
 
     private void answered(byte[] bytes) {
-        Header neverRan = response.getFirstHeader("X-Never-Ran");
+        Header neverRan = response.getFirstHeader(RegionFront.NEVER_RAN);
         Header type = response.getFirstHeader("Content-Type");
+        boolean region = request.hop() != null;
         result = new CallResult.Answered(response.getCode(),
                 neverRan != null && "1".equals(neverRan.getValue()), type == null ? null : type.getValue(),
-                bytes);
+                bytes, region ? number(RegionFront.TOOK, 1) : -1, region ? number("Retry-After", SECOND)
+                        : -1);
         connection.answered();
     }
 
@@ -165,6 +170,14 @@
         }
     }
 
+    /** A header's number in microseconds, -1 where there is none that makes sense. */
+    private long number(String name, double unit) {
+        Header header = response.getFirstHeader(name);
+        double value = header == null || header.getValue() == null ? 0
+                : RequestReader.units(header.getValue());
+        return header == null || value < 0 ? -1 : (long) Math.min(value * unit, LONGEST);
+    }
+
     private boolean sent() {
         EndpointDetails details = endpoint;
         return details != null && details.getSentBytesCount() - sentBefore >= length;
--- a/src/main/java/reedmux/http/ConsumerExchange.java
+++ b/src/main/java/reedmux/http/ConsumerExchange.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.core5.http.EntityDetails;
@@ -37,6 +36,7 @@
     private volatile Invocation invocation;
     private volatile Body.Out out;
     private long takenAt;
+    private long wholeAt;
 
     /** {@code alone}: no request is open before it on its connection. */
     ConsumerExchange(ConsumerServer server, ConsumerServer.Link link, boolean alone) {
@@ -121,7 +121,7 @@
     /** An answer after which the connection is closed, as what comes behind it makes no sense. */
     private void last(int status, String why) throws HttpException, IOException {
         link.last();
-        respond(status, "text/plain", text(why), -1);
+        respond(Front.Response.text(status, why));
     }
 
     private void take(byte[] bytes) throws HttpException, IOException {
@@ -130,15 +130,16 @@
         String path = request.getPath();
         if (path.equals("/healthz")) {
             boolean ready = server.ready();
-            respond(ready ? 200 : 503, "text/plain", text(ready ? "ready" : "not ready"), -1);
+            respond(Front.Response.text(ready ? 200 : 503, ready ? "ready" : "not ready"));
             return;
         }
-        RequestReader.Result result = server.reader().read(request, bytes, takenAt, this);
-        if (result.invocation() == null) {
-            respond(result.status(), "text/plain", text(result.problem()), -1);
+        wholeAt = server.reader().tellsTime() ? server.reader().now() : 0;
+        Front.Read read = server.reader().read(request, bytes, takenAt, this);
+        if (read.invocation() == null) {
+            respond(read.refusal());
         } else {
-            invocation = result.invocation();
-            server.post(new Event.InvocationTaken(invocation));
+            invocation = read.invocation();
+            server.post(read.event());
         }
     }
 
@@ -146,15 +147,7 @@
     @Override
     public void send(Answer answer) {
         try {
-            if (answer instanceof Answer.Served served) {
-                respond(200, served.result().contentType(), served.result().body(), -1);
-            } else if (answer instanceof Answer.Rejection rejection) {
-                respond(rejection.tried() ? 503 : 429, "text/plain", text("rejected"),
-                        rejection.retryAfter());
-            } else {
-                boolean late = ((Answer.Failed) answer).late();
-                respond(late ? 504 : 502, "text/plain", text(late ? "no answer in time" : "failed"), -1);
-            }
+            respond(server.reader().response(answer));
         } catch (HttpException | IOException | RuntimeException e) {
             // The consumer's connection broke just now, and nobody is left to be told. Anything thrown on
             // from here would come out in the middle of a decision.
@@ -162,20 +155,26 @@
         }
     }
 
-    private void respond(int status, String contentType, byte[] bytes, long retryAfter)
-            throws HttpException, IOException {
+    private void respond(Front.Response told) throws HttpException, IOException {
         if (!answered.compareAndSet(false, true)) {
             return;
         }
-        HttpResponse response = new BasicHttpResponse(status);
-        if (contentType != null) {
-            response.addHeader("Content-Type", contentType);
+        byte[] bytes = told.body();
+        HttpResponse response = new BasicHttpResponse(told.status());
+        if (told.contentType() != null) {
+            response.addHeader("Content-Type", told.contentType());
         }
         response.addHeader("Content-Length", Integer.toString(bytes.length));
-        if (retryAfter >= 0) {
-            response.addHeader("Retry-After", seconds(retryAfter));
+        if (told.retryAfter() >= 0) {
+            response.addHeader("Retry-After", seconds(told.retryAfter()));
+        }
+        if (told.neverRan()) {
+            response.addHeader(RegionFront.NEVER_RAN, "1");
+        }
+        if (wholeAt > 0) {
+            response.addHeader(RegionFront.TOOK, Long.toString(server.reader().now() - wholeAt));
         }
-        if (status == 405) {
+        if (told.status() == 405) {
             response.addHeader("Allow", request.getMethod().equals("GET") ? "POST" : "GET");
         }
         if (server.leaving() || link.deaf()) {
@@ -194,10 +193,6 @@
         return millis / 1000 + "." + decimals.substring(1);
     }
 
-    private static byte[] text(String line) {
-        return (line + '\n').getBytes(StandardCharsets.UTF_8);
-    }
-
     @Override
     public int available() {
         return out == null ? 0 : out.available();
--- a/src/main/java/reedmux/http/ConsumerServer.java
+++ b/src/main/java/reedmux/http/ConsumerServer.java
@@ -29,7 +29,10 @@
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import reedmux.core.Event;
 
-/** The consumers' side: accepted connections, each with at most one invocation at a time. */
+/**
+ * One listener's side, the consumers' or the other regions': accepted connections, each with at most one
+ * invocation at a time.
+ */
 public final class ConsumerServer {
     /** Headers are set by the exchanges themselves; the library need not add any. */
     static final HttpProcessor NOTHING_ADDED = HttpProcessorBuilder.create().build();
@@ -56,7 +59,7 @@
     /** What a connection is doing, those that give way first in front. */
     private enum Doing { CLOSING, DAWDLING, IDLE, STARTING, SERVING }
 
-    private final RequestReader reader;
+    private final Front reader;
     private final Consumer<Event> events;
     private final BooleanSupplier ready;
     private final int mostConnections;
@@ -67,7 +70,7 @@
     private volatile long requestLimit = REQUEST_LIMIT;
     private volatile boolean leaving;
 
-    public ConsumerServer(RequestReader reader, Consumer<Event> events, BooleanSupplier ready,
+    public ConsumerServer(Front reader, Consumer<Event> events, BooleanSupplier ready,
                           int mostConnections) {
         this.reader = reader;
         this.events = events;
@@ -93,7 +96,7 @@
         return leaving;
     }
 
-    RequestReader reader() {
+    Front reader() {
         return reader;
     }
 
--- a/src/main/java/reedmux/http/OutgoingRequest.java
+++ b/src/main/java/reedmux/http/OutgoingRequest.java
@@ -4,9 +4,21 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 
-/** A request of ours; {@code traceId} may be null, and {@code expiresMs} below nought, to be left out. */
+/**
+ * A request of ours; {@code traceId} may be null, and {@code expiresMs} below nought, to be left out.
+ * {@code hop} is what another region is told beside, or null where it is no region that is called.
+ */
 record OutgoingRequest(String method, String target, String host, String traceId, long expiresMs,
-                       String contentType, byte[] body) {
+                       String contentType, byte[] body, Hop hop) {
+
+    /** The regions passed, what a repeat does, and the units that were counted at home. */
+    record Hop(String path, String repeat, String units) { }
+
+    OutgoingRequest(String method, String target, String host, String traceId, long expiresMs,
+                    String contentType, byte[] body) {
+        this(method, target, host, traceId, expiresMs, contentType, body, null);
+    }
+
     private static final int REQUEST_LINE = "  HTTP/1.1\r\n".length();
     private static final int HEADER_LINE = ": \r\n".length();
     private static final int END_OF_HEAD = "\r\n".length();
@@ -24,6 +36,11 @@
         if (expiresMs >= 0) {
             head.addHeader("X-Expires-In-Ms", Long.toString(expiresMs));
         }
+        if (hop != null) {
+            head.addHeader(RegionFront.PATH, hop.path());
+            head.addHeader(RegionFront.REPEAT, hop.repeat());
+            head.addHeader(RegionFront.UNITS, hop.units());
+        }
         if (contentType != null) {
             head.addHeader("Content-Type", contentType);
         }
--- a/src/main/java/reedmux/http/ProviderClient.java
+++ b/src/main/java/reedmux/http/ProviderClient.java
@@ -63,7 +63,7 @@
         closeIdle(NOBODY, address);
     }
 
-    private static String host(InetSocketAddress address) {
+    static String host(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ':' + address.getPort();
     }
 }
--- a/src/main/java/reedmux/http/RequestReader.java
+++ b/src/main/java/reedmux/http/RequestReader.java
@@ -12,11 +12,13 @@
 import reedmux.policy.Gateway.Settings;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
+import reedmux.core.Answer;
 import reedmux.core.Clock;
+import reedmux.core.Event;
 import reedmux.core.Invocation;
 
 /** Reads what the headers say of a request, and says plainly what is wrong with one. */
-public final class RequestReader {
+public final class RequestReader implements Front {
     private static final long MOST_CUSTOMERS = 1L << 33;
     private static final long MOST_MILLIS = 3_600_000;
     private static final int HEX_DIGITS = 16;
@@ -28,11 +30,8 @@
      */
     private static final long ON_THE_WAY = 2_000;
 
-    /** An invocation, or the status and the reason of its absence. */
-    record Result(Invocation invocation, int status, String problem) { }
-
     /** A header that is missing or makes no sense. */
-    private static final class BadHeader extends Exception {
+    static final class BadHeader extends Exception {
         private static final long serialVersionUID = 1;
 
         BadHeader(String message) {
@@ -58,26 +57,44 @@
         }
     }
 
-    long now() {
+    @Override
+    public long now() {
         return clock.now();
     }
 
+    @Override
+    public boolean tellsTime() {
+        return false;
+    }
+
+    @Override
+    public Response response(Answer answer) {
+        if (answer instanceof Answer.Served served) {
+            return new Response(200, served.result().contentType(), served.result().body(), -1, false);
+        } else if (answer instanceof Answer.Rejection rejection) {
+            return Response.text(rejection.tried() ? 503 : 429, "rejected", rejection.retryAfter(), false);
+        }
+        boolean late = ((Answer.Failed) answer).late();
+        return Response.text(late ? 504 : 502, late ? "no answer in time" : "failed");
+    }
+
     /** Reads a request that nobody waits for; null where it makes no sense here. */
     public Invocation practise(HttpRequest request, byte[] body, long takenAt) {
         return read(request, body, takenAt, answer -> { }).invocation();
     }
 
-    Result read(HttpRequest request, byte[] body, long takenAt, Invocation.Reply reply) {
+    @Override
+    public Read read(HttpRequest request, byte[] body, long takenAt, Invocation.Reply reply) {
         if (!plain(request.getPath())) {
-            return new Result(null, 400, "the target holds a character that has no place there");
+            return refused(400, "the target holds a character that has no place there");
         }
         Integer requestClass = classes.get(className(request.getPath()));
         if (requestClass == null) {
-            return new Result(null, 404, "no such class");
+            return refused(404, "no such class");
         }
         Repeat repeat = settings.classes().get(requestClass).repeat();
         if (!request.getMethod().equals(repeat == Repeat.SAFE ? "GET" : "POST")) {
-            return new Result(null, 405, "the class does not take this method");
+            return refused(405, "the class does not take this method");
         }
         try {
             String traceId = hex(request, "X-Trace-Id");
@@ -92,23 +109,32 @@
             long wait = number(request, "X-Expires-In-Ms", MOST_MILLIS) * 1000;
             Quota quota = quota(text(request, "X-Quota"));
             Header secondTry = request.getFirstHeader("X-Second-Try");
-            Header type = request.getFirstHeader("Content-Type");
-            return new Result(new Invocation(new Request(traceId, requestClass, plan, customer,
+            Invocation invocation = new Invocation(new Request(traceId, requestClass, plan, customer,
                     takenAt + Math.max(0, wait - ON_THE_WAY), quota.units(), quota.spread(), quota.first(),
                     secondTry != null && "1".equals(secondTry.getValue())), repeat == Repeat.SAFE,
-                    new Message(request.getMethod(), request.getPath(), traceId,
-                            type == null ? null : type.getValue(), body), reply), 200, null);
+                    new Message(request.getMethod(), request.getPath(), traceId, contentType(request), body),
+                    reply);
+            return Read.of(invocation, new Event.InvocationTaken(invocation));
         } catch (BadHeader e) {
-            return new Result(null, 400, e.getMessage());
+            return refused(400, e.getMessage());
         }
     }
 
+    private static Read refused(int status, String problem) {
+        return Read.refused(Response.text(status, problem));
+    }
+
+    static String contentType(HttpRequest request) {
+        Header type = request.getFirstHeader("Content-Type");
+        return type == null ? null : type.getValue();
+    }
+
     /** What is not plain would reach the provider as something else. */
-    private static boolean plain(String path) {
+    static boolean plain(String path) {
         return path.startsWith("/") && path.chars().allMatch(c -> c > ' ' && c < 0x7f);
     }
 
-    private static String className(String path) {
+    static String className(String path) {
         int end = 1;
         while (end < path.length() && path.charAt(end) != '/' && path.charAt(end) != '?') {
             end++;
@@ -116,7 +142,7 @@
         return path.isEmpty() ? "" : path.substring(1, end);
     }
 
-    private static String text(HttpRequest request, String name) throws BadHeader {
+    static String text(HttpRequest request, String name) throws BadHeader {
         Header header = request.getFirstHeader(name);
         if (header == null || header.getValue() == null || header.getValue().isEmpty()) {
             throw new BadHeader(name + " is missing");
@@ -127,7 +153,7 @@
         return header.getValue();
     }
 
-    private static String hex(HttpRequest request, String name) throws BadHeader {
+    static String hex(HttpRequest request, String name) throws BadHeader {
         String value = text(request, name);
         boolean good = value.length() == HEX_DIGITS;
         for (int i = 0; good && i < HEX_DIGITS; i++) {
@@ -139,7 +165,7 @@
         return value;
     }
 
-    private static long number(HttpRequest request, String name, long most) throws BadHeader {
+    static long number(HttpRequest request, String name, long most) throws BadHeader {
         long value = whole(text(request, name), most);
         if (value < 0) {
             throw new BadHeader(name + " is not a whole number from 0 to " + most);
@@ -152,6 +178,11 @@
         return DIGITS.matcher(text).matches() && Long.parseLong(text) <= most ? Long.parseLong(text) : -1;
     }
 
+    /** A decimal number in plain digits, or -1. */
+    static double units(String text) {
+        return DECIMAL.matcher(text).matches() ? Double.parseDouble(text) : -1;
+    }
+
     /** What {@code X-Quota} says; fields that we do not know are passed over. */
     private record Quota(double units, int spread, int first) { }
 
@@ -164,7 +195,7 @@
             }
         }
         String told = fields.getOrDefault("units", "");
-        double units = DECIMAL.matcher(told).matches() ? Double.parseDouble(told) : 0;
+        double units = units(told);
         if (!(units > 0)) {
             throw new BadHeader("X-Quota needs units above 0");
         }
--- a/src/main/java/reedmux/http/Transport.java
+++ b/src/main/java/reedmux/http/Transport.java
@@ -1,8 +1,10 @@
 package reedmux.http;
 
+import java.net.SocketAddress;
 import java.util.Collection;
 import java.util.concurrent.ThreadFactory;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOReactorConfig;
@@ -26,9 +28,9 @@
 
     private Transport() { }
 
-    /** A reactor whose accepted connections and calls are handled by these two, and its threads. */
-    public static DefaultListeningIOReactor reactor(ConsumerServer server, Consumer<String> log,
-                                                    Collection<Thread> threads) {
+    /** A reactor whose accepted connections and calls are handled by these, and its threads. */
+    public static DefaultListeningIOReactor reactor(Function<SocketAddress, ConsumerServer> servers,
+                                                    Consumer<String> log, Collection<Thread> threads) {
         ThreadFactory daemon = task -> {
             Thread thread = new Thread(task, "reedmux-io");
             thread.setDaemon(true);
@@ -36,7 +38,8 @@
             return thread;
         };
         return new DefaultListeningIOReactor((session, attachment) ->
-                attachment instanceof Connection ours ? ours.handler(session) : server.handler(session),
+                attachment instanceof Connection ours ? ours.handler(session)
+                        : servers.apply(session.getLocalAddress()).handler(session),
                 IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoReuseAddress(true)
                         .setSelectInterval(LOOK).build(),
                 daemon, daemon, null, failure -> log.accept("reactor: " + failure), null, null);
--- /dev/null
+++ b/src/main/java/reedmux/lab/sim/World.java
@@ -0,0 +1,229 @@
+package reedmux.lab.sim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import reedmux.core.Invocation;
+import reedmux.policy.Gateway.Group;
+import reedmux.policy.Gateway.Limits;
+import reedmux.policy.Gateway.Plan;
+import reedmux.policy.Gateway.Repeat;
+import reedmux.policy.Gateway.RequestClass;
+import reedmux.policy.Gateway.Rules;
+import reedmux.policy.Gateway.Settings;
+import reedmux.region.RegionRules;
+
+/**
+ * Some regions with their gatekeepers, providers and consumers, and the links between them, in virtual time.
+ * Chance comes in streams, one a concern, so that a draw more in one moves no other.
+ */
+final class World {
+    static final long MS = 1000;
+    static final long SECOND = 1000 * MS;
+    /** Where time begins, above nought as on the program's own clock. */
+    static final long BEGIN = 3600 * SECOND;
+    private static final long AIM = 1_200 * MS;
+    private static final int CUSTOMERS = 20;
+
+    /** What a region may send away, over all its gatekeepers. */
+    record Budget(double share, double rate, double burst) { }
+
+    /** What goes wrong with a call on its way to another region. */
+    enum LinkFault { NONE, SILENT, REFUSED, BREAKS_WRITING, BREAKS_AFTER, BREAKS_ANSWERING }
+
+    /**
+     * One region.
+     *
+     * @param rules       what its operators have set, or null for nothing
+     * @param gatekeepers how many
+     * @param providers   how many, of two cores each
+     * @param perSecond   consumers' requests a second
+     */
+    record Setup(String name, RegionRules rules, int gatekeepers, int providers, double perSecond) { }
+
+    /** A region at work. */
+    static final class Region {
+        final Setup setup;
+        final Settings[] settings;
+        final List<SimNode> nodes = new ArrayList<>();
+        final Map<String, SimProvider> providers = new LinkedHashMap<>();
+        /** As gatekeepers started from now on are told. */
+        RegionRules rules;
+        double perSecond;
+        long listRevision;
+
+        Region(Setup setup, Settings[] settings) {
+            this.setup = setup;
+            this.settings = settings;
+            rules = setup.rules();
+            perSecond = setup.perSecond();
+        }
+    }
+
+    /** Faults put into what surrounds the decisions, to prove that a checker finds them. */
+    enum Planted { NOTHING, LINK_RESENDS, CLAIMS_NEVER_RAN, ANSWERS_TWICE, FORGETS_ANSWERS, SENDS_VISITORS_ON,
+        WHOLE_BUDGET_EACH }
+
+    final Planted planted;
+    final Timeline time = new Timeline();
+    final Ledger ledger = new Ledger(time);
+    final Map<String, Region> regions = new LinkedHashMap<>();
+    final UniformRandomProvider network;
+    private final UniformRandomProvider arrivals;
+    private final UniformRandomProvider links;
+    /**
+     * Chance of each fault of a call between regions, in the order of {@link LinkFault}; the rest is
+     * none.
+     */
+    double[] linkFaults = new double[LinkFault.values().length];
+    /** One way between regions, and within one, in microseconds. */
+    long linkDelay = 15 * MS;
+    long delay = MS;
+    private long ids;
+
+    World(long seed, List<Setup> setups) {
+        this(seed, setups, Planted.NOTHING);
+    }
+
+    World(long seed, List<Setup> setups, Planted planted) {
+        this.planted = planted;
+        network = stream(seed, 1);
+        arrivals = stream(seed, 2);
+        links = stream(seed, 3);
+        time.run(BEGIN);
+        int stream = 10;
+        for (Setup setup : setups) {
+            Settings[] settings = new Settings[setup.gatekeepers()];
+            for (int i = 0; i < settings.length; i++) {
+                settings[i] = settings(i, settings.length);
+            }
+            Region region = new Region(setup, settings);
+            regions.put(setup.name(), region);
+            UniformRandomProvider work = stream(seed, stream++);
+            for (int i = 0; i < setup.providers(); i++) {
+                String id = setup.name() + "-s" + i;
+                region.providers.put(id, new SimProvider(id, time, ledger, work, 2, 8, 100 * MS));
+            }
+            for (int i = 0; i < settings.length; i++) {
+                region.nodes.add(new SimNode(this, region, i, seed * 31 + stream++));
+            }
+        }
+        regions.values().forEach(region -> {
+            region.nodes.forEach(SimNode::start);
+            arrive(region);
+        });
+    }
+
+    /** A stream of chance of its own for a concern; near seeds give streams that have nothing in common. */
+    static UniformRandomProvider stream(long seed, int concern) {
+        return RandomSource.XO_RO_SHI_RO_128_PP.create((Long) (seed * 0x9E3779B97F4A7C15L + concern));
+    }
+
+    private static Settings settings(int self, int members) {
+        return new Settings(self, members, 0, false, false, 8, 2 * MS, List.of(
+                new RequestClass("check", Repeat.SAFE, Group.ALL, 0, AIM, 4 * SECOND, 1, 0, false),
+                new RequestClass("reject", Repeat.UNSAFE, Group.ALL, 0, AIM, 4 * SECOND, 3, 0, false)),
+                List.of(new Plan("single-line", 30, 90, 0, 0, 0, 0, 1.2, 0, 1.2)),
+                new Rules(Ledger.SLACK, 10 * SECOND, 0.18, 16 * SECOND, 250 * MS, 4, SECOND),
+                new Limits(true, true, true, members > 1, false, 4, SECOND, 100, 50 * MS));
+    }
+
+    /** The node that a gateway's name stands for: {@code REGION/NUMBER}, whatever the region calls itself. */
+    SimNode node(String gateway) {
+        int slash = gateway.indexOf('/');
+        return regions.get(gateway.substring(0, slash)).nodes.get(
+                Integer.parseInt(gateway.substring(slash + 1)));
+    }
+
+    /** The gateways of a region, by name. */
+    static List<String> gateways(String region, int count) {
+        List<String> all = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            all.add(region + '/' + i);
+        }
+        return all;
+    }
+
+    LinkFault drawLinkFault() {
+        double drawn = links.nextDouble();
+        for (LinkFault fault : LinkFault.values()) {
+            drawn -= linkFaults[fault.ordinal()];
+            if (drawn < 0) {
+                return fault;
+            }
+        }
+        return LinkFault.NONE;
+    }
+
+    long linkTime() {
+        return (long) (linkDelay * (0.8 + 0.4 * links.nextDouble()));
+    }
+
+    // ---- Consumers ---------------------------------------------------------------------------------
+    private void arrive(Region region) {
+        if (region.perSecond <= 0) {
+            time.in(100 * MS, () -> arrive(region));
+            return;
+        }
+        time.in((long) (-Math.log(1 - arrivals.nextDouble()) / region.perSecond * SECOND), () -> {
+            request(region);
+            arrive(region);
+        });
+    }
+
+    private void request(Region region) {
+        int kind = arrivals.nextInt(2);
+        long customer = arrivals.nextInt(CUSTOMERS);
+        double units = 1 + arrivals.nextInt(3);
+        long deadline = time.now() + 2 * SECOND + arrivals.nextLong(2 * SECOND);
+        boolean leaves = arrivals.nextInt(200) == 0;
+        SimNode node = region.nodes.get(arrivals.nextInt(region.nodes.size()));
+        String id = region.setup.name() + '-' + ++ids;
+        if (!node.alive()) {
+            return; // the consumer gets no connection, and nobody owes it an answer
+        }
+        ledger.taken(region.setup.name(), id, kind == 0, deadline, AIM);
+        Invocation invocation = node.take(id, kind, customer, deadline, units);
+        if (leaves) {
+            time.in(50 * MS + arrivals.nextLong(SECOND), () -> node.consumerLeaves(invocation));
+        }
+    }
+
+    // ---- What goes wrong ---------------------------------------------------------------------------
+    /**
+     * So many of a region's providers get into a mood; those that are gone are known to be so a while
+     * later.
+     */
+    void providers(String region, int count, SimProvider.Mood mood) {
+        Region of = regions.get(region);
+        of.providers.values().stream().limit(count).forEach(provider -> provider.mood = mood);
+        time.in(500 * MS, () -> tell(of));
+    }
+
+    private void tell(Region region) {
+        region.listRevision++;
+        region.nodes.forEach(SimNode::tellProviders);
+    }
+
+    /** Kills a gatekeeper and has it start anew a while later. */
+    void restart(String region, int number, long away) {
+        SimNode node = regions.get(region).nodes.get(number);
+        node.kill();
+        time.in(away, node::start);
+    }
+
+    /** All gatekeepers of a region are told other rules. */
+    void reload(String region, RegionRules rules) {
+        regions.get(region).rules = rules;
+        regions.get(region).nodes.forEach(node -> node.reload(rules));
+    }
+
+    /** Counts over the living gatekeepers of a region. */
+    long count(String region, Predicate<SimNode> what) {
+        return regions.get(region).nodes.stream().filter(what).count();
+    }
+}
--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -89,6 +89,8 @@
     private static final double TRIAL_SHARE = 0.05;
     /** Advice to stay away after a refusal in overload; pause before discovery is asked again. */
     private static final long OVERLOAD_ADVICE = 700_000, ASK_AGAIN = 500_000;
+    /** What a visitor is worth against the cheapest plan: own customers' requests come first. */
+    private static final double VISITOR_WORTH = 0.5;
 
     // ---- State -------------------------------------------------------------------------------------
     private final Settings settings;
@@ -99,6 +101,7 @@
     private final double mailPlanned, firstTime;
     private final List<Edge> edges = new ArrayList<>();
     private final Map<Long, Account> accounts = new LinkedHashMap<>();
+    private final Account visitors;
     private final Fleet fleet = new Fleet();
     private final List<Box> ready = fleet.ready;
     private final Map<String, Live> live = new LinkedHashMap<>();
@@ -120,6 +123,9 @@
         settings.classes().forEach(kind -> classes.add(new ClassTimes(kind.aim() * FIRST_GUESS)));
         firstTime = classes.stream().mapToDouble(times -> times.latency).average().orElse(0);
         attemptTime = firstTime;
+        double cheapest = settings.plans().stream().mapToDouble(Plan::price).min().orElse(1);
+        Plan free = new Plan("visitors", 0, 0, 0, 0, 0, 0, cheapest * VISITOR_WORTH, 0, 0);
+        visitors = new Account(VISITOR, free, VISITOR, settings.self(), 1, 0);
         mailPlanned = Math.max(1, settings.limits().peerMessagesPerS() * MAIL_SHARE);
         sync = bounded((2 + (32 - Integer.numberOfLeadingZeros(status.length)) / 2) / mailPlanned * SECOND);
         meanPace = sync;
@@ -149,6 +155,8 @@
             onStream(e);
         } else if (event instanceof Withdrawn e && live.get(e.request()) != null) {
             close(live.get(e.request()));
+        } else if (event instanceof Returned e && live.get(e.request()) != null) {
+            onReturned(live.get(e.request()));
         }
     }
 
@@ -187,7 +195,8 @@
             accounts.values().removeIf(a -> a.open == 0 && now - a.usedAt > ACCOUNT_IDLE);
         }
         RequestClass kind = settings.classes().get(request.requestClass());
-        Account account = account(request.customer(), request.plan(), request.first(), request.spread());
+        Account account = request.plan() == VISITOR ? visitors
+                : account(request.customer(), request.plan(), request.first(), request.spread());
         ClassTimes times = classes.get(request.requestClass());
         times.units += CLASS_SAMPLE * (request.units() - times.units);
         Live taken = new Live(request, kind, times, account, now);
@@ -200,13 +209,12 @@
         }
         Box box = choose(taken);
         if (box == null || overloaded(taken, box)) {
-            refuse(taken, OVERLOAD_ADVICE / 2 + random.nextLong(OVERLOAD_ADVICE));
+            refuseUnlessAway(taken, OVERLOAD_ADVICE / 2 + random.nextLong(OVERLOAD_ADVICE));
             return;
         }
         if (send(taken, box)) {
             young++;
-            account.spend(request.units(), now);
-            count(account, request.units(), -1);
+            spend(taken);
             retries = Math.min(RETRY_MOST, retries + RETRY_EARNED);
         } else {
             refuse(taken, 0);
@@ -259,6 +267,31 @@
         return (times.best + (times.latency - times.best) * fade) * size;
     }
 
+    private void spend(Live taken) {
+        taken.account.spend(taken.request.units(), now);
+        count(taken.account, taken.request.units(), -1);
+    }
+
+    /** The fleet has no room, so another region may; what goes there counts here, once, and as open. */
+    private void refuseUnlessAway(Live taken, long retryAfter) {
+        if (!act.sendAway(taken.request.id(), Math.min(settings.limits().maxRetryAfter(), retryAfter))) {
+            refuse(taken, retryAfter);
+            return;
+        }
+        if (taken.attempts.isEmpty()) {
+            spend(taken);
+        }
+        taken.away = true;
+        changeOpen(taken.account, 1);
+    }
+
+    private void onReturned(Live taken) {
+        taken.away = false;
+        refresh(taken.account);
+        changeOpen(taken.account, -1);
+        close(taken);
+    }
+
     private void refuse(Live taken, long retryAfter) {
         act.refuse(taken.request.id(), Math.min(settings.limits().maxRetryAfter(), retryAfter));
         close(taken);
@@ -269,7 +302,7 @@
         boolean harmless = taken.kind.repeat() == Repeat.SAFE
                 || taken.kind.repeat() == Repeat.KEYED && taken.kind.group() == Group.ALL;
         if (harmless || !taken.mayHaveRun()) {
-            refuse(taken, OVERLOAD_ADVICE / 2);
+            refuseUnlessAway(taken, OVERLOAD_ADVICE / 2);
         } else {
             act.fail(taken.request.id());
             close(taken);
--- a/src/main/java/reedmux/policy/Gateway.java
+++ b/src/main/java/reedmux/policy/Gateway.java
@@ -77,6 +77,9 @@
     /** The list of servers, or changes to it. */
     record ServerList(Scope scope, List<Server> servers) implements Event { }
 
+    /** In place of a plan: a request that another region sends, which has counted it; charges nobody here. */
+    int VISITOR = -1;
+
     /** A client's request, which the gateway now owes one final answer before {@code deadline}. */
     record Request(String id, int requestClass, int plan, long customer, long deadline, double units,
                    int spread, int first, boolean repeat) implements Event { }
@@ -100,6 +103,9 @@
     /** The request has ended without the gateway's doing; nothing is owed for it. */
     record Withdrawn(String request) implements Event { }
 
+    /** A request that was {@linkplain Actions#sendAway sent away} is back, and its final answer given. */
+    record Returned(String request) implements Event { }
+
     /** A probe has ended. */
     record Probed(String server, Outcome outcome, long took, Map<Metric, Double> report) implements Event { }
 
@@ -111,6 +117,15 @@
         /** Final answer: turned away; a repeat is harmless, and better not before {@code retryAfter}. */
         void refuse(String request, long retryAfter);
 
+        /**
+         * In place of a {@link #refuse} for want of a server: whether the request goes to another region
+         * instead, which then answers it. Never asked for one that the quota, the ceiling or the cap on open
+         * attempts turns away. One that goes counts here like any that is sent on, until {@link Returned}.
+         */
+        default boolean sendAway(String request, long retryAfter) {
+            return false;
+        }
+
         /** Final answer: failed, promising nothing. */
         void fail(String request);
 
--- a/src/main/java/reedmux/policy/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -382,6 +382,7 @@
         boolean over;
         boolean settled;
         boolean streaming;
+        boolean away;
 
         Live(Request request, RequestClass kind, ClassTimes times, Account account, long arrivedAt) {
             this.request = request;
@@ -406,7 +407,7 @@
         }
 
         boolean allEnded() {
-            return attempts.stream().allMatch(attempt -> attempt.ended);
+            return !away && attempts.stream().allMatch(attempt -> attempt.ended);
         }
 
         boolean mayHaveRun() {
--- a/src/main/java/reedmux/region/Regions.java
+++ b/src/main/java/reedmux/region/Regions.java
@@ -66,7 +66,8 @@
 
     /** Whether a request that our own providers cannot take goes away. */
     public Decision depart(long now, Wish wish) {
-        Decision decision = rules.away() == null ? Decision.no(Decision.Why.NONE) : outbound.decide(now, wish);
+        Decision decision = rules.away() == null ? Decision.no(Decision.Why.NONE) : outbound.decide(now,
+                wish);
         departures.merge(decision.why(), 1L, Long::sum);
         return decision;
     }
--- a/src/main/java/reedmux/settings/Interpreter.java
+++ b/src/main/java/reedmux/settings/Interpreter.java
@@ -203,7 +203,8 @@
             if (parameter.test() != null) {
                 defaults.put(name, eval(parameter.test(), scope));
             } else if (!defaults.isEmpty()) {
-                throw new Fault(at(parameter), "the parameter '" + name + "' needs a default, as one before it");
+                throw new Fault(at(parameter), "the parameter '" + name
+                        + "' needs a default, as one before it");
             }
         }
         bind(code.NAME().getSymbol(), new Defined(code, scope, defaults), scope);
@@ -211,7 +212,8 @@
 
     private void bind(Token name, Object value, Scope scope) {
         if (globals.outside.names.get(name.getText()) instanceof Declaration.Kind) {
-            throw new Fault(Fault.at(name), "'" + name.getText() + "' is a function of ours and keeps its meaning");
+            throw new Fault(Fault.at(name), "'" + name.getText()
+                    + "' is a function of ours and keeps its meaning");
         }
         meter.elements(Fault.at(name), 1);
         scope.names.put(name.getText(), value);
@@ -228,7 +230,8 @@
             PlaceContext place = target.place(0);
             Object before = place.NAME() != null ? found(place.NAME().getSymbol(), scope, true)
                     : operations.element(at(place), eval(place.place(), scope), eval(place.test(), scope));
-            value = operations.binary(Fault.at(assignment.op), op.substring(0, op.length() - 1), before, value);
+            value = operations.binary(Fault.at(assignment.op), op.substring(0, op.length() - 1), before,
+                    value);
         }
         assign(assignment.target(), value, scope);
     }
@@ -403,7 +406,8 @@
         String name = attribute.NAME().getText();
         List<String> known = Operations.methods(value);
         if (!known.contains(name)) {
-            throw new Fault(Fault.at(attribute.NAME().getSymbol()), "a " + Values.type(value) + " has no '" + name
+            throw new Fault(Fault.at(attribute.NAME().getSymbol()), "a " + Values.type(value) + " has no '"
+                    + name
                     + "'" + Names.hint(name, known));
         }
         return new Bound(value, name);
@@ -422,7 +426,8 @@
                     throw new Fault(at(argument), "a value without a name behind one with a name");
                 }
                 values.add(value);
-            } else if (named.put(argument.NAME().getText(), new Declaration.Told(value, at(argument))) != null) {
+            } else if (named.put(argument.NAME().getText(), new Declaration.Told(value,
+                    at(argument))) != null) {
                 throw new Fault(at(argument), "'" + argument.NAME().getText() + "' is told twice");
             }
         }
@@ -466,7 +471,8 @@
         return made;
     }
 
-    private Object call(Defined defined, Place place, List<Object> values, Map<String, Declaration.Told> named) {
+    private Object call(Defined defined, Place place, List<Object> values, Map<String,
+            Declaration.Told> named) {
         if (running.contains(defined.code)) {
             throw new Fault(place, "'" + defined.name() + "' calls itself: recursion is not allowed");
         }
@@ -484,7 +490,8 @@
         named.forEach((name, told) -> {
             int at = names.indexOf(name);
             if (at < 0 || at < values.size()) {
-                throw new Fault(told.place(), "'" + defined.name() + "' " + (at < 0 ? "has no parameter '" + name
+                throw new Fault(told.place(), "'" + defined.name() + "' " + (at < 0 ? "has no parameter '"
+                        + name
                         + "'" + Names.hint(name, names) : "is told '" + name + "' twice"));
             }
             given.put(name, told.value());
--- a/src/main/java/reedmux/settings/Operations.java
+++ b/src/main/java/reedmux/settings/Operations.java
@@ -24,7 +24,8 @@
             new Builtin("any", 1, 1), new Builtin("all", 1, 1), new Builtin("type", 1, 1),
             new Builtin("fail", 1, 9));
 
-    private static final List<String> OF_STRINGS = List.of("upper", "lower", "strip", "split", "join", "format",
+    private static final List<String> OF_STRINGS = List.of("upper", "lower", "strip", "split", "join",
+            "format",
             "replace", "startswith", "endswith");
     private static final List<String> OF_LISTS = List.of("append", "extend", "index");
     private static final List<String> OF_DICTS = List.of("get", "keys", "values", "items", "update");
@@ -221,7 +222,8 @@
             Object found = map.get(at);
             if (found == null) {
                 throw new Fault(place, "the dict has no key " + Values.text(meter, place, List.of(at))
-                        + Names.hint(String.valueOf(at), map.keySet().stream().map(String::valueOf).toList()));
+                        + Names.hint(String.valueOf(at), map.keySet().stream().map(String::valueOf)
+                        .toList()));
             }
             return found;
         } else if (of instanceof List<?> list && at instanceof Long index) {
@@ -346,7 +348,8 @@
                     throw new Fault(place, "split needs a separator");
                 }
                 meter.elements(place, text.length());
-                return new ArrayList<Object>(Arrays.asList(text.split(java.util.regex.Pattern.quote(part), -1)));
+                return new ArrayList<Object>(Arrays.asList(text.split(java.util.regex.Pattern.quote(part),
+                        -1)));
             }
             case "join" -> {
                 take(place, name, values, 1, 1);
@@ -407,7 +410,8 @@
         switch (builtin.name()) {
             case "len" -> {
                 return first instanceof String text ? (long) text.length()
-                        : first instanceof Map<?, ?> map ? (long) map.size() : (long) each(place, first).size();
+                        : first instanceof Map<?, ?> map ? (long) map.size() : (long) each(place, first)
+                        .size();
             }
             case "range" -> {
                 return range(place, values);
@@ -443,7 +447,8 @@
             case "min", "max" -> {
                 List<Object> all = values.size() > 1 ? values : each(place, first);
                 return all.stream().min((a, b) -> builtin.name().equals("min") ? order(place, a, b)
-                        : order(place, b, a)).orElseThrow(() -> new Fault(place, builtin.name() + " of nothing"));
+                        : order(place, b, a)).orElseThrow(() -> new Fault(place, builtin.name()
+                        + " of nothing"));
             }
             case "sorted" -> {
                 List<Object> all = each(place, first);
--- a/src/main/java/reedmux/settings/OperatorSettings.java
+++ b/src/main/java/reedmux/settings/OperatorSettings.java
@@ -171,7 +171,8 @@
         }
         Away away = region.rules().away();
         if (away != null && away.rate() > 0 && away.burst() / members < mostUnits) {
-            found.add(String.format(Locale.ROOT, "budget.burst of %s is %s for each of %d gatekeepers, less than"
+            found.add(String.format(Locale.ROOT, "budget.burst of %s is %s for each of %d gatekeepers, less "
+                    + "than"
                     + " one request may take: %s", away.burst(), away.burst() / members, members, mostUnits));
         }
         Visitors visitors = region.rules().visitors();
@@ -183,7 +184,8 @@
         }
         int connections = region.connectionsIn() + region.connectionsOut();
         if (connections > sockets / 10) {
-            found.add("region.connections_in and connections_out are " + connections + " together, more than a"
+            found.add("region.connections_in and connections_out are " + connections
+                    + " together, more than a"
                     + " tenth of " + sockets + " descriptors");
         }
         return found;
@@ -196,19 +198,23 @@
         }
         RegionRules rules = region.rules();
         List<String> lines = new ArrayList<>();
-        lines.add("region " + rules.name() + (region.listen() == null ? ", takes in no other region's requests"
+        lines.add("region " + rules.name() + (region.listen() == null
+                ? ", takes in no other region's requests"
                 : ", listens for regions on " + region.listen().getHostString() + ':'
                         + region.listen().getPort()));
         if (region.listen() != null) {
             Visitors visitors = rules.visitors();
-            lines.add(String.format(Locale.ROOT, "visitors from %s: at most %d at once, %s units/s with bursts of"
+            lines.add(String.format(Locale.ROOT, "visitors from %s: at most %d at once, %s units/s with "
+                    + "bursts of"
                     + " %s, none while over %s of our own are served badly and %s ms after",
                     rules.takesFrom(), visitors.mostAtOnce(), visitors.rate(), visitors.burst(),
                     visitors.suffersAt(), visitors.hold() / 1000.0));
         }
         Away away = rules.away();
-        lines.add(away == null ? "no last resort" : String.format(Locale.ROOT, "last resort %s at %s: at most %s"
-                + " of the requests, %s units/s with bursts of %s, %d at once; %s ms must be left, %s ms are kept",
+        lines.add(away == null ? "no last resort" : String.format(Locale.ROOT,
+                "last resort %s at %s: at most %s"
+                + " of the requests, %s units/s with bursts of %s, %d at once; %s ms must be left, %s ms are "
+                + "kept",
                 away.region(), away.gateways(), away.share(), away.rate(), away.burst(), away.mostAtOnce(),
                 away.leastTime() / 1000.0, away.margin() / 1000.0));
         return lines;
--- a/src/main/java/reedmux/settings/Values.java
+++ b/src/main/java/reedmux/settings/Values.java
@@ -61,7 +61,8 @@
             return same;
         }
         if (one instanceof Map<?, ?> a && other instanceof Map<?, ?> b) {
-            return a.size() == b.size() && a.entrySet().stream().allMatch(entry -> b.containsKey(entry.getKey())
+            return a.size() == b.size() && a.entrySet().stream()
+                    .allMatch(entry -> b.containsKey(entry.getKey())
                     && same(meter, place, entry.getValue(), b.get(entry.getKey())));
         }
         return one.equals(other);
--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -30,6 +30,8 @@
 import reedmux.config.Config;
 import reedmux.config.ConfigException;
 import reedmux.core.Clock;
+import reedmux.settings.OperatorSettings;
+import reedmux.settings.ScriptException;
 
 /**
  * Plays the recorded exchanges in {@code src/test/resources/exchanges} against the program, line by line.
@@ -38,7 +40,9 @@
  * {@code <} expects a line, in which {@code *} stands for anything, {@code <<} expects just these bytes,
  * {@code crowd} has so many consumers ask for health and stay, {@code silent} so many say nothing,
  * {@code skip} reads on to the end of a head, {@code node log} compares what was logged.
- * c1, c2 are consumers, p1, p2 providers, d, d2 are discovery, u1 a peer.
+ * c1, c2 are consumers, p1, p2 providers, d, d2 are discovery, u1 a peer, r1, r2 gateways of another region,
+ * x1 a gateway that calls our listener for regions. {@code settings} adds a line to the operators' own
+ * settings, {@code node settle} reads such a line anew.
  */
 @RunWith(Parameterized.class)
 public final class ExchangeTest {
@@ -62,6 +66,7 @@
     private final CountDownLatch mayWarmUp = new CountDownLatch(1);
     private Thread warmingUp;
     private String config;
+    private final StringBuilder settings = new StringBuilder();
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
     private Node node;
     private Thread running;
@@ -74,7 +79,7 @@
     @Test
     public void goesAsRecorded() throws Exception {
         InetAddress here = InetAddress.getByName("127.0.0.1");
-        for (String name : List.of("p1", "p2", "d", "d2")) {
+        for (String name : List.of("p1", "p2", "d", "d2", "r1", "r2")) {
             listeners.put(name, new ServerSocket(0, 50, here));
             listeners.get(name).setSoTimeout(HANGS);
         }
@@ -92,6 +97,8 @@
                 number++;
                 if (line.startsWith("with ")) {
                     config = replaced(config, named(line.substring(5)));
+                } else if (line.startsWith("settings ")) {
+                    settings.append(named(line.substring(9))).append('\n');
                 } else if (line.startsWith("fails ")) {
                     expectFailure(config, line.substring(6));
                 } else if (!line.startsWith("#")) {
@@ -137,11 +144,19 @@
         return Config.read(config.getBytes(StandardCharsets.UTF_8), Map.of(), new Clock());
     }
 
+    private static OperatorSettings settle(String script) throws ConfigException {
+        try {
+            return OperatorSettings.parse("own.star", script);
+        } catch (ScriptException e) {
+            throw new ConfigException(e.getMessage());
+        }
+    }
+
     private void start(String config) throws Exception {
         if (node != null) {
             return;
         }
-        node = new Node(read(config), new Clock(), log::add);
+        node = new Node(read(config), settle(settings.toString()), new Clock(), log::add);
         if (script.equals("warm-up.txt")) {
             warmingUp = node.warmUpAfter(mayWarmUp::await);
         }
@@ -190,7 +205,9 @@
                 mayWarmUp.countDown();
                 warmingUp.join();
             } else if (parts[1].equals("reload")) {
-                node.reload(() -> read(replaced(config, named(rest))));
+                node.reload(() -> new Loaded(read(replaced(config, named(rest))), OperatorSettings.NONE));
+            } else if (parts[1].equals("settle")) {
+                node.reload(() -> new Loaded(read(config), settle(named(rest))));
             } else if (parts[1].equals("log")) {
                 expect(rest, String.join("|", log));
             } else {
@@ -233,7 +250,7 @@
         if (socket == null) {
             socket = listeners.containsKey(party) ? listeners.get(party).accept() : new Socket();
             if (!socket.isConnected()) {
-                socket.connect(node.awaitListening());
+                socket.connect(party.startsWith("x") ? node.awaitRegions() : node.awaitListening());
             }
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(HANGS);
--- a/src/test/java/reedmux/region/RegionsTest.java
+++ b/src/test/java/reedmux/region/RegionsTest.java
@@ -44,7 +44,8 @@
      * than the share of those taken.
      */
     @Property(tries = 10_000, seed = "21")
-    void theBudgetHoldsOverAllGatekeepers(@ForAll long seed, @ForAll @IntRange(min = 1, max = 5) int members) {
+    void theBudgetHoldsOverAllGatekeepers(@ForAll long seed, @ForAll @IntRange(min = 1,
+            max = 5) int members) {
         SplittableRandom random = new SplittableRandom(seed);
         double share = random.nextInt(11) / 10.0;
         double rate = random.nextInt(40);
@@ -68,7 +69,8 @@
                 taken++;
                 double units = 1 + random.nextInt(3);
                 Decision decision = all[i].depart(now, new Wish(now + random.nextLong(SECOND), units,
-                        random.nextBoolean(), random.nextInt(4) > 0, random.nextInt(5) == 0, random.nextInt(4)));
+                        random.nextBoolean(), random.nextInt(4) > 0, random.nextInt(5) == 0,
+                                random.nextInt(4)));
                 if (decision.departure() != null) {
                     sent.add(new Sent(now, units));
                     away.get(i).add(decision.departure());
@@ -248,7 +250,8 @@
         Departure sent = regions.depart(SECOND, wish(SECOND + 500 * MS)).departure();
         assertEquals(490 * MS, sent.patience());
         assertEquals(450 * MS, sent.told(), 2 * MS);
-        assertNull(regions.depart(SECOND, wish(SECOND + 99 * MS)).departure(), "10 and 40 ms off leave under 50");
+        assertNull(regions.depart(SECOND, wish(SECOND + 99 * MS)).departure(),
+                "10 and 40 ms off leave under 50");
     }
 
     @Example
--- a/src/test/java/reedmux/settings/ScriptTest.java
+++ b/src/test/java/reedmux/settings/ScriptTest.java
@@ -20,7 +20,10 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** The script's language: what it computes, where it says that something is wrong, and that it always ends. */
+/**
+ * The script's language: what it computes, where it says that something is wrong, and that it always
+ * ends.
+ */
 final class ScriptTest {
     private static final List<Declaration.Kind> KINDS =
             List.of(new Declaration.Kind("told", true, List.of("value", "other")));
@@ -33,17 +36,22 @@
     }
 
     private static String error(String script) {
-        return assertThrows(ScriptException.class, () -> Interpreter.run("x.star", script, KINDS)).getMessage();
+        return assertThrows(ScriptException.class, () -> Interpreter.run("x.star", script, KINDS))
+                .getMessage();
     }
 
     @ParameterizedTest
     @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
         "1 + 2 * 3|[7]", "(1 + 2) * 3|[9]", "7 // 2 - 7 % 4|[0]", "-7 // 2|[-4]", "7 / 2|[3.5]", "-7 % 4|[1]",
         "1 if [] else 2|[2]", "not 1 == 2 and 3 < 4|[True]", "'a' in 'cat'|[True]", "3 not in [1, 2]|[True]",
-        "0 or 5|[5]", "\"a\" 'b' * 2|[\"abab\"]", "'%s-%d' % ['x', 3]|[\"x-3\"]", "'{}!'.format(1.5)|[\"1.5!\"]",
-        "[x * x for x in range(4) if x % 2 == 1]|[[1, 9]]", "{k: len(k) for k in ['a', 'bb']}|[{\"a\": 1, \"bb\": 2}]",
-        "[a + b for a, b in zip([1, 2], [3, 4])]|[[4, 6]]", "sorted([3, 1, 2])[1:]|[[2, 3]]", "'a,b'.split(',')[-1]|[\"b\"]",
-        "max([1, 5, 3]) + min(4, 2)|[7]", "{'a': 1}.get('b', 9)|[9]", "0x1F + 1_000|[1031]", "[1, [2, 'x']] == [1.0, [2, 'x']]|[True]",
+        "0 or 5|[5]", "\"a\" 'b' * 2|[\"abab\"]", "'%s-%d' % ['x', 3]|[\"x-3\"]",
+        "'{}!'.format(1.5)|[\"1.5!\"]",
+        "[x * x for x in range(4) if x % 2 == 1]|[[1, 9]]", "{k: len(k) for k in ['a', 'bb']}|[{\"a\": 1, "
+                + "\"bb\": 2}]",
+        "[a + b for a, b in zip([1, 2], [3, 4])]|[[4, 6]]", "sorted([3, 1, 2])[1:]|[[2, 3]]",
+        "'a,b'.split(',')[-1]|[\"b\"]",
+        "max([1, 5, 3]) + min(4, 2)|[7]", "{'a': 1}.get('b', 9)|[9]", "0x1F + 1_000|[1031]",
+        "[1, [2, 'x']] == [1.0, [2, 'x']]|[True]",
         "','.join([str(i) for i in reversed(range(3))])|[\"2,1,0\"]", "type({}.get(1))|[\"NoneType\"]",
         "[p for p in enumerate('ab'.upper().split('B'))]|[[[0, \"A\"], [1, \"\"]]]", "1 - 2 - 3|[-4]"})
     void computes(String expression, String expected) throws ScriptException {
@@ -71,7 +79,8 @@
                 told(
                   value = all,
                 )"""));
-        assertEquals("[6]", value("a, (b, c) = 1, [2, 3]\nd = {}\nd['x'] = [a + b]\nd['x'][0] += c\ntold(value = d['x'][0])"));
+        assertEquals("[6]", value("a, (b, c) = 1, [2, 3]\nd = {}\nd['x'] = [a + b]\nd['x'][0] += "
+                + "c\ntold(value = d['x'][0])"));
     }
 
     @ParameterizedTest
@@ -119,28 +128,34 @@
     @ParameterizedTest
     @ValueSource(strings = {
         "x = [i for i in range(9223372036854775807)]", "x = 'a' * 9000000000", "x = [0] * 9000000000",
-        "x = 'a'\nfor i in range(99):\n    x = x + x", "x = ['a']\nfor i in range(99):\n    x = [x, x]\ny = str(x)",
+        "x = 'a'\nfor i in range(99):\n    x = x + x", "x = ['a']\nfor i in range(99):\n    x = [x, x]\ny = "
+                + "str(x)",
         "x = [1]\nfor i in range(99):\n    x = [x, x]\ny = x == [x[0], x[1]] and x == [list(x[0]), x[1]]",
         "x = []\nx.append(x)\ny = str(x)", "x = []\nfor i in range(99999):\n    x.extend(range(9999))",
-        "x = [1 for a in range(9999) for b in range(9999)]", "x = 'ab'.replace('a', 'x' * 1000000).replace('x', 'y' * 1000000)",
+        "x = [1 for a in range(9999) for b in range(9999)]",
+        "x = 'ab'.replace('a', 'x' * 1000000).replace('x', 'y' * 1000000)",
         "x = 0\nfor a in range(9999):\n    for b in range(9999):\n        x += 1"})
     void alwaysEnds(String script) {
         String told = error(script);
-        assertTrue(told.matches("x.star:\\d+:\\d+: (the script takes more than .*|the script is nested .*)"), told);
+        assertTrue(told.matches("x.star:\\d+:\\d+: (the script takes more than .*|the script is nested .*)"),
+                told);
     }
 
     @Test
     void deepNestingIsRefused() {
-        for (String deep : List.of("(".repeat(9_000) + "1" + ")".repeat(9_000), "[".repeat(60) + "]".repeat(60),
+        for (String deep : List.of("(".repeat(9_000) + "1" + ")".repeat(9_000), "[".repeat(60)
+                + "]".repeat(60),
                 "not ".repeat(9_000) + "1", "-".repeat(9_000) + "1", "1" + " + 1".repeat(9_000),
-                "x".repeat(1) + ".y".repeat(9_000), "1 if 1 else ".repeat(9_000) + "1", "1" + " * 1".repeat(9_000))) {
+                "x".repeat(1) + ".y".repeat(9_000), "1 if 1 else ".repeat(9_000) + "1", "1"
+                + " * 1".repeat(9_000))) {
             assertTrue(error("x = 1\ny = " + deep).startsWith("x.star:"), deep.substring(0, 9));
         }
         StringBuilder blocks = new StringBuilder();
         for (int i = 0; i < 500; i++) {
             blocks.append(" ".repeat(i)).append("if 1:\n");
         }
-        assertEquals("x.star:22:22: indented more than 20 times", error(blocks + " ".repeat(500) + "x = 1\n"));
+        assertEquals("x.star:22:22: indented more than 20 times", error(blocks + " ".repeat(500)
+                + "x = 1\n"));
     }
 
     @Test
@@ -154,12 +169,14 @@
 
     /** Whatever is written, it is understood or refused with a place; nothing else comes out. */
     @Property(tries = 2_000, seed = "11")
-    void anyTextEndsWithAPlace(@ForAll @Chars({'a', 'x', '1', '0', '.', ' ', '\n', '(', ')', '[', ']', '{', '}', ':',
+    void anyTextEndsWithAPlace(@ForAll @Chars({'a', 'x', '1', '0', '.', ' ', '\n', '(', ')', '[', ']', '{',
+            '}', ':',
         ',', '=', '+', '-', '\'', '"', '\\', '#', '\t'}) @AlphaChars @StringLength(max = 60) String script) {
         try {
             Interpreter.run("x.star", script, KINDS);
         } catch (ScriptException e) {
-            assertTrue(e.getMessage().startsWith("x.star:" + e.place().line() + ':' + e.place().column()), script);
+            assertTrue(e.getMessage().startsWith("x.star:" + e.place().line() + ':' + e.place().column()),
+                    script);
         }
     }
 
