Requests are read to the letter before they are routed; a route table by host and path

Need: a router must read a request exactly as the next reader would. The library let control characters, stray CR, folded lines, odd request lines, malformed chunk sizes and several hosts through, or ended without an answer.

Change: each line of a head and of a chunked body passes http.Grammar before the library's parsers see it (StrictInput); one Host at most, and one that can be read. At fault: 400 with the reason, the connection ends, nothing reaches a provider. reedmux.routing leads host and path to a service: exact host, longest wildcard, default, then the longest path; what can be read in two ways is an error.

--- /dev/null
+++ b/src/jmh/java/reedmux/routing/LookUp.java
@@ -0,0 +1,52 @@
+package reedmux.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** What a look-up costs as the table grows; {@code mvn -Pbench verify} runs it. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+public class LookUp {
+    private static final int ASKED = 1024;
+
+    /** Routes in the table. */
+    @Param({"10", "1000", "100000"})
+    public int routes;
+
+    private RouteTable table;
+    private final String[] hosts = new String[ASKED];
+    private final String[] targets = new String[ASKED];
+    private int at;
+
+    /** Half of the requests meet a route; the others have a host or a path that none has. */
+    @Setup
+    public void compile() throws RouteException {
+        List<Route> all = new ArrayList<>();
+        for (int i = 0; i < routes; i++) {
+            String host = i % 10 == 0 ? "*.w" + i / 10 + ".example.org" : "h" + i / 10 + ".example.org";
+            all.add(new Route(host, "/part" + i % 10, i, i + 1));
+        }
+        table = RouteTable.of(all);
+        for (int i = 0; i < ASKED; i++) {
+            int meant = (int) (i * 7919L % (2 * routes));
+            hosts[i] = "h" + meant / 10 + ".example.org";
+            targets[i] = "/part" + meant % 10 + "/line-4/photo?part=9";
+        }
+    }
+
+    @Benchmark
+    public int find() {
+        at = at + 1 & ASKED - 1;
+        return table.find(hosts[at], targets[at]);
+    }
+}
--- a/src/main/java/reedmux/http/ConsumerExchange.java
+++ b/src/main/java/reedmux/http/ConsumerExchange.java
@@ -103,6 +103,11 @@
         }
     }
 
+    /** The body cannot be read on; returns whether that could be told. */
+    boolean unreadable(String problem) {
+        return !answered() && lastOrNone(400, problem);
+    }
+
     /** The request did not come in whole in time; returns whether that could be told. */
     boolean timedOut() {
         return !answered() && lastOrNone(408, "the request did not come in whole in time");
--- a/src/main/java/reedmux/http/ConsumerServer.java
+++ b/src/main/java/reedmux/http/ConsumerServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.LinkedHashSet;
@@ -12,14 +13,20 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.ConnectionReuseStrategy;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.Http1StreamListener;
+import org.apache.hc.core5.http.impl.nio.ChunkDecoder;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
@@ -185,11 +192,35 @@
 
         Link(ProtocolIOSession session) {
             this.session = session;
-            duplexer = new ServerHttp1StreamDuplexer(session, NOTHING_ADDED, (request, context) -> exchange(),
-                    null, Transport.HTTP, null, this, heads, WRITERS.create(), null, null, this, null);
+            duplexer = new StrictDuplexer();
             events = new Events();
         }
 
+        /** The library's side of the connection, with our eyes on the lines of chunked bodies. */
+        private final class StrictDuplexer extends ServerHttp1StreamDuplexer {
+
+            StrictDuplexer() {
+                super(session, NOTHING_ADDED, (request, context) -> exchange(), null, Transport.HTTP, null,
+                        Link.this, heads, WRITERS.create(), null, null, Link.this, null);
+            }
+
+            @Override
+            protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
+                    SessionInputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
+                return length != ContentLengthStrategy.CHUNKED
+                        ? super.createContentDecoder(length, channel, buffer, metrics)
+                        : new ChunkDecoder(channel, new StrictInput.Chunks(this::fault).of(buffer),
+                                Transport.HTTP, metrics);
+            }
+
+            private void fault(String problem) {
+                ConsumerExchange exchange = current;
+                if (exchange == null || !exchange.unreadable(problem)) {
+                    broken();
+                }
+            }
+        }
+
         private ConsumerExchange exchange() {
             ConsumerExchange before = current;
             boolean free = before == null || before.answered();
--- a/src/main/java/reedmux/http/Heads.java
+++ b/src/main/java/reedmux/http/Heads.java
@@ -17,6 +17,7 @@
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import reedmux.routing.HostName;
 
 /**
  * The library's parsers of heads, made strict. On its own the library takes a head that was cut off by the
@@ -41,7 +42,7 @@
         for (Iterator<Header> headers = message.headerIterator(); headers.hasNext();) {
             Header header = headers.next();
             String name = header.getName();
-            if (!isToken(name)) {
+            if (!Grammar.isToken(name, 0, name.length())) {
                 return "a header's name holds a character that has no place there";
             }
             if (name.equalsIgnoreCase("Content-Length")) {
@@ -61,6 +62,18 @@
                 : codings > 0 && old ? "Transfer-Encoding is not of this version" : null;
     }
 
+    /**
+     * RFC 9112, section 3.2: one host, and one that can be read in one way only. A missing or empty one is
+     * let pass, as the platform's own consumers are served without.
+     */
+    private static String hostProblem(HttpRequest request) {
+        int hosts = request.countHeaders("Host");
+        Header host = hosts == 0 ? null : request.getFirstHeader("Host");
+        return hosts > 1 ? "the host is told more than once"
+                : host != null && !host.getValue().isEmpty()
+                && HostName.end(host.getValue()) == HostName.BAD ? "the host cannot be read" : null;
+    }
+
     private static boolean isLength(String value) {
         boolean good = !value.isEmpty() && value.length() <= LONGEST_LENGTH;
         for (int i = 0; good && i < value.length(); i++) {
@@ -69,16 +82,6 @@
         return good;
     }
 
-    private static boolean isToken(String name) {
-        for (int i = 0; i < name.length(); i++) {
-            char c = name.charAt(i);
-            if (c <= ' ' || c >= 0x7f || "()<>@,;:\\\"/[]?={}".indexOf(c) >= 0) {
-                return false;
-            }
-        }
-        return !name.isEmpty();
-    }
-
     private static void discard(SessionInputBuffer in) {
         if (in.hasData()) {
             in.read(ByteBuffer.allocate(in.length()));
@@ -91,6 +94,7 @@
      */
     static final class Requests implements NHttpMessageParser<HttpRequest> {
         private final NHttpMessageParser<HttpRequest> parser = REQUESTS.create();
+        private final StrictInput.Head strict = new StrictInput.Head();
         private boolean deaf;
         private int status = UNREADABLE;
         private String problem;
@@ -116,6 +120,7 @@
         @Override
         public void reset() {
             parser.reset();
+            strict.begin();
         }
 
         @Override
@@ -126,8 +131,13 @@
             }
             HttpRequest request = null;
             try {
-                request = parser.parse(in, false);
+                request = parser.parse(strict.of(in), false);
                 problem = request == null ? null : Heads.problem(request);
+                if (problem == null && request != null) {
+                    problem = hostProblem(request);
+                }
+            } catch (StrictInput.Head.BadLine e) {
+                problem = e.getMessage();
             } catch (HttpException e) {
                 status = ServerSupport.toStatusCode(e);
                 problem = status == TOO_LARGE ? "the head is too large" : "the head cannot be read";
--- a/src/main/java/reedmux/lab/sim/SimNode.java
+++ b/src/main/java/reedmux/lab/sim/SimNode.java
@@ -114,6 +114,11 @@
     }
 
     Invocation take(String id, int kind, long customer, long deadline, double units) {
+        return take(id, kind, customer, deadline, units, () -> { });
+    }
+
+    /** Takes a consumer's request; {@code then} is run when it has its answer. */
+    Invocation take(String id, int kind, long customer, long deadline, double units, Runnable then) {
         Life at = life;
         Request request = new Request(id, kind, 0, customer, deadline, units, region.nodes.size(), 0, false);
         Invocation invocation = new Invocation(request, kind == 0, NOTHING, answer -> {
@@ -125,6 +130,7 @@
             if (world.planted == Planted.ANSWERS_TWICE && answer instanceof Answer.Rejection) {
                 world.ledger.answered(id, answer);
             }
+            then.run();
         });
         at.owed.add(id);
         at.event(new Event.InvocationTaken(invocation));
@@ -240,7 +246,7 @@
                 flight.written = true;
                 world.time.in(world.delay, () -> {
                     SimProvider.Job job = provider.take(call.invocation().id(),
-                            result -> world.time.in(world.delay, () -> flight.end(result)),
+                            result -> world.time.in(world.delay + world.held(), () -> flight.end(result)),
                             () -> world.time.in(world.delay, () -> flight.broken("reset")));
                     flight.closed = () -> provider.abort(job);
                     if (flight.ended) {
--- a/src/main/java/reedmux/lab/sim/World.java
+++ b/src/main/java/reedmux/lab/sim/World.java
@@ -41,8 +41,21 @@
      * @param gatekeepers how many
      * @param providers   how many, of two cores each
      * @param perSecond   consumers' requests a second
+     * @param work        a provider's mean work on a request, in microseconds
+     * @param quota       units a second that each customer may take, and three times as many at once
      */
-    record Setup(String name, RegionRules rules, int gatekeepers, int providers, double perSecond) { }
+    record Setup(String name, RegionRules rules, int gatekeepers, int providers, double perSecond, long work,
+                 double quota) {
+
+        Setup(String name, RegionRules rules, int gatekeepers, int providers, double perSecond) {
+            this(name, rules, gatekeepers, providers, perSecond, 100 * MS, 30);
+        }
+
+        /** In which a request should be answered, in microseconds: slow work has more time. */
+        long aim() {
+            return Math.max(AIM, 6 * work);
+        }
+    }
 
     /** A region at work. */
     static final class Region {
@@ -84,6 +97,9 @@
     /** One way between regions, and within one, in microseconds. */
     long linkDelay = 15 * MS;
     long delay = MS;
+    /** How an answer may be late by chance, as threads and collectors hold it up: mean and share of pauses. */
+    long jitter;
+    double pauses;
     private long ids;
 
     World(long seed, List<Setup> setups) {
@@ -100,14 +116,14 @@
         for (Setup setup : setups) {
             Settings[] settings = new Settings[setup.gatekeepers()];
             for (int i = 0; i < settings.length; i++) {
-                settings[i] = settings(i, settings.length);
+                settings[i] = settings(i, settings.length, setup);
             }
             Region region = new Region(setup, settings);
             regions.put(setup.name(), region);
             UniformRandomProvider work = stream(seed, stream++);
             for (int i = 0; i < setup.providers(); i++) {
                 String id = setup.name() + "-s" + i;
-                region.providers.put(id, new SimProvider(id, time, ledger, work, 2, 8, 100 * MS));
+                region.providers.put(id, new SimProvider(id, time, ledger, work, 2, 8, setup.work()));
             }
             for (int i = 0; i < settings.length; i++) {
                 region.nodes.add(new SimNode(this, region, i, seed * 31 + stream++));
@@ -124,11 +140,11 @@
         return RandomSource.XO_RO_SHI_RO_128_PP.create((Long) (seed * 0x9E3779B97F4A7C15L + concern));
     }
 
-    private static Settings settings(int self, int members) {
+    private static Settings settings(int self, int members, Setup setup) {
         return new Settings(self, members, 0, false, false, 8, 2 * MS, List.of(
-                new RequestClass("check", Repeat.SAFE, Group.ALL, 0, AIM, 4 * SECOND, 1, 0, false),
-                new RequestClass("reject", Repeat.UNSAFE, Group.ALL, 0, AIM, 4 * SECOND, 3, 0, false)),
-                List.of(new Plan("single-line", 30, 90, 0, 0, 0, 0, 1.2, 0, 1.2)),
+                new RequestClass("check", Repeat.SAFE, Group.ALL, 0, setup.aim(), 4 * SECOND, 1, 0, false),
+                new RequestClass("reject", Repeat.UNSAFE, Group.ALL, 0, setup.aim(), 4 * SECOND, 3, 0, false)),
+                List.of(new Plan("single-line", setup.quota(), 3 * setup.quota(), 0, 0, 0, 0, 1.2, 0, 1.2)),
                 new Rules(Ledger.SLACK, 10 * SECOND, 0.18, 16 * SECOND, 250 * MS, 4, SECOND),
                 new Limits(true, true, true, members > 1, false, 4, SECOND, 100, 50 * MS));
     }
@@ -164,6 +180,12 @@
         return (long) (linkDelay * (0.8 + 0.4 * links.nextDouble()));
     }
 
+    /** What an answer takes longer than it should. */
+    long held() {
+        long held = jitter == 0 ? 0 : (long) (-Math.log(1 - network.nextDouble()) * jitter);
+        return pauses > 0 && network.nextDouble() < pauses ? held + 5 * MS + network.nextLong(15 * MS) : held;
+    }
+
     // ---- Consumers ---------------------------------------------------------------------------------
     private void arrive(Region region) {
         if (region.perSecond <= 0) {
@@ -176,6 +198,19 @@
         });
     }
 
+    /** A consumer that asks again as soon as it has an answer, whatever that was, until a time. */
+    void askInTurn(Region region, long customer, long until) {
+        if (time.now() >= until) {
+            return;
+        }
+        int kind = arrivals.nextInt(2);
+        long deadline = time.now() + 2 * region.setup.aim();
+        String id = region.setup.name() + '-' + ++ids;
+        ledger.taken(region.setup.name(), id, kind == 0, deadline, region.setup.aim());
+        region.nodes.get((int) (customer % region.nodes.size())).take(id, kind, customer, deadline, 1,
+                () -> time.in(100, () -> askInTurn(region, customer, until)));
+    }
+
     private void request(Region region) {
         int kind = arrivals.nextInt(2);
         long customer = arrivals.nextInt(customers);
--- /dev/null
+++ b/src/main/java/reedmux/routing/PathForm.java
@@ -0,0 +1,63 @@
+package reedmux.routing;
+
+/**
+ * Looks whether a path can be read in one way only. Where routes go by path, one that another reader might
+ * take for a shorter, longer or different one is refused: dot segments, plain or encoded, empty segments,
+ * encoded slashes and backslashes, parameters of segments, backslashes, fragments, half escapes, and escapes
+ * of what needs none.
+ */
+public final class PathForm {
+    /** The result for a path that might be read in two ways. */
+    public static final int BAD = -1;
+
+    private PathForm() { }
+
+    /** Where the path ends in an origin-form target, at its query or its own end, or {@link #BAD}. */
+    public static int end(String target) {
+        if (target.isEmpty() || target.charAt(0) != '/') {
+            return BAD;
+        }
+        int segment = 1;
+        int at = 1;
+        for (; at < target.length() && target.charAt(at) != '?'; at++) {
+            char c = target.charAt(at);
+            if (c == '/') {
+                if (at == segment || isDots(target, segment, at)) {
+                    return BAD;
+                }
+                segment = at + 1;
+            } else if (c == '%') {
+                if (!isPlainEscape(target, at)) {
+                    return BAD;
+                }
+                at += 2;
+            } else if (c <= ' ' || c >= 0x7f || c == '\\' || c == ';' || c == '#') {
+                return BAD;
+            }
+        }
+        return isDots(target, segment, at) ? BAD : at;
+    }
+
+    private static boolean isDots(String target, int from, int to) {
+        return to - from == 1 && target.charAt(from) == '.'
+                || to - from == 2 && target.charAt(from) == '.' && target.charAt(from + 1) == '.';
+    }
+
+    /** Whether an escape stands for something that must be escaped and separates nothing. */
+    private static boolean isPlainEscape(String target, int at) {
+        if (at + 2 >= target.length()) {
+            return false;
+        }
+        int high = Character.digit(target.charAt(at + 1), 16);
+        int low = Character.digit(target.charAt(at + 2), 16);
+        if (high < 0 || low < 0 || target.charAt(at + 1) > 'f' || target.charAt(at + 2) > 'f') {
+            return false;
+        }
+        int value = high << 4 | low;
+        boolean unreserved = value >= 'a' && value <= 'z' || value >= 'A' && value <= 'Z'
+                || value >= '0' && value <= '9' || value == '-' || value == '.' || value == '_' || value
+                == '~';
+        return !unreserved && value != '/' && value != '\\' && value != ';' && value > ' ' - 1
+                && value != 0x7f;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/routing/RouteException.java
@@ -0,0 +1,16 @@
+package reedmux.routing;
+
+/** Routes that cannot be compiled; the message names the lines, and {@link #line} is the later one. */
+public final class RouteException extends Exception {
+    private static final long serialVersionUID = 1;
+    private final int line;
+
+    RouteException(int line, String message) {
+        super(message, null, false, false);
+        this.line = line;
+    }
+
+    public int line() {
+        return line;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/routing/RouteTable.java
@@ -0,0 +1,235 @@
+package reedmux.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * Leads a host and a path to a service. Of hosts an exact one comes before {@code *.} ones, of these the
+ * longest first, and {@code *} last; within the host that is found, the longest path wins. A host whose
+ * routes do not cover a path has no match there, even where {@code *} has one: what is said of a host is all
+ * that holds for it.
+ *
+ * <p>Compiled once and never changed; a look-up reads the host from its end and the path from its beginning,
+ * each character once, in two tables with open addressing, and allocates nothing. Safe for all threads.
+ */
+public final class RouteTable {
+    /** No route leads there. */
+    public static final int NONE = -1;
+    /** The host or the path can be read in two ways, or not at all. */
+    public static final int AMBIGUOUS = -2;
+
+    private static final int MULTIPLIER = 0x01000193;
+    private static final int BASIS = 0x811c9dc5;
+    private static final int ANY_HOST = 0;
+
+    /** Host patterns, lower case; a wildcard's without its {@code *}, so that it begins with the dot. */
+    private final String[] hosts;
+    private final int[] hostNumbers;
+    /** Paths without a slash at the end, each with the number of its host and its service. */
+    private final String[] paths;
+    private final int[] pathHosts;
+    private final int[] services;
+    private final boolean anyPath;
+    private final int longestPath;
+
+    private RouteTable(Map<String, Integer> numbers, List<Route> routes) {
+        hosts = new String[slots(numbers.size())];
+        hostNumbers = new int[hosts.length];
+        numbers.forEach((host, number) -> {
+            int slot = slot(hash(host, 0, host.length()), hosts.length);
+            while (hosts[slot] != null) {
+                slot = slot + 1 & hosts.length - 1;
+            }
+            hosts[slot] = host;
+            hostNumbers[slot] = number;
+        });
+        paths = new String[slots(routes.size())];
+        pathHosts = new int[paths.length];
+        services = new int[paths.length];
+        int longest = 0;
+        boolean any = false;
+        for (Route route : routes) {
+            String path = trimmed(route.path());
+            int number = numbers.get(pattern(route.host()));
+            int slot = slot(hash(path, number), paths.length);
+            while (paths[slot] != null) {
+                slot = slot + 1 & paths.length - 1;
+            }
+            paths[slot] = path;
+            pathHosts[slot] = number;
+            services[slot] = route.service();
+            longest = Math.max(longest, path.length());
+            any |= !path.isEmpty();
+        }
+        longestPath = longest;
+        anyPath = any;
+    }
+
+    /**
+     * Compiles routes.
+     *
+     * @throws RouteException where one is malformed, or two say the same of the same requests
+     */
+    public static RouteTable of(List<Route> routes) throws RouteException {
+        Map<String, Integer> numbers = new LinkedHashMap<>();
+        numbers.put("*", ANY_HOST);
+        Map<String, Route> seen = new HashMap<>();
+        List<Route> all = new ArrayList<>();
+        for (Route route : routes) {
+            check(route);
+            String pattern = pattern(route.host());
+            numbers.putIfAbsent(pattern, numbers.size());
+            Route before = seen.putIfAbsent(pattern + ' ' + trimmed(route.path()), route);
+            if (before != null) {
+                throw new RouteException(route.line(), "the route in line " + route.line()
+                        + " can never be reached: line " + before.line() + " says the same of "
+                        + route.host() + route.path());
+            }
+            all.add(route);
+        }
+        return new RouteTable(numbers, all);
+    }
+
+    private static void check(Route route) throws RouteException {
+        String host = route.host();
+        String name = host.startsWith("*.") ? host.substring(2) : host;
+        if (!host.equals("*") && HostName.end(name) != name.length()) {
+            throw new RouteException(route.line(), "the route's host is no name without a port: " + host);
+        } else if (host.startsWith("*.") && name.startsWith("[")) {
+            throw new RouteException(route.line(), "nothing lies below an address: " + host);
+        }
+        String path = trimmed(route.path());
+        if (!route.path().startsWith("/") || !path.isEmpty() && PathForm.end(path) != path.length()) {
+            throw new RouteException(route.line(), "the route's path can be read in two ways, or is none: "
+                    + route.path());
+        }
+    }
+
+    private static String pattern(String host) {
+        String lower = host.toLowerCase(Locale.ROOT);
+        return lower.startsWith("*.") ? lower.substring(1) : lower;
+    }
+
+    private static String trimmed(String path) {
+        return path.endsWith("/") ? path.substring(0, path.length() - 1) : path;
+    }
+
+    private static int slots(int entries) {
+        return Math.max(4, Integer.highestOneBit(Math.max(1, entries)) << 2);
+    }
+
+    private static int slot(int hash, int slots) {
+        int mixed = hash * 0x9E3779B9;
+        return (mixed ^ mixed >>> 15) & slots - 1;
+    }
+
+    /**
+     * The service of a request, {@link #NONE} or {@link #AMBIGUOUS}.
+     *
+     * @param authority the value of {@code Host}, or null where there is none, which only {@code *} takes
+     * @param target    in origin form
+     */
+    public int find(String authority, String target) {
+        int host = ANY_HOST;
+        if (authority != null) {
+            int end = HostName.end(authority);
+            if (end == HostName.BAD) {
+                return AMBIGUOUS;
+            }
+            host = findHost(authority, end);
+        }
+        int end = 0;
+        if (anyPath) {
+            end = PathForm.end(target);
+            if (end == PathForm.BAD) {
+                return AMBIGUOUS;
+            }
+        }
+        return findPath(host, target, end);
+    }
+
+    // ---- Hosts -------------------------------------------------------------------------------------
+    private int findHost(String text, int end) {
+        int hash = BASIS;
+        int found = ANY_HOST;
+        for (int at = end - 1; at >= 0; at--) {
+            char c = HostName.lower(text.charAt(at));
+            hash = (hash ^ c) * MULTIPLIER;
+            if (c == '.' || at == 0) {
+                int number = host(hash, text, at, end);
+                found = number == NONE ? found : number;
+            }
+        }
+        return found;
+    }
+
+    private int host(int hash, String text, int from, int to) {
+        for (int slot = slot(hash, hosts.length); hosts[slot] != null; slot = slot + 1 & hosts.length - 1) {
+            if (sameHost(hosts[slot], text, from, to)) {
+                return hostNumbers[slot];
+            }
+        }
+        return NONE;
+    }
+
+    private static boolean sameHost(String host, String text, int from, int to) {
+        if (host.length() != to - from) {
+            return false;
+        }
+        for (int i = 0; i < host.length(); i++) {
+            if (host.charAt(i) != HostName.lower(text.charAt(from + i))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static int hash(String host, int from, int to) {
+        int hash = BASIS;
+        for (int at = to - 1; at >= from; at--) {
+            hash = (hash ^ host.charAt(at)) * MULTIPLIER;
+        }
+        return hash;
+    }
+
+    // ---- Paths -------------------------------------------------------------------------------------
+    private int findPath(int host, String target, int end) {
+        int hash = begin(host);
+        int found = path(hash, host, target, 0);
+        int last = Math.min(end, longestPath);
+        for (int at = 0; at < last; at++) {
+            hash = (hash ^ target.charAt(at)) * MULTIPLIER;
+            if (at + 1 == end || target.charAt(at + 1) == '/') {
+                int service = path(hash, host, target, at + 1);
+                found = service == NONE ? found : service;
+            }
+        }
+        return found;
+    }
+
+    private int path(int hash, int host, String target, int length) {
+        for (int slot = slot(hash, paths.length); paths[slot] != null; slot = slot + 1 & paths.length - 1) {
+            if (pathHosts[slot] == host && paths[slot].length() == length
+                    && target.startsWith(paths[slot])) {
+                return services[slot];
+            }
+        }
+        return NONE;
+    }
+
+    private static int begin(int host) {
+        return (BASIS ^ host) * MULTIPLIER;
+    }
+
+    private static int hash(String path, int host) {
+        int hash = begin(host);
+        for (int at = 0; at < path.length(); at++) {
+            hash = (hash ^ path.charAt(at)) * MULTIPLIER;
+        }
+        return hash;
+    }
+}
--- /dev/null
+++ b/src/test/java/reedmux/routing/RouteTableTest.java
@@ -0,0 +1,201 @@
+package reedmux.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.AlphaChars;
+import net.jqwik.api.constraints.Chars;
+import net.jqwik.api.constraints.StringLength;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The route table: longest match, and nothing that could be read in two ways. */
+final class RouteTableTest {
+    private static final int INSPECT = 0;
+    private static final int PRINT = 1;
+    private static final int ARCHIVE = 2;
+
+    private static RouteTable table() throws RouteException {
+        return RouteTable.of(List.of(new Route("inspect.example.org", "/", INSPECT, 1),
+                new Route("print.example.org", "/", PRINT, 2), new Route("*.example.org", "/", ARCHIVE, 3),
+                new Route("*.print.example.org", "/labels", PRINT, 4), new Route("*", "/print", PRINT, 5),
+                new Route("*", "/print/old", ARCHIVE, 6), new Route("[::1]", "/", INSPECT, 7)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "inspect.example.org,/check,0", "INSPECT.Example.ORG,/check,0", "inspect.example.org.,/check,0",
+        "inspect.example.org:8080,/check,0", "inspect.example.org.:80,/check,0",
+        "print.example.org,/x?a=/b;c,1",
+        "a.b.example.org,/check,2", "example.org,/check,-1", "xexample.org,/check,-1",
+        "x.print.example.org,/labels,1",
+        "x.print.example.org,/labels/7?q,1", "x.print.example.org,/labelsx,-1", "x.print.example.org,/,-1",
+        "other.org,/print,1", "other.org,/print/,1", "other.org,/printer,-1", "other.org,/print/old/1,2",
+        "other.org,/print/older,1", "[::1]:80,/x,0", ",/print,1", "127.0.0.1,/print,1"})
+    void longestMatchWins(String host, String target, int service) throws RouteException {
+        assertEquals(service, table().find(host, target));
+    }
+
+    /** A request for one host is never led to another's providers by a host that is told in some odd way. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", ".", "..", "inspect..example.org", ".inspect.example.org",
+            "a@print.example.org",
+        "print.example.org@x", "print.example.org:", "print.example.org:0", "print.example.org:99999",
+        "print.example.org:80:80", "print.example.org:+80", "print.example.org,inspect.example.org",
+        "print.example.org inspect.example.org", "print%2eexample.org", "pr\u0131nt.example.org",
+        "print\uff0eexample.org", "print.example.org/", "http://print.example.org", "[::1", "::1", "[1]",
+        "[::1]x",
+        "[fe80::1%25eth0]", "print.example.org\t", " print.example.org", "print.example.org..",
+        "*.example.org"})
+    void anOddHostIsAmbiguous(String host) throws RouteException {
+        assertEquals(RouteTable.AMBIGUOUS, table().find(host, "/check"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "*", "check", "//print", "/print//x", "/./print", "/x/../print", "/print/..",
+        "/print/.", "/%2e%2e/print", "/x/%2E%2e/print", "/pr%69nt", "/print%2fold", "/print%5cold",
+        "/print\\old",
+        "/print;x=1", "/print;", "/print%3bx", "/print%", "/print%2", "/print%zz", "/print#x", "/pr int",
+        "/print%00", "/print%0a", "/print%7f", "/pr\u00efnt", "http://print.example.org/x",
+        "/print/%\uff11\uff11"})
+    void anOddPathIsAmbiguous(String target) throws RouteException {
+        assertEquals(RouteTable.AMBIGUOUS, table().find("other.org", target));
+    }
+
+    @Test
+    void whatNeedsAnEscapeMayHaveOne() throws RouteException {
+        assertEquals(PRINT, table().find("other.org", "/print/%20%C3%A9%22"));
+        assertEquals(PRINT, table().find("other.org", "/print/a?x=//..%2f;#"));
+    }
+
+    @Test
+    void whereNoRouteHasAPathItIsNotRead() throws RouteException {
+        RouteTable one = RouteTable.of(List.of(new Route("*", "/", INSPECT, 1)));
+        assertEquals(INSPECT, one.find(null, "//any;thing/../goes"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "print.example.org|/|PRINT.example.org|/|the route in line 2 can never be reached: line 1 says the "
+                + "same of"
+                + " PRINT.example.org/",
+        "*|/print|*|/print/|the route in line 2 can never be reached: line 1 says the same of */print/",
+        "*.a.org|/x|*.A.org|/x|the route in line 2 can never be reached: line 1 says the same of *.A.org/x",
+        "a.org|/|a.org:80|/|the route's host is no name without a port: a.org:80",
+        "a.org|/|b.org.|/|the route's host is no name without a port: b.org.",
+        "a.org|/|a.*.org|/|the route's host is no name without a port: a.*.org",
+        "a.org|/|*.[::1]|/|nothing lies below an address: *.[::1]",
+        "a.org|/|b.org|x|the route's path can be read in two ways, or is none: x",
+        "a.org|/|b.org|/a/../b|the route's path can be read in two ways, or is none: /a/../b",
+        "a.org|/|b.org|/a//b|the route's path can be read in two ways, or is none: /a//b",
+        "a.org|/|b.org|/a?b|the route's path can be read in two ways, or is none: /a?b"})
+    void badRoutesAreToldByTheirLines(String host1, String path1, String host2, String path2,
+            String message) {
+        RouteException e = assertThrows(RouteException.class, () -> RouteTable.of(List.of(
+                new Route(host1, path1, 0, 1), new Route(host2, path2, 1, 2))));
+        assertEquals(message, e.getMessage());
+        assertEquals(2, e.line());
+    }
+
+    /** The table against a plain reading of the same rules, over routes and requests that often meet. */
+    @Property(tries = 10_000, seed = "41")
+    void findsWhatAPlainReadingFinds(@ForAll long seed) throws RouteException {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Route> routes = new ArrayList<>();
+        Set<String> keys = new HashSet<>();
+        for (int i = random.nextInt(30); i > 0; i--) {
+            int kind = random.nextInt(4);
+            String host = kind == 0 ? "*" : kind == 1 ? "*." + host(random) : host(random);
+            String path = path(random);
+            if (keys.add(host.toLowerCase(Locale.ROOT) + path)) {
+                routes.add(new Route(host, path, routes.size(), routes.size() + 1));
+            }
+        }
+        RouteTable table = RouteTable.of(routes);
+        for (int i = 0; i < 40; i++) {
+            String host = host(random);
+            String target = path(random) + (random.nextBoolean() ? "?q=/a" : "");
+            assertEquals(plainly(routes, host, target), table.find(host, target), host + target + routes);
+        }
+    }
+
+    private static String host(SplittableRandom random) {
+        String host = "";
+        for (int i = 1 + random.nextInt(3); i > 0; i--) {
+            host += (host.isEmpty() ? "" : ".") + List.of("a", "b", "A", "ab").get(random.nextInt(4));
+        }
+        return host;
+    }
+
+    private static String path(SplittableRandom random) {
+        String path = "";
+        for (int i = random.nextInt(4); i > 0; i--) {
+            path += '/' + List.of("x", "y", "xy").get(random.nextInt(3));
+        }
+        return path.isEmpty() ? "/" : path;
+    }
+
+    private static int plainly(List<Route> routes, String host, String target) {
+        String name = host.toLowerCase(Locale.ROOT);
+        String of = routes.stream().map(route -> route.host().toLowerCase(Locale.ROOT)).distinct()
+                .filter(pattern -> pattern.equals(name)).findAny().orElse(null);
+        if (of == null) {
+            of = routes.stream().map(route -> route.host().toLowerCase(Locale.ROOT)).distinct()
+                    .filter(pattern -> pattern.startsWith("*.") && name.endsWith(pattern.substring(1))
+                            && name.length() > pattern.length() - 1)
+                    .max((one, other) -> one.length() - other.length()).orElse("*");
+        }
+        String path = target.split("\\?", 2)[0];
+        int best = RouteTable.NONE;
+        int longest = -1;
+        for (Route route : routes) {
+            String at = route.path().equals("/") ? "" : route.path();
+            boolean below = path.equals(at) || path.startsWith(at + '/');
+            if (route.host().toLowerCase(Locale.ROOT).equals(of) && below && at.length() > longest) {
+                longest = at.length();
+                best = route.service();
+            }
+        }
+        return best;
+    }
+
+    /** Whatever is put into a host, the answer is that of its plain form or none, never another's. */
+    @Property(tries = 10_000, seed = "42")
+    void noHostIsTakenForAnother(@ForAll @AlphaChars @Chars({'.', '-', ':', '@', '%', '[', ']', ' ', '\t',
+            '\u00e9',
+        '1', '8', '/'}) @StringLength(max = 12) String odd) throws RouteException {
+        RouteTable table = RouteTable.of(List.of(new Route("print.example.org", "/", PRINT, 1)));
+        for (String host : List.of(odd + "print.example.org", "print.example.org" + odd,
+                "print." + odd + "example.org")) {
+            String plain = host.toLowerCase(Locale.ROOT).replaceFirst("\\.?(:[0-9]+)?$", "");
+            if (!plain.equals("print.example.org")) {
+                assertNotEquals(PRINT, table.find(host, "/"), host);
+            }
+        }
+    }
+
+    @Test
+    void aLargeTableFindsAll() throws RouteException {
+        List<Route> routes = new ArrayList<>();
+        for (int i = 0; i < 100_000; i++) {
+            routes.add(new Route("h" + i % 1000 + ".example.org", "/p" + i / 1000, i, i + 1));
+        }
+        RouteTable table = RouteTable.of(routes);
+        for (Route route : routes) {
+            assertEquals(route.service(), table.find(route.host(), route.path() + "/x"));
+        }
+        assertTrue(table.find("h1000.example.org", "/p1") == RouteTable.NONE);
+    }
+}
