--- a/src/main/java/reedmux/lab/StandIn.java
+++ b/src/main/java/reedmux/lab/StandIn.java
@@ -26,6 +26,7 @@
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final InetSocketAddress address;
     private volatile ServerSocket listener;
+    private volatile Thread accepting;
 
     StandIn() throws IOException {
         listener = new ServerSocket(0, QUEUE, InetAddress.getByName("127.0.0.1"));
@@ -43,7 +44,7 @@
     }
 
     private void listen(ServerSocket on) {
-        thread("stand-in", () -> {
+        accepting = thread("stand-in", () -> {
             while (true) {
                 try {
                     Socket accepted = on.accept();
@@ -57,10 +58,11 @@
         });
     }
 
-    static void thread(String name, Runnable task) {
+    static Thread thread(String name, Runnable task) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     private void serve(Socket socket) {
@@ -123,6 +125,11 @@
     /** Goes away as a process does: connections are reset, new ones refused. */
     final void vanish() throws IOException {
         listener.close();
+        try {
+            accepting.join(); // the system keeps the port for as long as a thread waits in accept
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket socket : open) {
             reset(socket);
         }
