--- a/src/main/java/reedmux/cli/Main.java
+++ b/src/main/java/reedmux/cli/Main.java
@@ -131,7 +131,7 @@
         int run() throws IOException, InterruptedException {
             Clock clock = new Clock();
             Loaded loaded = loaded(System.getenv(), settings, clock);
-            Node node = new Node(loaded.config(), loaded.settings(), clock,
+            Node node = new Node(loaded, clock,
                     line -> System.err.println("reedmux: " + line));
             // Set before anything is ready: without a handler SIGHUP ends the program.
             onHangUp(() -> node.reload(() -> Loaded.again(System.getenv(), settings, clock)));
--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -8,33 +8,22 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import reedmux.policy.Brain;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import reedmux.config.Config;
 import reedmux.config.ConfigException;
-import reedmux.core.Answer;
 import reedmux.core.Clock;
-import reedmux.core.Effects;
-import reedmux.core.Event;
-import reedmux.core.Invocation;
-import reedmux.core.InvokerCall;
 import reedmux.core.Loop;
-import reedmux.core.Reducer;
-import reedmux.discovery.Watch;
 import reedmux.http.Acceptor;
-import reedmux.http.Calls;
 import reedmux.http.ConsumerServer;
-import reedmux.http.ProviderClient;
-import reedmux.http.RequestReader;
 import reedmux.http.Transport;
 import reedmux.peer.PeerLink;
-import reedmux.region.Departure;
-import reedmux.settings.OperatorSettings;
+import reedmux.pool.Pool;
+import reedmux.pool.Pools;
 import reedmux.settings.OperatorSettings.Region;
 
 /** One gatekeeper, put together: the reducer in the middle, and round it what reads and writes for it. */
-public final class Node implements Effects, AutoCloseable {
+public final class Node implements AutoCloseable {
     /**
      * Shares of the descriptors. Usual consumers hold up to a third of them and must not be closed for want
      * of room. What is left is for the JVM's own files, discovery and peers, about 20, and for connections
@@ -42,8 +31,8 @@
      */
     private static final double CONSUMERS_SHARE = 0.42;
     private static final double PROVIDERS_SHARE = 0.25;
-    /** The share of a provider's idle limit after which we close and no longer use a connection. */
-    private static final double IDLE_SHARE = 0.5;
+    /** Bytes that requests in flight may hold over all pools; twice that where all that is lent is out. */
+    private static final long BUFFERED = 12L * 1024 * 1024;
     /** Between looks for connections whose time is up: a bad consumer is owed its end within 3 s. */
     private static final long SWEEP = TimeUnit.MILLISECONDS.toMicros(250);
     /** After a SIGTERM new connections come for a while yet, and are served. */
@@ -56,16 +45,11 @@
     private final Clock clock;
     private final Consumer<String> log;
     private final PeerLink peers;
-    private final Loop loop;
+    private final Pools pools;
     private final List<Thread> reactorThreads = new ArrayList<>(2);
     private final DefaultListeningIOReactor reactor;
-    private final Calls calls;
-    private final ProviderClient providers;
     private final ConsumerServer consumers;
     private final RegionLink regions;
-    private final Watch watch;
-    private final Brain module;
-    private final Reducer reducer;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final CountDownLatch listening = new CountDownLatch(1);
     private volatile boolean serving;
@@ -79,41 +63,35 @@
 
     /** A gatekeeper for which the operators have set nothing of their own. */
     public Node(Config config, Clock clock, Consumer<String> log) throws IOException {
-        this(config, OperatorSettings.NONE, clock, log);
+        this(Loaded.alone(config), clock, log);
     }
 
-    public Node(Config config, OperatorSettings settings, Clock clock, Consumer<String> log)
-            throws IOException {
-        this.config = config;
+    Node(Loaded loaded, Clock clock, Consumer<String> log) throws IOException {
+        config = loaded.config();
+        Region region = loaded.settings().region();
         this.clock = clock;
         this.log = log;
         peers = new PeerLink(config.peerListen(), config.peers(), config.everyPeer());
-        loop = new Loop(clock, peers);
-        int providerConnections = (int) (config.sockets() * PROVIDERS_SHARE);
-        RequestReader reader = new RequestReader(config.settings(), clock);
-        consumers = new ConsumerServer(reader, loop::post, this::canServe,
-                (int) (config.sockets() * CONSUMERS_SHARE));
-        regions = settings.region() == null ? null
-                : new RegionLink(settings.region(), config, clock, loop::post, this::canServe, log);
+        int consumerConnections = (int) (config.sockets() * CONSUMERS_SHARE);
+        pools = new Pools(loaded.services().sharing(consumerConnections, BUFFERED,
+                (int) (config.sockets() * PROVIDERS_SHARE)), clock, peers, peers, config.seed(), log);
+        consumers = new ConsumerServer(pools.front(), this::canServe, consumerConnections);
+        regions = region == null ? null
+                : new RegionLink(region, config, clock, event -> pools.main().post(event), this::canServe,
+                log);
         reactor = Transport.reactor(local -> regions == null ? consumers : regions.serverOf(local, consumers),
                 log, reactorThreads);
         if (regions != null) {
-            regions.connect(reactor, config, clock, loop::post);
+            regions.connect(reactor, config, clock, event -> pools.main().post(event));
         }
-        calls = new Calls(reactor, clock, providerConnections, (long) (config.connIdle() * IDLE_SHARE));
-        providers = new ProviderClient(calls, loop::post);
-        watch = new Watch(providers, config.discovery(), config.lists(), loop::post, log);
-        module = new Brain(config.settings(), config.seed());
-        reducer = new Reducer(module,
-                config.settings().limits().maxAttempts(), config.connectTimeout(), this,
-                regions == null ? null : regions.desk());
+        pools.open(reactor, loaded.services().pools(), loaded.services().routes(),
+                regions == null ? null : new Pool.Away(regions.desk(), regions::call));
     }
 
     /** Listens, and serves until {@link #leave}; the calling thread owns the reducer. */
     public void run() throws IOException, InterruptedException {
-        loop.post(new Event.ProvidersTold(config.known()));
         reactor.start();
-        watch.ask();
+        pools.start();
         try {
             listener = listen();
             if (regions != null) {
@@ -122,10 +100,10 @@
             listenAddress = listener.address();
             serving = true;
             listening.countDown();
-            loop.run(reducer, this::afterTurn);
+            pools.loop().run(pools, this::afterTurn);
             log.accept("ended; datagrams dropped " + peers.dropped() + ", not sent " + peers.unsent());
         } finally {
-            watch.close();
+            pools.close();
             if (listener != null) {
                 listener.close();
             }
@@ -147,7 +125,7 @@
     }
 
     private boolean canServe() {
-        return serving && warm && reducer.anyProvider();
+        return serving && warm && pools.main().anyProvider();
     }
 
     /** Something to wait for. */
@@ -161,12 +139,12 @@
      */
     Thread warmUpAfter(Step first) {
         warm = false;
-        WarmUp warmUp = new WarmUp(config, clock, log, module::restarted);
+        WarmUp warmUp = new WarmUp(config, clock, log, pools.main()::restarted);
         Thread thread = new Thread(() -> {
             try {
                 first.run();
                 InetSocketAddress self = (InetSocketAddress) awaitListening();
-                warmUp.run(providers, self);
+                warmUp.run(pools.main().client(), self);
             } catch (InterruptedException | RuntimeException e) {
                 log.accept("warm-up: " + e); // it then starts cold, which is slower and no worse
             } finally {
@@ -181,7 +159,7 @@
     private long afterTurn(long now) {
         if (now - sweptAt >= SWEEP) {
             sweptAt = now;
-            calls.sweep();
+            pools.sweep(now);
             consumers.sweep();
             if (regions != null) {
                 regions.sweep(now);
@@ -205,7 +183,7 @@
         }
         // An answer is still to be written by the I/O thread when the reducer has done with it: only a
         // while after the last one may the sockets go.
-        boolean quiet = reducer.unanswered() == 0;
+        boolean quiet = pools.unanswered() == 0;
         quietSince = quiet ? Math.min(quietSince, now) : Long.MAX_VALUE;
         return quiet && now - quietSince >= LAST_WRITES ? Loop.END : now + LAST_WRITES;
     }
@@ -228,7 +206,7 @@
             regions.leave();
         }
         leavingSince = clock.now();
-        loop.wake();
+        pools.loop().wake();
     }
 
     /**
@@ -243,15 +221,17 @@
             if (!kept.isEmpty()) {
                 log.accept("configuration: a change takes a restart: " + String.join(", ", kept));
             }
-            watch.move(told.discovery());
+            pools.reload(loaded.services().pools(), loaded.services().routes());
             Region region = loaded.settings().region();
             if (regions != null) {
-                loop.post(regions.reload(region));
+                pools.main().post(regions.reload(region));
             } else if (region != null) {
                 log.accept("settings: a change takes a restart: region");
             }
         } catch (ConfigException e) {
             log.accept("configuration: " + e.getMessage() + "; the old settings stay");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -280,50 +260,4 @@
     public void close() throws IOException {
         peers.close();
     }
-
-    // ---- Effects -----------------------------------------------------------------------------------
-    @Override
-    public void answer(Invocation invocation, Answer answer) {
-        invocation.reply().send(answer);
-    }
-
-    @Override
-    public void call(InvokerCall call, long timeout) {
-        providers.call(call, timeout);
-    }
-
-    @Override
-    public void callAway(InvokerCall call, Departure departure) {
-        regions.call(call, departure);
-    }
-
-    @Override
-    public void stopConnecting(InvokerCall call) {
-        providers.stopConnecting(call);
-    }
-
-    @Override
-    public void stop(InvokerCall call) {
-        providers.stop(call);
-    }
-
-    @Override
-    public void probe(String provider, InetSocketAddress address, long askedAt) {
-        providers.probe(provider, address, askedAt);
-    }
-
-    @Override
-    public void closeIdle(String provider, InetSocketAddress address) {
-        providers.closeIdle(provider, address);
-    }
-
-    @Override
-    public void tell(int peer, byte[] bytes) {
-        peers.tell(peer, bytes);
-    }
-
-    @Override
-    public void log(String line) {
-        log.accept(line);
-    }
 }
--- a/src/main/java/reedmux/cli/RegionLink.java
+++ b/src/main/java/reedmux/cli/RegionLink.java
@@ -50,7 +50,7 @@
                Consumer<String> log) {
         this.settings = settings;
         this.log = log;
-        server = new ConsumerServer(new RegionFront(config.settings(), clock), events, ready,
+        server = new ConsumerServer(new RegionFront(config.settings(), clock, events), ready,
                 settings.connectionsIn());
         desk = new RegionDesk(new Regions(settings.rules(), config.settings().groupSize(), clock.now(),
                 config.seed()), settings.gateways(),
@@ -59,7 +59,7 @@
 
     /** Makes the calls' side, once there is a reactor. */
     void connect(DefaultListeningIOReactor reactor, Config config, Clock clock, Consumer<Event> events) {
-        calls = new Calls(reactor, clock, settings.connectionsOut(), MOST_IDLE);
+        calls = new Calls(reactor, clock, Calls.Room.of(settings.connectionsOut()), MOST_IDLE);
         client = new RegionClient(calls, events, config.settings(), settings.rules().name());
     }
 
--- a/src/main/java/reedmux/cli/WarmUp.java
+++ b/src/main/java/reedmux/cli/WarmUp.java
@@ -143,7 +143,7 @@
     private final class Sparring {
         private final Practice here = new Practice(1);
         private final Practice there = new Practice(2);
-        private final RequestReader reader = new RequestReader(config.settings(), clock);
+        private final RequestReader reader = new RequestReader(config.settings(), clock, event -> { });
         private final int self = config.settings().self();
         private final int other = config.settings().groupSize() - 1 - self;
         private long now = 1;
--- a/src/main/java/reedmux/config/Config.java
+++ b/src/main/java/reedmux/config/Config.java
@@ -30,6 +30,7 @@
                      ProviderList known, ProviderListReader lists) {
     private static final int DEFAULT_SOCKETS = 1024;
     private static final int LEAST_SOCKETS = 256;
+    private static final ProviderList NOBODY = new ProviderList(Scope.CACHED, 0, List.of());
     private static final long DEFAULT_CONNECT_TIMEOUT = 250_000;
     private static final long DEFAULT_CONN_IDLE = 30_000_000;
 
@@ -55,6 +56,51 @@
         return load(rest, clock);
     }
 
+    /** The one service that the platform's configuration tells of. */
+    public Service service() {
+        return new Service(settings, discovery, known, lists, connectTimeout, connIdle, "");
+    }
+
+    /**
+     * Reads what a document in the platform's form tells of a further service: {@code discovery}, {@code
+     * known} and {@code settings}. Where it has no settings the platform's hold. Our place among the
+     * gatekeepers, and what these may send each other, are the platform's in any case.
+     *
+     * @param told comes before the document's {@code discovery}; may be null
+     */
+    public Service service(byte[] bytes, InetSocketAddress told, Clock clock) throws ConfigException {
+        Draft draft = new Draft();
+        parse(bytes, draft);
+        InetSocketAddress where = told == null ? draft.discovery : told;
+        if (where == null) {
+            throw new ConfigException("discovery is missing");
+        }
+        if (draft.settings.isEmpty()) {
+            return new Service(settings, where, known(draft, lists), lists, connectTimeout, connIdle, "");
+        }
+        draft.settings.put("limits.retryAfter", "true");
+        draft.settings.put("position", Integer.toString(settings.self()));
+        draft.settings.put("groupSize", Integer.toString(settings.groupSize()));
+        draft.settings.put("az", Integer.toString(settings.zone()));
+        draft.settings.put("limits.peerMessages", Boolean.toString(settings.limits().peers()));
+        draft.settings.put("extra.mailPerS", Double.toString(settings.limits().peerMessagesPerS()));
+        SettingsReader reader = new SettingsReader("settings.", draft.settings);
+        ProviderListReader own = new ProviderListReader(reader.names("dcs"), reader.names("kinds"), clock);
+        return new Service(reader.settings(), where, known(draft, own), own,
+                reader.time("limits.connectTimeoutUs", DEFAULT_CONNECT_TIMEOUT),
+                reader.time("limits.connIdleUs", DEFAULT_CONN_IDLE),
+                reader.names("dcs") + " " + reader.names("kinds"));
+    }
+
+    /** As {@link #service(byte[], InetSocketAddress, Clock)} without a document. */
+    public Service service(InetSocketAddress told) {
+        return new Service(settings, told, NOBODY, lists, connectTimeout, connIdle, "");
+    }
+
+    private static ProviderList known(Draft draft, ProviderListReader lists) throws ConfigException {
+        return draft.known == null ? NOBODY : lists.resolve(draft.known, Scope.CACHED);
+    }
+
     /** What differs from another configuration but is only read at the start, by its keys. */
     public List<String> fixedAtStart(Config other) {
         List<String> keys = new ArrayList<>();
@@ -88,8 +134,7 @@
         SettingsReader reader = new SettingsReader("settings.", draft.settings);
         Settings settings = reader.settings();
         ProviderListReader lists = new ProviderListReader(reader.names("dcs"), reader.names("kinds"), clock);
-        ProviderList known = draft.known == null ? new ProviderList(Scope.CACHED, 0, List.of())
-                : lists.resolve(draft.known, Scope.CACHED);
+        ProviderList known = known(draft, lists);
         return new Config(environment.getOrDefault("RELAY_NAME", draft.name),
                 address("listen", environment, draft.listen),
                 address("discovery", environment, draft.discovery), draft.seed, draft.sockets,
--- a/src/main/java/reedmux/config/SettingsReader.java
+++ b/src/main/java/reedmux/config/SettingsReader.java
@@ -19,6 +19,8 @@
 public final class SettingsReader {
     /** For units of one request, where no bound is told. */
     private static final double NO_BOUND = 1e9;
+    /** Most bytes of a message between gatekeepers, by the platform's protocol. */
+    private static final int PEER_BYTES = 256;
     private final Map<String, String> values;
 
     private final String place;
@@ -124,7 +126,7 @@
                 flag("limits.peerMessages"), flag("extra.mayCount"),
                 Math.max(1, (int) number("limits.sendCap", 1)),
                 flag("limits.retryAfter") ? time("limits.maxRetryAfterUs", 0) : 0,
-                number("extra.mailPerS", 0), time("extra.countLimitUs", 0));
+                number("extra.mailPerS", 0), PEER_BYTES, time("extra.countLimitUs", 0));
     }
 
     private String text(String key, String missing) {
--- a/src/main/java/reedmux/core/Invocation.java
+++ b/src/main/java/reedmux/core/Invocation.java
@@ -11,7 +11,13 @@
 public final class Invocation {
 
     /** A message that goes to a provider as it came; only the protocol that made it looks inside. */
-    public interface Message { }
+    public interface Message {
+
+        /** Bytes that it keeps in memory, as far as they differ from one message to the next. */
+        default int size() {
+            return 0;
+        }
+    }
 
     /** Where the one final answer goes. */
     public interface Reply {
@@ -28,6 +34,8 @@
     long takenAt;
     boolean visitor;
     boolean judged;
+    /** When its pool let it in, in microseconds; -1 where nobody counts it. */
+    private long admittedAt = -1;
 
     public Invocation(Request request, boolean repeatable, Message message, Reply reply) {
         this.request = request;
@@ -36,6 +44,15 @@
         this.reply = reply;
     }
 
+    /** When its pool let it in, in microseconds; -1 where nobody counts it. */
+    public long admittedAt() {
+        return admittedAt;
+    }
+
+    public void admittedAt(long at) {
+        admittedAt = at;
+    }
+
     public String id() {
         return request.id();
     }
@@ -50,6 +67,11 @@
         return request.units();
     }
 
+    /** Whether another region sent it. */
+    public boolean visitor() {
+        return visitor;
+    }
+
     public Message message() {
         return message;
     }
--- a/src/main/java/reedmux/core/Loop.java
+++ b/src/main/java/reedmux/core/Loop.java
@@ -1,15 +1,35 @@
 package reedmux.core;
 
-import java.util.Queue;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.function.Consumer;
-
 /**
  * The turns of the program: each reads the clock once, takes in what others have posted and what is due, and
- * then waits. The thread that runs it owns the reducer.
+ * then waits. The thread that runs it owns all reducers.
  */
 public final class Loop {
 
+    /** Takes in what peers have told, for the pool of that tag. */
+    public interface Datagrams {
+        void told(int tag, int peer, byte[] bytes);
+    }
+
+    /** What the turns do. */
+    public interface Work {
+
+        /** Takes in what has been posted, or as much of it as one turn may. */
+        void takePosted(long now);
+
+        /** Takes in what a peer has told. */
+        void told(long now, int tag, int peer, byte[] bytes);
+
+        /** Takes in what is due. */
+        void takeDue(long now);
+
+        /** Whether there is more to be taken in at once. */
+        boolean waits();
+
+        /** When something is due next; the far future if nothing is. */
+        long nextDue();
+    }
+
     /** Where the loop waits, and a source of events itself. */
     public interface Waiter {
 
@@ -20,13 +40,12 @@
         void wake();
 
         /** Hands over what has come in. */
-        void drain(Consumer<Event> sink);
+        void drain(Datagrams sink);
     }
 
     /** No further turn. */
     public static final long END = Long.MIN_VALUE;
 
-    private final Queue<Event> posted = new ConcurrentLinkedQueue<>();
     private final Clock clock;
     private final Waiter waiter;
     private volatile boolean waiting;
@@ -36,9 +55,8 @@
         this.waiter = waiter;
     }
 
-    /** Adds an event, from any thread. */
-    public void post(Event event) {
-        posted.add(event);
+    /** To be called after something has been posted, from any thread. */
+    public void posted() {
         if (waiting) {
             waiting = false;
             waiter.wake();
@@ -53,21 +71,19 @@
     }
 
     /** Runs turns until {@code afterTurn} ends them. */
-    public void run(Reducer reducer, AfterTurn afterTurn) {
+    public void run(Work work, AfterTurn afterTurn) {
         while (true) {
             long now = clock.now();
-            for (Event event = posted.poll(); event != null; event = posted.poll()) {
-                reducer.reduce(now, event);
-            }
-            waiter.drain(event -> reducer.reduce(now, event));
-            reducer.reduceDue(now);
+            work.takePosted(now);
+            waiter.drain((tag, peer, bytes) -> work.told(now, tag, peer, bytes));
+            work.takeDue(now);
             long next = afterTurn.at(now);
             if (next == END) {
                 return;
             }
             waiting = true;
-            long wait = Math.min(next, reducer.nextDue()) - now;
-            if (posted.isEmpty() && wait > 0) {
+            long wait = Math.min(next, work.nextDue()) - now;
+            if (!work.waits() && wait > 0) {
                 waiter.await(wait);
             }
             waiting = false;
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -120,6 +120,11 @@
         return unanswered;
     }
 
+    /** Whether nothing is known of any invocation: all are answered and all their calls have ended. */
+    public boolean idle() {
+        return invocations.isEmpty();
+    }
+
     /** Whether there is anyone to send to; may be asked from any thread. */
     public boolean anyProvider() {
         return anyProvider;
@@ -172,6 +177,7 @@
             if (desk != null) {
                 desk.over(invocation);
             }
+            effects.over(invocation);
             effects.answer(invocation, new Answer.Failed(false));
             return;
         }
@@ -189,6 +195,7 @@
         Refusal refusal = desk.admit(invocation, path, now);
         if (refusal != null) {
             invocation.over = true;
+            effects.over(invocation);
             effects.answer(invocation, new Answer.Rejection(refusal.retryAfter(), false, true));
             return;
         }
@@ -317,6 +324,7 @@
         if (desk != null) {
             desk.over(invocation);
         }
+        effects.over(invocation);
     }
 
     private void forgetIfSettled(Invocation invocation) {
--- a/src/main/java/reedmux/discovery/Watch.java
+++ b/src/main/java/reedmux/discovery/Watch.java
@@ -1,6 +1,7 @@
 package reedmux.discovery;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -32,11 +33,7 @@
     private final ProviderListReader lists;
     private final Consumer<Event> events;
     private final Consumer<String> log;
-    private final ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1, task -> {
-        Thread thread = new Thread(task, "reedmux-watch");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ScheduledExecutorService timers;
     private InetSocketAddress discovery;
     private Runnable stopCall = () -> { };
     private long revision = -1;
@@ -44,14 +41,25 @@
     private boolean closed;
 
     public Watch(ProviderClient client, InetSocketAddress discovery, ProviderListReader lists,
-                 Consumer<Event> events, Consumer<String> log) {
+                 Consumer<Event> events, Consumer<String> log, ScheduledExecutorService timers) {
+        this.timers = timers;
         this.client = client;
         this.discovery = discovery;
         this.lists = lists;
         this.events = events;
         this.log = log;
+    }
+
+    /** A thread for the time limits of any number of watches. */
+    public static ScheduledExecutorService timers() {
+        ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "reedmux-watch");
+            thread.setDaemon(true);
+            return thread;
+        });
         // The limits of calls that have ended would else hold on to them, and what they read, for 22 s.
         timers.setRemoveOnCancelPolicy(true);
+        return timers;
     }
 
     /** Makes the next call. */
@@ -154,6 +162,6 @@
     @Override
     public synchronized void close() {
         closed = true;
-        timers.shutdownNow();
+        stopCall.run();
     }
 }
--- a/src/main/java/reedmux/http/Calls.java
+++ b/src/main/java/reedmux/http/Calls.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
@@ -23,16 +24,40 @@
 public final class Calls {
     private final ConnectionInitiator reactor;
     private final Clock clock;
-    private final int mostConnections;
+    private final Room room;
     private final long mostIdle;
     private final Map<Origin, Deque<Connection>> idle = new HashMap<>();
-    private int open;
+    private boolean ended;
+
+    /** Places for connections; called by all threads. */
+    public interface Room {
+        /** Takes one; false where none is to be had. */
+        boolean take();
+
+        void give();
+
+        /** So many, for nobody else. */
+        static Room of(int most) {
+            AtomicInteger left = new AtomicInteger(most);
+            return new Room() {
+                @Override
+                public boolean take() {
+                    return left.getAndUpdate(now -> Math.max(0, now - 1)) > 0;
+                }
+
+                @Override
+                public void give() {
+                    left.incrementAndGet();
+                }
+            };
+        }
+    }
 
     /** Connections idle for {@code mostIdle} microseconds are closed, and never used after that. */
-    public Calls(ConnectionInitiator reactor, Clock clock, int mostConnections, long mostIdle) {
+    public Calls(ConnectionInitiator reactor, Clock clock, Room room, long mostIdle) {
         this.reactor = reactor;
         this.clock = clock;
-        this.mostConnections = mostConnections;
+        this.room = room;
         this.mostIdle = mostIdle;
     }
 
@@ -142,33 +167,43 @@
         }
     }
 
-    /** Counts one more connection; where too many are open, the one that is idle the longest goes. */
-    private synchronized boolean makeRoom() {
-        if (open >= mostConnections) {
-            Deque<Connection> longest = null;
-            for (Deque<Connection> kept : idle.values()) {
-                if (!kept.isEmpty()
-                        && (longest == null || kept.peek().idleSince < longest.peek().idleSince)) {
-                    longest = kept;
-                }
-            }
-            if (longest == null) {
-                return false;
+    /** Takes a place for one more connection; where there is none, the one idle the longest goes. */
+    private boolean makeRoom() {
+        return room.take() || closeLongestIdle() && room.take();
+    }
+
+    /**
+     * Closes the connection that has been idle the longest, whose place is free at once; false if none is.
+     */
+    public synchronized boolean closeLongestIdle() {
+        Deque<Connection> longest = null;
+        for (Deque<Connection> kept : idle.values()) {
+            if (!kept.isEmpty() && (longest == null || kept.peek().idleSince < longest.peek().idleSince)) {
+                longest = kept;
             }
-            longest.poll().close();
         }
-        open++;
+        if (longest == null) {
+            return false;
+        }
+        longest.poll().closeAndLeave();
         return true;
     }
 
-    synchronized void closed() {
-        open--;
+    /** Keeps no connection any more: those that are idle are closed now, the others with their calls. */
+    public synchronized void end() {
+        ended = true;
+        idle.values().forEach(kept -> kept.forEach(Connection::close));
+        idle.clear();
+    }
+
+    void closed() {
+        room.give();
     }
 
     /** Takes a connection back from a call that has ended; {@code good}: it may carry a further one. */
     synchronized void release(Connection connection, boolean good) {
         connection.user = null;
-        if (good) {
+        if (good && !ended) {
             connection.idleSince = clock.now();
             idle.computeIfAbsent(connection.origin, origin -> new ArrayDeque<>()).add(connection);
         } else {
--- a/src/main/java/reedmux/http/Connection.java
+++ b/src/main/java/reedmux/http/Connection.java
@@ -78,6 +78,14 @@
         return session.isOpen() && duplexer.isOpen();
     }
 
+    /** Closes it, and counts it no more from now on, not only when the I/O thread has seen to it. */
+    void closeAndLeave() {
+        synchronized (this) {
+            uncount();
+        }
+        close();
+    }
+
     void close() {
         ProtocolIOSession made = session;
         if (made != null) {
--- a/src/main/java/reedmux/http/ConsumerExchange.java
+++ b/src/main/java/reedmux/http/ConsumerExchange.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -33,6 +34,7 @@
     private HttpContext context;
     private Body.In body;
     private volatile boolean reading;
+    private volatile Consumer<Event> home;
     private volatile Invocation invocation;
     private volatile Body.Out out;
     private long takenAt;
@@ -132,8 +134,11 @@
     private void take(byte[] bytes) throws HttpException, IOException {
         reading = false;
         link.taken();
-        String path = request.getPath();
-        if (path.equals("/healthz")) {
+        if (!Target.toOriginForm(request)) {
+            last(400, "the target is not of this host");
+            return;
+        }
+        if (request.getPath().equals("/healthz")) {
             boolean ready = server.ready();
             respond(Front.Response.text(ready ? 200 : 503, ready ? "ready" : "not ready"));
             return;
@@ -141,10 +146,14 @@
         wholeAt = server.reader().tellsTime() ? server.reader().now() : 0;
         Front.Read read = server.reader().read(request, bytes, takenAt, this);
         if (read.invocation() == null) {
+            if (read.last()) {
+                link.last();
+            }
             respond(read.refusal());
         } else {
+            home = read.home();
             invocation = read.invocation();
-            server.post(read.event());
+            home.accept(read.event());
         }
     }
 
@@ -212,7 +221,7 @@
     /** The connection has ended; without an answer that means the consumer went away. */
     void consumerLeft() {
         if (invocation != null && answered.compareAndSet(false, true)) {
-            server.post(new Event.ConsumerLeft(invocation));
+            home.accept(new Event.ConsumerLeft(invocation));
         }
     }
 
--- a/src/main/java/reedmux/http/ConsumerServer.java
+++ b/src/main/java/reedmux/http/ConsumerServer.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.apache.hc.core5.http.ConnectionReuseStrategy;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpConnection;
@@ -34,7 +33,6 @@
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
-import reedmux.core.Event;
 
 /**
  * One listener's side, the consumers' or the other regions': accepted connections, each with at most one
@@ -67,7 +65,6 @@
     private enum Doing { CLOSING, DAWDLING, IDLE, STARTING, SERVING }
 
     private final Front reader;
-    private final Consumer<Event> events;
     private final BooleanSupplier ready;
     private final int mostConnections;
     /** Used on the I/O thread alone. */
@@ -77,10 +74,8 @@
     private volatile long requestLimit = REQUEST_LIMIT;
     private volatile boolean leaving;
 
-    public ConsumerServer(Front reader, Consumer<Event> events, BooleanSupplier ready,
-                          int mostConnections) {
+    public ConsumerServer(Front reader, BooleanSupplier ready, int mostConnections) {
         this.reader = reader;
-        this.events = events;
         this.ready = ready;
         this.mostConnections = mostConnections;
         room = new Semaphore(mostConnections);
@@ -107,10 +102,6 @@
         return reader;
     }
 
-    void post(Event event) {
-        events.accept(event);
-    }
-
     /** From now on every answer is its connection's last, so that consumers move on. */
     public void leave() {
         leaving = true;
--- a/src/main/java/reedmux/http/Front.java
+++ b/src/main/java/reedmux/http/Front.java
@@ -1,6 +1,7 @@
 package reedmux.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
 import org.apache.hc.core5.http.HttpRequest;
 import reedmux.core.Answer;
 import reedmux.core.Event;
@@ -15,7 +16,7 @@
     /** Microseconds of the program's clock. */
     long now();
 
-    /** Reads a whole request. */
+    /** Reads a whole request, the target of which is in origin form. */
     Read read(HttpRequest request, byte[] body, long takenAt, Invocation.Reply reply);
 
     /** The response that an answer becomes. */
@@ -24,27 +25,46 @@
     /** Whether a response tells how long we had the request. */
     boolean tellsTime();
 
-    /** A request as it was read: an invocation with the event that tells of it, or a refusal of it. */
-    record Read(Invocation invocation, Event event, Response refusal) {
+    /**
+     * A request as it was read: an invocation with the event that tells of it and whom all events of it are
+     * told, or a refusal of it, which may be the connection's last answer.
+     */
+    record Read(Invocation invocation, Event event, Consumer<Event> home, Response refusal, boolean last) {
 
-        static Read of(Invocation invocation, Event event) {
-            return new Read(invocation, event, null);
+        static Read of(Invocation invocation, Event event, Consumer<Event> home) {
+            return new Read(invocation, event, home, null, false);
         }
 
-        static Read refused(Response refusal) {
-            return new Read(null, null, refusal);
+        public static Read refused(Response refusal) {
+            return new Read(null, null, null, refusal, false);
+        }
+
+        /** A refusal after which nothing more is read from the connection. */
+        public static Read last(int status, String problem) {
+            return new Read(null, null, null, Response.text(status, problem), true);
         }
     }
 
     /** A response; {@code retryAfter} in microseconds, below nought for none. */
     record Response(int status, String contentType, byte[] body, long retryAfter, boolean neverRan) {
 
-        static Response text(int status, String line, long retryAfter, boolean neverRan) {
+        /** The response to a consumer. */
+        public static Response of(Answer answer) {
+            if (answer instanceof Answer.Served served) {
+                return new Response(200, served.result().contentType(), served.result().body(), -1, false);
+            } else if (answer instanceof Answer.Rejection rejection) {
+                return text(rejection.tried() ? 503 : 429, "rejected", rejection.retryAfter(), false);
+            }
+            boolean late = ((Answer.Failed) answer).late();
+            return text(late ? 504 : 502, late ? "no answer in time" : "failed");
+        }
+
+        public static Response text(int status, String line, long retryAfter, boolean neverRan) {
             return new Response(status, "text/plain", (line + '\n').getBytes(StandardCharsets.UTF_8),
                     retryAfter, neverRan);
         }
 
-        static Response text(int status, String line) {
+        public static Response text(int status, String line) {
             return text(status, line, -1, false);
         }
     }
--- a/src/main/java/reedmux/http/Heads.java
+++ b/src/main/java/reedmux/http/Heads.java
@@ -1,13 +1,16 @@
 package reedmux.http;
 
 import java.io.IOException;
+import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.Iterator;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpMessage;
 import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpRequestFactory;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.ProtocolException;
@@ -26,7 +29,7 @@
  */
 final class Heads {
     private static final DefaultHttpRequestParserFactory REQUESTS =
-            new DefaultHttpRequestParserFactory(Transport.HTTP);
+            new DefaultHttpRequestParserFactory(Transport.HTTP, new Unparsed(), null);
     private static final DefaultHttpResponseParserFactory RESPONSES =
             new DefaultHttpResponseParserFactory(Transport.HTTP);
     private static final int LONGEST_LENGTH = 18;
@@ -35,6 +38,26 @@
 
     private Heads() { }
 
+    /**
+     * A request whose path is the target as it came. The library's own would take {@code //a/b} for the path
+     * {@code /b} of a host a, drop fragments, and read a path where there is none.
+     */
+    static HttpRequest unparsed(String method, String target) {
+        return new BasicHttpRequest(method, (HttpHost) null, target);
+    }
+
+    private static final class Unparsed implements HttpRequestFactory<HttpRequest> {
+        @Override
+        public HttpRequest newHttpRequest(String method, String target) {
+            return unparsed(method, target);
+        }
+
+        @Override
+        public HttpRequest newHttpRequest(String method, URI target) {
+            return unparsed(method, target.toString());
+        }
+    }
+
     /** What is wrong with how the end of the message's body is told, or with its headers' names, or null. */
     private static String problem(HttpMessage message) {
         int lengths = 0;
--- a/src/main/java/reedmux/http/OutgoingRequest.java
+++ b/src/main/java/reedmux/http/OutgoingRequest.java
@@ -2,7 +2,6 @@
 
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.message.BasicHttpRequest;
 
 /**
  * A request of ours; {@code traceId} may be null, and {@code expiresMs} below nought, to be left out.
@@ -28,7 +27,7 @@
     }
 
     HttpRequest head() {
-        HttpRequest head = new BasicHttpRequest(method, target);
+        HttpRequest head = Heads.unparsed(method, target);
         head.addHeader("Host", host);
         if (traceId != null) {
             head.addHeader("X-Trace-Id", traceId);
--- a/src/main/java/reedmux/http/RegionFront.java
+++ b/src/main/java/reedmux/http/RegionFront.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.apache.hc.core5.http.HttpRequest;
 import reedmux.core.Answer;
 import reedmux.core.Clock;
@@ -33,9 +34,11 @@
 
     private final Settings settings;
     private final Clock clock;
+    private final Consumer<Event> home;
     private final Map<String, Integer> classes = new HashMap<>();
 
-    public RegionFront(Settings settings, Clock clock) {
+    public RegionFront(Settings settings, Clock clock, Consumer<Event> home) {
+        this.home = home;
         this.settings = settings;
         this.clock = clock;
         List<RequestClass> kinds = settings.classes();
@@ -92,7 +95,7 @@
             Invocation invocation = new Invocation(decided, repeat == Repeat.SAFE,
                     new Message(request.getMethod(), request.getPath(), traceId,
                             RequestReader.contentType(request), body), reply);
-            return Read.of(invocation, new Event.VisitorTaken(invocation, path));
+            return Read.of(invocation, new Event.VisitorTaken(invocation, path), home);
         } catch (BadHeader e) {
             return Read.refused(Response.text(503, e.getMessage(), FAULT_ADVICE, true));
         }
--- a/src/main/java/reedmux/http/RequestReader.java
+++ b/src/main/java/reedmux/http/RequestReader.java
@@ -4,6 +4,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import reedmux.policy.Gateway.Plan;
 import reedmux.policy.Gateway.Repeat;
@@ -43,10 +44,13 @@
     private final Map<String, Integer> plans = new HashMap<>();
     private final Settings settings;
     private final Clock clock;
+    private final Consumer<Event> home;
 
-    public RequestReader(Settings settings, Clock clock) {
+    /** {@code home} is told of each request, on whatever thread reads it. */
+    public RequestReader(Settings settings, Clock clock, Consumer<Event> home) {
         this.settings = settings;
         this.clock = clock;
+        this.home = home;
         List<RequestClass> kinds = settings.classes();
         for (int i = 0; i < kinds.size(); i++) {
             classes.put(kinds.get(i).name(), i);
@@ -69,13 +73,7 @@
 
     @Override
     public Response response(Answer answer) {
-        if (answer instanceof Answer.Served served) {
-            return new Response(200, served.result().contentType(), served.result().body(), -1, false);
-        } else if (answer instanceof Answer.Rejection rejection) {
-            return Response.text(rejection.tried() ? 503 : 429, "rejected", rejection.retryAfter(), false);
-        }
-        boolean late = ((Answer.Failed) answer).late();
-        return Response.text(late ? 504 : 502, late ? "no answer in time" : "failed");
+        return Response.of(answer);
     }
 
     /** Reads a request that nobody waits for; null where it makes no sense here. */
@@ -114,7 +112,7 @@
                     secondTry != null && "1".equals(secondTry.getValue())), repeat == Repeat.SAFE,
                     new Message(request.getMethod(), request.getPath(), traceId, contentType(request), body),
                     reply);
-            return Read.of(invocation, new Event.InvocationTaken(invocation));
+            return Read.of(invocation, new Event.InvocationTaken(invocation), home);
         } catch (BadHeader e) {
             return refused(400, e.getMessage());
         }
@@ -131,7 +129,7 @@
 
     /** What is not plain would reach the provider as something else. */
     static boolean plain(String path) {
-        return path.startsWith("/") && path.chars().allMatch(c -> c > ' ' && c < 0x7f);
+        return path.startsWith("/") && path.chars().allMatch(c -> c > ' ' && c < 0x7f && c != '#');
     }
 
     static String className(String path) {
--- /dev/null
+++ b/src/main/java/reedmux/http/Target.java
@@ -0,0 +1,54 @@
+package reedmux.http;
+
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpRequest;
+import reedmux.routing.HostName;
+
+/** A request's target, RFC 9112, section 3.2. */
+final class Target {
+    private static final String SCHEME = "http://";
+
+    private Target() { }
+
+    /**
+     * Puts a target in absolute form into origin form, which is all that is read from then on. False where it
+     * is of another scheme, or names another host than {@code Host} does: of two hosts none is believed.
+     */
+    static boolean toOriginForm(HttpRequest request) {
+        String target = request.getPath();
+        if (target.startsWith("/")) {
+            return true;
+        }
+        if (!target.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+            return false;
+        }
+        int begin = SCHEME.length();
+        int end = begin;
+        while (end < target.length() && "/?#".indexOf(target.charAt(end)) < 0) {
+            end++;
+        }
+        String authority = target.substring(begin, end);
+        Header host = request.getFirstHeader("Host");
+        if (HostName.end(authority) == HostName.BAD || host == null || !same(authority, host.getValue())) {
+            return false;
+        }
+        String rest = target.substring(end);
+        if (rest.indexOf('#') >= 0) {
+            return false;
+        }
+        request.setPath(rest.startsWith("/") ? rest : '/' + rest);
+        return true;
+    }
+
+    private static boolean same(String one, String other) {
+        int end = HostName.end(one);
+        return end == HostName.end(other) && one.regionMatches(true, 0, other, 0, end)
+                && port(one).equals(port(other));
+    }
+
+    private static String port(String authority) {
+        int colon = authority.lastIndexOf(':');
+        boolean none = colon < 0 || authority.endsWith("]");
+        return none ? "80" : authority.substring(colon + 1);
+    }
+}
--- a/src/main/java/reedmux/lab/ConsumerStandIn.java
+++ b/src/main/java/reedmux/lab/ConsumerStandIn.java
@@ -7,7 +7,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -43,7 +44,7 @@
     }
 
     private static final int PATIENCE_MILLIS = 15_000;
-    private final List<Told> told = new CopyOnWriteArrayList<>();
+    private final Queue<Told> told = new ConcurrentLinkedQueue<>();
     private final Deque<DefaultBHttpClientConnection> idle = new ArrayDeque<>();
     private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
         Thread thread = new Thread(task, "consumer");
@@ -52,13 +53,21 @@
     });
     private final InetSocketAddress gatekeeper;
 
+    private final String host;
+
     public ConsumerStandIn(InetSocketAddress gatekeeper) {
+        this(gatekeeper, null);
+    }
+
+    /** Consumers of one host, which they name in each request. */
+    public ConsumerStandIn(InetSocketAddress gatekeeper, String host) {
         this.gatekeeper = gatekeeper;
+        this.host = host;
     }
 
     /** Everything that was answered or broke off, in the order of the ends. */
     public List<Told> told() {
-        return told;
+        return List.copyOf(told);
     }
 
     /** Sends a request, over a kept connection if there is one, and returns at once. */
@@ -117,9 +126,12 @@
         return connection;
     }
 
-    private static ClassicHttpRequest request(Asked asked) {
+    private ClassicHttpRequest request(Asked asked) {
         ClassicHttpRequest request = new BasicClassicHttpRequest(asked.repeatable() ? "GET" : "POST",
                 '/' + asked.requestClass());
+        if (host != null) {
+            request.setHeader("Host", host);
+        }
         request.setHeader("X-Trace-Id", asked.id());
         request.setHeader("X-Plan", "full-plant");
         request.setHeader("X-Customer", String.format(Locale.ROOT, "%016x", asked.customer()));
--- a/src/main/java/reedmux/lab/CostScene.java
+++ b/src/main/java/reedmux/lab/CostScene.java
@@ -107,7 +107,8 @@
         return count;
     }
 
-    private static double heap(Gatekeeper gatekeeper) throws IOException, InterruptedException {
+    /** Heap in use after a collection, KiB. */
+    static double heap(Gatekeeper gatekeeper) throws IOException, InterruptedException {
         String jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
         new ProcessBuilder(jcmd, Long.toString(gatekeeper.pid()), "GC.run").start().waitFor(10,
                 TimeUnit.SECONDS);
--- a/src/main/java/reedmux/lab/Gatekeeper.java
+++ b/src/main/java/reedmux/lab/Gatekeeper.java
@@ -26,6 +26,7 @@
     private final Path folder;
     private final Path settings;
     private final Path jar;
+    private List<String> prefix = List.of();
     private Process process;
 
     /** {@code settings} may be null. */
@@ -108,8 +109,8 @@
     }
 
     void start() throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString()));
+        List<String> command = new ArrayList<>(prefix);
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(JVM);
         command.addAll(List.of("-cp", jar == null ? System.getProperty("java.class.path") : jar.toString(),
                 "reedmux.cli.Main", "serve"));
@@ -123,6 +124,24 @@
         process = builder.start();
     }
 
+    /**
+     * Keeps it to one core from its next start on, as the platform does; where the system cannot, says so.
+     */
+    boolean onOneCore() {
+        Path taskset = Path.of("/usr/bin/taskset");
+        if (Files.isExecutable(taskset)) {
+            prefix = List.of(taskset.toString(), "-c", "0");
+        }
+        return !prefix.isEmpty();
+    }
+
+    /** Descriptors that it holds, by the system's count. */
+    long descriptors() throws IOException {
+        try (java.util.stream.Stream<Path> files = Files.list(Path.of("/proc/" + pid() + "/fd"))) {
+            return files.count();
+        }
+    }
+
     /** Waits until it says that it can serve. */
     void awaitReady(ConsumerStandIn consumers) throws IOException, InterruptedException {
         long begin = System.nanoTime();
--- a/src/main/java/reedmux/lab/Scenes.java
+++ b/src/main/java/reedmux/lab/Scenes.java
@@ -45,6 +45,10 @@
                 (asked, progress) -> QuickPoolScene.run(progress)));
         ALL.put("quick-pools", new Known("pools of 1 to 200 providers of 0.2 ms to 2 s: who is refused",
                 (asked, progress) -> QuickScenes.sweep(asked.first, asked.last, progress)));
+        ALL.put("services", new Known("three services in one gatekeeper, one flooded, hung, crowded; reloads,"
+                + " 90 s", (asked, progress) -> ServicesScene.run(Files.createTempDirectory(
+                "reedmux-services"),
+                progress)));
         ALL.put("region-storms", new Known("faults of all kinds against the rules, in virtual time",
                 (asked, progress) -> RegionTables.storms(asked.first, asked.last, progress)));
     }
--- a/src/main/java/reedmux/lab/sim/SimNode.java
+++ b/src/main/java/reedmux/lab/sim/SimNode.java
@@ -199,7 +199,7 @@
             desk = rules == null ? null : new RegionDesk(new Regions(rules, members, now, chance),
                     addresses(rules),
                     region.settings[number].classes().stream().mapToLong(RequestClass::aim).toArray());
-            front = new RegionFront(region.settings[number], new Clock());
+            front = new RegionFront(region.settings[number], new Clock(), event -> { });
             reducer = new Reducer(new Brain(region.settings[number], chance), 4, CONNECT_TIMEOUT, this, desk);
         }
 
--- a/src/main/java/reedmux/lab/sim/World.java
+++ b/src/main/java/reedmux/lab/sim/World.java
@@ -152,7 +152,7 @@
                         false)),
                 List.of(new Plan("single-line", setup.quota(), 3 * setup.quota(), 0, 0, 0, 0, 1.2, 0, 1.2)),
                 new Rules(Ledger.SLACK, 10 * SECOND, 0.18, 16 * SECOND, 250 * MS, 4, SECOND),
-                new Limits(true, true, true, members > 1, false, 4, SECOND, 100, 50 * MS));
+                new Limits(true, true, true, members > 1, false, 4, SECOND, 100, 256, 50 * MS));
     }
 
     /** The node that a gateway's name stands for: {@code REGION/NUMBER}, whatever the region calls itself. */
--- a/src/main/java/reedmux/peer/PeerLink.java
+++ b/src/main/java/reedmux/peer/PeerLink.java
@@ -10,8 +10,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
-import reedmux.core.Event;
 import reedmux.core.Loop;
 
 /** Datagrams from and to the other gatekeepers; the core's loop waits here. */
@@ -64,7 +62,7 @@
 
     /** Takes in what has arrived; from strangers, too long or broken means dropped and counted. */
     @Override
-    public void drain(Consumer<Event> sink) {
+    public void drain(Loop.Datagrams sink) {
         for (int i = 0; channel != null && i < MOST_A_TURN; i++) {
             in.clear();
             SocketAddress from;
@@ -84,7 +82,8 @@
             }
             byte[] bytes = new byte[in.position()];
             in.flip().get(bytes);
-            sink.accept(new Event.PeerTold(number, bytes));
+            int tag = PoolTag.of(bytes);
+            sink.told(tag, number, tag == PoolTag.NONE ? bytes : PoolTag.untagged(bytes));
         }
     }
 
--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -102,7 +102,7 @@
     private final int incarnation;
     private final int[] status;
     private final Edge[] edgeTo;
-    private final double mailPlanned, firstTime;
+    private final double firstTime;
     private final List<Edge> edges = new ArrayList<>();
     private final Map<Long, Account> accounts = new LinkedHashMap<>();
     private final Account visitors;
@@ -114,7 +114,7 @@
     private Actions act;
     private long now, startedAt = -1, handledAt, sweptAt, sync, paceAt, warmRateAt, goodAt;
     private int silent, view, mail;
-    private double patience = SILENT_LEAST, retries = RETRY_MOST;
+    private double patience = SILENT_LEAST, retries = RETRY_MOST, mailPlanned;
     private double attemptTime, meanPace, meanDensity, timeouts, warmRate, sentRate, wanted, good, young;
 
     /** A module for one gateway; {@code seed} is its only source of chance. */
@@ -130,11 +130,16 @@
         double cheapest = settings.plans().stream().mapToDouble(Plan::price).min().orElse(1);
         Plan free = new Plan("visitors", 0, 0, 0, 0, 0, 0, cheapest * VISITOR_WORTH, 0, 0);
         visitors = new Account(VISITOR, free, VISITOR, settings.self(), 1, 0);
-        mailPlanned = Math.max(1, settings.limits().peerMessagesPerS() * MAIL_SHARE);
+        mail(settings.limits().peerMessagesPerS());
         sync = bounded((2 + (32 - Integer.numberOfLeadingZeros(status.length)) / 2) / mailPlanned * SECOND);
         meanPace = sync;
     }
 
+    /** Sets the messages a second that may come in; called by the thread that handles events. */
+    public void mail(double perSecond) {
+        mailPlanned = Math.max(1, perSecond * MAIL_SHARE);
+    }
+
     @Override
     public void handle(long now, Event event, Actions actions) {
         this.now = now;
@@ -580,7 +585,8 @@
         boolean asks = edge.askedSince >= 0 || !told.isEmpty() || !edge.dirty.isEmpty()
                 || (status[edge.peer] & 1) == 1;
         PeerPacket.Writer packet = new PeerPacket.Writer(edge.names, incarnation, edge.peerIncarnation,
-                edge.accepted, ++edge.sent, edge.received, asks, (int) (sync / MILLI), news);
+                edge.accepted, ++edge.sent, edge.received, asks, (int) (sync / MILLI), news,
+                settings.limits().peerBytes());
         List<Carried> carried = new ArrayList<>();
         List<Account> due = new ArrayList<>(edge.dirty);
         for (int i = 0; i < due.size() && packet.hasRoom(); i++) {
--- a/src/main/java/reedmux/policy/Gateway.java
+++ b/src/main/java/reedmux/policy/Gateway.java
@@ -61,7 +61,8 @@
 
     /** What the deployment permits. */
     record Limits(boolean cancel, boolean secondCopies, boolean probes, boolean peers, boolean counter,
-                  int maxAttempts, long maxRetryAfter, double peerMessagesPerS, long counterTimeout) { }
+                  int maxAttempts, long maxRetryAfter, double peerMessagesPerS, int peerBytes,
+                  long counterTimeout) { }
 
     /** All that a gateway is told at its start. */
     record Settings(int self, int groupSize, int zone, boolean askDiscovery, boolean unitsSettledLater,
--- a/src/main/java/reedmux/policy/PeerPacket.java
+++ b/src/main/java/reedmux/policy/PeerPacket.java
@@ -21,8 +21,8 @@
                   int pace, List<News> news, List<Entry> entries) {
     /** Packets that one acknowledgement can speak of, and the bound of an incarnation. */
     static final int ACK_WINDOW = 16, INCARNATIONS = 1 << 16;
-    /** The longest message, and the most bytes that one entry and one piece of news can take. */
-    private static final int LENGTH = 256;
+    /** Most bytes of a message's news, and the most that one entry and one piece of news can take. */
+    private static final int NEWS_BYTES = 128;
     private static final int ENTRY = 30, NEWS = 6;
     private static final int CHECK = 2;
     private static final int HEAD = CHECK + 3 * Short.BYTES;
@@ -112,12 +112,13 @@
 
     /** A packet under construction. */
     static final class Writer {
-        private final ByteBuffer bytes = ByteBuffer.allocate(LENGTH);
+        private final ByteBuffer bytes;
         private final Names names;
         private final long number;
 
         Writer(Names names, int incarnation, int forIncarnation, int accepted, long number, long highest,
-               boolean asks, int pace, List<News> news) {
+               boolean asks, int pace, List<News> news, int length) {
+            bytes = ByteBuffer.allocate(length);
             this.names = names;
             this.number = number;
             bytes.position(CHECK).putShort((short) incarnation).putShort((short) forIncarnation)
@@ -134,7 +135,7 @@
 
         /** The most pieces of news that leave room for half a packet of entries. */
         static int newsRoom() {
-            return LENGTH / 2 / NEWS;
+            return NEWS_BYTES / NEWS;
         }
 
         boolean hasRoom() {
--- a/src/main/java/reedmux/pool/FairQueues.java
+++ b/src/main/java/reedmux/pool/FairQueues.java
@@ -8,9 +8,8 @@
 /**
  * Queues of work, one a pool, taken from by deficit round robin (Shreedhar and Varghese, 1995): each pool in
  * turn may spend a quantum by its weight, and what one piece of work leaves or lacks is carried over while
- * the
- * pool has work. A flood to one pool makes its own queue long; another pool waits for at most one quantum of
- * each, however much is queued. Each queue is bounded, so that a flood costs bounded memory.
+ * the pool has work. A flood to one pool makes its own queue long; another pool waits for at most one
+ * quantum of each, however much is queued. Each queue is bounded, so that a flood costs bounded memory.
  *
  * <p>Round robin by pieces would let a pool of dear pieces take more; fair queueing by virtual time gives
  * tighter bounds for a logarithm of the pools at each piece. With costs that differ by a factor of ten and
@@ -27,8 +26,8 @@
     /** One pool's queue. */
     private static final class Queue<E> {
         final Deque<Piece<E>> pieces = new ArrayDeque<>();
-        final long quantum;
-        final int most;
+        long quantum;
+        int most;
         long deficit;
         boolean active;
 
@@ -47,8 +46,7 @@
      * Adds a pool.
      *
      * @param quantum what it may spend in its turn, in the unit of the costs; at least the dearest piece
-     * makes
-     *                for a constant cost of {@link #next}
+     *                makes for a constant cost of {@link #next}
      * @param most    pieces that may wait
      * @return the pool's number
      */
@@ -60,15 +58,30 @@
         return queues.size() - 1;
     }
 
+    /** Sets a pool's quantum and room anew. */
+    public void set(int pool, long quantum, int most) {
+        if (quantum <= 0 || most <= 0) {
+            throw new IllegalArgumentException("a pool needs a quantum and room: " + quantum + ", " + most);
+        }
+        queues.get(pool).quantum = quantum;
+        queues.get(pool).most = most;
+    }
+
     /** Adds work, of a cost above nought; false where the pool's queue is full. */
     public boolean offer(int pool, E work, long cost) {
         if (cost <= 0) {
             throw new IllegalArgumentException("work has a cost above nought: " + cost);
         }
-        Queue<E> queue = queues.get(pool);
-        if (queue.pieces.size() >= queue.most) {
+        if (queues.get(pool).pieces.size() >= queues.get(pool).most) {
             return false;
         }
+        push(pool, work, cost);
+        return true;
+    }
+
+    /** Adds work that may not be turned away, such as the end of what was let in. */
+    public void push(int pool, E work, long cost) {
+        Queue<E> queue = queues.get(pool);
         queue.pieces.add(new Piece<>(work, cost));
         size++;
         if (!queue.active) {
@@ -76,7 +89,6 @@
             queue.deficit = 0; // one that had nothing to do has saved up nothing
             round.add(pool);
         }
-        return true;
     }
 
     /** The next piece of work, or null where there is none. */
@@ -106,6 +118,11 @@
         return null;
     }
 
+    /** Pools that have been added. */
+    public int pools() {
+        return queues.size();
+    }
+
     /** Pieces that wait for a pool. */
     public int waiting(int pool) {
         return queues.get(pool).pieces.size();
--- a/src/main/java/reedmux/pool/Lending.java
+++ b/src/main/java/reedmux/pool/Lending.java
@@ -27,8 +27,10 @@
 
     /** One pool's part and use. */
     private static final class Share {
-        final int own;
+        int own;
         int used;
+        /** It has a right to one more that was not there: the next that is free is kept for it. */
+        boolean wants;
 
         Share(int own) {
             this.own = own;
@@ -66,23 +68,46 @@
         return shares.size() - 1;
     }
 
+    /**
+     * Sets a pool's own part anew; what it uses beyond that is borrowed from then on. Parts that shrink must
+     * be set before those that grow.
+     */
+    public void part(int pool, int own) {
+        Share share = shares.get(pool);
+        if (own < 0 || owned - share.own + own > all) {
+            throw new IllegalArgumentException("the parts come to " + (owned - share.own + own) + " of "
+                    + all);
+        }
+        owned += own - share.own;
+        share.own = own;
+    }
+
     /** Takes one for a pool, or says why not. */
     public Answer take(int pool) {
         Share share = shares.get(pool);
-        if (share.used < reserved(share)) {
+        if (share.used < reserved(share) && used < all) {
             // It is there: nobody else was given the last ones.
         } else if (share.used < share.own) {
-            if (used + idleReserve(pool) >= all) {
+            if (used + idleReserve(pool, false) >= all) {
+                share.wants = true;
                 return new Answer(Verdict.RECLAIM, deepest(pool));
             }
-        } else if (used + idleReserve(pool) >= all) {
+        } else if (used + idleReserve(pool, true) >= all) {
             return REFUSED;
         }
         share.used++;
+        share.wants = false;
         used++;
         return GRANTED;
     }
 
+    /** Takes one for a pool that has a right to it and cannot wait until it is given back; all may be out. */
+    public void over(int pool) {
+        shares.get(pool).used++;
+        shares.get(pool).wants = false;
+        used++;
+    }
+
     /** Gives one back. */
     public void give(int pool) {
         Share share = shares.get(pool);
@@ -90,6 +115,7 @@
             throw new IllegalStateException("pool " + pool + " has nothing to give back");
         }
         share.used--;
+        share.wants = false; // it has one itself now
         used--;
     }
 
@@ -98,12 +124,12 @@
     }
 
     /** What is kept for the others, beyond what they use. */
-    private int idleReserve(int but) {
+    private int idleReserve(int but, boolean borrows) {
         int kept = 0;
         for (int i = 0; i < shares.size(); i++) {
             Share share = shares.get(i);
             if (i != but) {
-                kept += Math.max(0, reserved(share) - share.used);
+                kept += Math.max(borrows && share.wants ? 1 : 0, reserved(share) - share.used);
             }
         }
         return kept;
@@ -126,6 +152,11 @@
         return deepest;
     }
 
+    /** How many a pool may have whatever the others do. */
+    public int own(int pool) {
+        return shares.get(pool).own;
+    }
+
     public int used(int pool) {
         return shares.get(pool).used;
     }
--- a/src/main/java/reedmux/settings/Keys.java
+++ b/src/main/java/reedmux/settings/Keys.java
@@ -94,6 +94,38 @@
         return all;
     }
 
+    /** Whether a key is told, if only as {@code None}. */
+    boolean tells(String key) {
+        return of.keys().containsKey(key);
+    }
+
+    String text(String key, String otherwise) {
+        if (!has(key)) {
+            return otherwise;
+        } else if (value(key) instanceof String text && !text.isEmpty()) {
+            return text;
+        }
+        throw bad(key, "is not a text: " + plain(value(key)));
+    }
+
+    Set<String> texts(String key) {
+        return !has(key) ? Set.of() : new LinkedHashSet<>(list(key, (name, value) -> {
+            if (value instanceof String text && !text.isEmpty()) {
+                return text;
+            }
+            throw bad(name, "is not a text: " + plain(value));
+        }));
+    }
+
+    boolean flag(String key, boolean otherwise) {
+        if (!has(key)) {
+            return otherwise;
+        } else if (value(key) instanceof Boolean flag) {
+            return flag;
+        }
+        throw bad(key, "is neither True nor False: " + plain(value(key)));
+    }
+
     /** A number from {@code least} to {@code most}. */
     double number(String key, double least, double most) {
         Object value = value(key);
--- a/src/main/java/reedmux/settings/OperatorSettings.java
+++ b/src/main/java/reedmux/settings/OperatorSettings.java
@@ -23,11 +23,12 @@
  * What the operators have set in a file of their own, beside the platform's configuration. Without such a
  * file nothing of it is on.
  *
- * @param region what is set about other regions, or null
+ * @param region   what is set about other regions, or null
+ * @param services what is set about services beside the platform's
  */
-public record OperatorSettings(Region region) {
+public record OperatorSettings(Region region, Services services) {
     /** Nothing set. */
-    public static final OperatorSettings NONE = new OperatorSettings(null);
+    public static final OperatorSettings NONE = new OperatorSettings(null, Services.NONE);
 
     private static final long MILLI = 1_000;
     private static final long SECOND = 1_000_000;
@@ -42,7 +43,8 @@
                     "least_time", "margin", "first_guess")),
             new Declaration.Kind("budget", false, List.of("share", "rate", "burst")),
             new Declaration.Kind("visitors", false, List.of("most_at_once", "rate", "burst", "suffers_at",
-                    "hold")));
+                    "hold")),
+            Services.SERVICE, Services.ROUTE, Services.SHARING);
 
     /**
      * The region part: the rules, and what the link needs.
@@ -92,13 +94,14 @@
             if (region == null && away != null) {
                 throw away.bad("region", "needs a region(...) that tells our own name");
             }
-            return region == null ? NONE : new OperatorSettings(region(region, away));
+            return new OperatorSettings(region == null ? null : region(region, away),
+                    Services.of(file, declared));
         } catch (Fault e) {
             throw new ScriptException(file, e.place(), e.getMessage());
         }
     }
 
-    private static Keys only(List<Declaration> declared, String kind) {
+    static Keys only(List<Declaration> declared, String kind) {
         Declaration found = null;
         for (Declaration declaration : declared) {
             if (declaration.kind().equals(kind)) {
@@ -193,11 +196,11 @@
 
     /** What was understood, a line each. */
     public List<String> described() {
+        List<String> lines = new ArrayList<>(services.described());
         if (region == null) {
-            return List.of("nothing is set");
+            return lines.isEmpty() ? List.of("nothing is set") : lines;
         }
         RegionRules rules = region.rules();
-        List<String> lines = new ArrayList<>();
         lines.add("region " + rules.name() + (region.listen() == null
                 ? ", takes in no other region's requests"
                 : ", listens for regions on " + region.listen().getHostString() + ':'
--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -144,9 +144,10 @@
         return Config.read(config.getBytes(StandardCharsets.UTF_8), Map.of(), new Clock());
     }
 
-    private static OperatorSettings settle(String script) throws ConfigException {
+    private static Loaded loaded(Config config, String script) throws ConfigException {
         try {
-            return OperatorSettings.parse("own.star", script);
+            return Loaded.of(config, OperatorSettings.parse("own.star", script), FOLDER.resolve("own.star"),
+                    new Clock());
         } catch (ScriptException e) {
             throw new ConfigException(e.getMessage());
         }
@@ -156,7 +157,7 @@
         if (node != null) {
             return;
         }
-        node = new Node(read(config), settle(settings.toString()), new Clock(), log::add);
+        node = new Node(loaded(read(config), settings.toString()), new Clock(), log::add);
         if (script.equals("warm-up.txt")) {
             warmingUp = node.warmUpAfter(mayWarmUp::await);
         }
@@ -205,9 +206,9 @@
                 mayWarmUp.countDown();
                 warmingUp.join();
             } else if (parts[1].equals("reload")) {
-                node.reload(() -> new Loaded(read(replaced(config, named(rest))), OperatorSettings.NONE));
+                node.reload(() -> loaded(read(replaced(config, named(rest))), settings.toString()));
             } else if (parts[1].equals("settle")) {
-                node.reload(() -> new Loaded(read(config), settle(named(rest))));
+                node.reload(() -> loaded(read(config), named(rest)));
             } else if (parts[1].equals("log")) {
                 expect(rest, String.join("|", log));
             } else {
--- a/src/test/java/reedmux/policy/Group.java
+++ b/src/test/java/reedmux/policy/Group.java
@@ -93,7 +93,7 @@
 
     static Settings settings(int self, int size, Plan plan) {
         return settings(self, size, plan,
-                new Gateway.Limits(true, false, false, true, false, 3, SECOND, 60, 0));
+                new Gateway.Limits(true, false, false, true, false, 3, SECOND, 60, 256, 0));
     }
 
     static Settings settings(int self, int size, Plan plan, Gateway.Limits limits) {
--- a/src/test/java/reedmux/policy/GuardTest.java
+++ b/src/test/java/reedmux/policy/GuardTest.java
@@ -289,7 +289,7 @@
     void askedDiscoveryIsWatchedAndAskedAgainAfterAFailure() {
         Gateway.Settings push = Group.settings(0, 1, WIDE);
         Gateway.Settings ask = new Gateway.Settings(0, 1, 0, true, false, 1, Group.MS, push.classes(),
-                push.plans(), push.rules(), new Limits(false, false, false, false, false, 1, 0, 0, 0));
+                push.plans(), push.rules(), new Limits(false, false, false, false, false, 1, 0, 0, 256, 0));
         Group group = new Group(ask);
         assertEquals(List.of("0 true"), group.watches);
         group.give(0, new ServerList(Scope.FAILED, List.of()));
@@ -341,7 +341,7 @@
 
     @Test
     void aGatewayWhoseFewServersHangTakesOthers() {
-        Limits alone = new Limits(true, false, false, false, false, 3, Group.SECOND, 60, 0);
+        Limits alone = new Limits(true, false, false, false, false, 3, Group.SECOND, 60, 256, 0);
         Group group = new Group(Group.servers(30), Group.settings(0, 60, WIDE, alone));
         group.traffic(0, 1, 1, 300 * Group.MS, 5 * Group.SECOND);
         List<String> own = group.sent.stream().map(Group.Sent::server).distinct().toList();
--- a/src/test/java/reedmux/policy/MemoryTest.java
+++ b/src/test/java/reedmux/policy/MemoryTest.java
@@ -94,7 +94,8 @@
         PeerPacket.Names theirs = new PeerPacket.Names();
         int packets = 5 * PeerPacket.NAMED;
         for (int number = 1; number <= packets; number++) {
-            PeerPacket.Writer writer = new PeerPacket.Writer(ours, 1, 1, 0, number, 0, false, 40, List.of());
+            PeerPacket.Writer writer = new PeerPacket.Writer(ours, 1, 1, 0, number, 0, false, 40, List.of(),
+                    256);
             writer.add(new PeerPacket.Entry(number, 0, 0, 2, 1, null, null, 0)); // comes once
             writer.add(new PeerPacket.Entry(0, 0, 0, 2, 1, null, null, 0)); // comes always
             for (PeerPacket.Entry entry : PeerPacket.read(writer.finish()).entries()) {
--- a/src/test/java/reedmux/policy/PeerPacketTest.java
+++ b/src/test/java/reedmux/policy/PeerPacketTest.java
@@ -15,7 +15,7 @@
     void whatIsWrittenIsRead() {
         List<PeerPacket.News> news = List.of(new PeerPacket.News(300, 1200));
         PeerPacket.Writer writer = new PeerPacket.Writer(new PeerPacket.Names(), 65000, 9, 0x8001, 1000, 77,
-                true, 200, news);
+                true, 200, news, 256);
         List<PeerPacket.Entry> entries = new ArrayList<>();
         for (long customer = (1L << 33) - 1; writer.hasRoom(); customer--) {
             double delta = entries.isEmpty() ? -12.34 : 5.5;
@@ -34,7 +34,7 @@
     @Test
     void aCutOrChangedPacketIsNone() {
         PeerPacket.Writer writer = new PeerPacket.Writer(new PeerPacket.Names(), 1, 2, 3, 4, 5,
-                false, 40, List.of());
+                false, 40, List.of(), 256);
         writer.add(new PeerPacket.Entry(77, 0, 0, 2, 1, null, null, 0));
         byte[] bytes = writer.finish();
         for (int length = 0; length < bytes.length; length++) {
--- a/src/test/java/reedmux/policy/QuotaTest.java
+++ b/src/test/java/reedmux/policy/QuotaTest.java
@@ -263,7 +263,7 @@
         group.run(Group.SECOND);
         for (int version = 1; version < 4; version++) {
             PeerPacket.Writer packet = new PeerPacket.Writer(new PeerPacket.Names(), 9, 0, 0, version, 0,
-                    true, 40, List.of(new PeerPacket.News(0, version), new PeerPacket.News(70, 1)));
+                    true, 40, List.of(new PeerPacket.News(0, version), new PeerPacket.News(70, 1)), 256);
             group.give(0, new Gateway.PeerMessage(2, packet.finish()));
         }
         int before = group.told.size();
@@ -276,7 +276,7 @@
     void senselessEntriesChangeNothing() {
         Group group = Group.of(2, Group.quota(0.001, 20));
         PeerPacket.Writer packet = new PeerPacket.Writer(new PeerPacket.Names(), 9, 0, 0, 1, 0, true, 40,
-                List.of());
+                List.of(), 256);
         packet.add(new PeerPacket.Entry(1, 5, 0, 2, 1, null, null, 0));
         packet.add(new PeerPacket.Entry(2, 0, 0, 3, 1, null, null, 0));
         packet.add(new PeerPacket.Entry(3, 0, 2, 1, 1, null, null, 0));
