--- a/src/main/java/reedmux/core/Invocation.java
+++ b/src/main/java/reedmux/core/Invocation.java
@@ -30,6 +30,7 @@
     final Reply reply;
     final List<InvokerCall> calls = new ArrayList<>(2);
     boolean over;
+    Timer deadline;
     /** When it was taken, in microseconds; whether another region sent it; whether its service is noted. */
     long takenAt;
     boolean visitor;
--- a/src/main/java/reedmux/core/InvokerCall.java
+++ b/src/main/java/reedmux/core/InvokerCall.java
@@ -19,6 +19,8 @@
     final long advice;
     Stop stop = Stop.NONE;
     boolean ended;
+    Timer overdue;
+    Timer connectOverdue;
     boolean neverRan;
     /** What the carrier of calls remembers of it; the core never looks at it. */
     private Object transport;
@@ -38,6 +40,13 @@
         this.sentAt = sentAt;
     }
 
+    /** It has ended, and needs no time limits any more. */
+    void end() {
+        ended = true;
+        overdue.callOff();
+        connectOverdue.callOff();
+    }
+
     public Invocation invocation() {
         return invocation;
     }
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -35,15 +35,6 @@
     private static final int LATE = 504;
     private static final Map<Metric, Double> NO_REPORT = Map.copyOf(new EnumMap<>(Metric.class));
 
-    /** An event that is due at a time; of those due together the one set first comes first. */
-    private record Timer(long at, long order, Event event) implements Comparable<Timer> {
-        @Override
-        public int compareTo(Timer other) {
-            int byTime = Long.compare(at, other.at);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
-
     private final Gateway module;
     private final long connectTimeout;
     private final int maxAttempts;
@@ -100,16 +91,19 @@
         // A timer set meanwhile for now or earlier waits for the next turn, as on the simulator's wire.
         long lastOrder = timersSet;
         while (!timers.isEmpty() && timers.peek().at <= now && timers.peek().order <= lastOrder) {
-            reduce(now, timers.poll().event);
+            Event event = timers.poll().event();
+            if (event != null) {
+                reduce(now, event);
+            }
         }
     }
 
     /**
-     * When the next timer is due; the far future if there is none. Timers whose subject has ended are passed
+     * When the next timer is due; the far future if there is none. Those that were called off are passed
      * over: nearly all of them end that way, and a turn for each would cost more than the request did.
      */
     public long nextDue() {
-        while (!timers.isEmpty() && pointless(timers.peek().event)) {
+        while (!timers.isEmpty() && timers.peek().event() == null) {
             timers.poll();
         }
         return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at;
@@ -130,12 +124,6 @@
         return anyProvider;
     }
 
-    private static boolean pointless(Event event) {
-        return event instanceof Event.CallOverdue overdue ? overdue.call().ended
-                : event instanceof Event.ConnectOverdue connect ? connect.call().ended
-                : event instanceof Event.DeadlinePassed deadline && deadline.invocation().over;
-    }
-
     private void take(Event event) {
         if (event instanceof Event.InvocationTaken e) {
             onTaken(e.invocation());
@@ -186,7 +174,7 @@
         if (desk != null) {
             desk.taken(invocation);
         }
-        setTimer(invocation.request.deadline(), new Event.DeadlinePassed(invocation));
+        invocation.deadline = setTimer(invocation.request.deadline(), new Event.DeadlinePassed(invocation));
         module.handle(now, invocation.request, actions);
     }
 
@@ -213,7 +201,7 @@
                 && call.stop != InvokerCall.Stop.NONE) {
             outcome = call.stop == InvokerCall.Stop.TIMED_OUT ? Outcome.TIMEOUT : Outcome.CANCELLED;
         }
-        call.ended = true;
+        call.end();
         call.neverRan = outcome.neverRan();
         Invocation invocation = call.invocation;
         if (call.departure != null) {
@@ -320,6 +308,7 @@
 
     private void end(Invocation invocation) {
         invocation.over = true;
+        invocation.deadline.callOff();
         unanswered--;
         if (desk != null) {
             desk.over(invocation);
@@ -333,8 +322,15 @@
         }
     }
 
-    private void setTimer(long at, Event event) {
-        timers.add(new Timer(at, ++timersSet, event));
+    private Timer setTimer(long at, Event event) {
+        Timer timer = new Timer(at, ++timersSet, event);
+        timers.add(timer);
+        return timer;
+    }
+
+    private void setTimers(InvokerCall call, long wait) {
+        call.overdue = setTimer(now + wait, new Event.CallOverdue(call));
+        call.connectOverdue = setTimer(now + connectTimeout, new Event.ConnectOverdue(call));
     }
 
     /** What the module does, as effects. */
@@ -362,8 +358,7 @@
             }
             long wait = timeout == 0 ? left : Math.min(left, Math.max(0, timeout));
             effects.call(call, wait);
-            setTimer(now + wait, new Event.CallOverdue(call));
-            setTimer(now + connectTimeout, new Event.ConnectOverdue(call));
+            setTimers(call, wait);
         }
 
         @Override
@@ -387,8 +382,7 @@
                     desk.address(departure.gateway()), now, departure, retryAfter);
             invocation.calls.add(call);
             effects.callAway(call, departure);
-            setTimer(now + departure.patience(), new Event.CallOverdue(call));
-            setTimer(now + connectTimeout, new Event.ConnectOverdue(call));
+            setTimers(call, departure.patience());
             return true;
         }
 
--- a/src/main/java/reedmux/lab/ServicesScene.java
+++ b/src/main/java/reedmux/lab/ServicesScene.java
@@ -10,8 +10,12 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import reedmux.lab.ConsumerStandIn.Asked;
 import reedmux.lab.ConsumerStandIn.Told;
@@ -33,6 +37,8 @@
     private static final int ROUNDS = 3;
     private static final int RELOADS = 50;
     private static final int IDLE = 1_000;
+    /** Consumers that ask without a pause: as many requests always wait in the gatekeeper. */
+    private static final int PRESSING = 128;
     private static final long SECOND = 1_000_000_000;
 
     /** A service and all that stands round it. */
@@ -69,6 +75,8 @@
     private final Path settings;
     private long ids;
     private long asked;
+    private final AtomicLong pressed = new AtomicLong(1L << 32);
+    private final Map<Integer, Integer> outcomes = new ConcurrentHashMap<>();
 
     private ServicesScene(Path folder, Consumer<String> progress) throws IOException {
         this.folder = folder;
@@ -126,6 +134,19 @@
                     repeatable ? "check" : "reject", repeatable, id % 50, 1, DEADLINE_MILLIS, 1));
         }
 
+        /** Has so many consumers ask the loud service without a pause until they are told to end. */
+        List<Thread> press(int consumers, AtomicBoolean pressing) {
+            return IntStream.range(0, consumers).mapToObj(i -> StandIn.thread("press", () -> {
+                while (pressing.get()) {
+                    long id = pressed.incrementAndGet();
+                    Told one = this.consumers.get(LOUD).askAndWait(new Asked(String.format(Locale.ROOT,
+                            "%016x",
+                            services.get(LOUD).ids + id), "check", true, id % 50, 1, DEADLINE_MILLIS, 1));
+                    outcomes.merge(one.status(), 1, Integer::sum);
+                }
+            })).toList();
+        }
+
         /** For so many seconds; {@code loud} requests a second to the one service beside the quiet ones. */
         void run(double seconds, int loud) throws InterruptedException {
             long begin = System.nanoTime();
@@ -178,6 +199,26 @@
         }
     }
 
+    /**
+     * As a stretch, with consumers of the loud service that ask without a pause, which takes all the core.
+     */
+    private Fared pressed(Gatekeeper.Addresses at) throws InterruptedException {
+        try (Load load = new Load(at)) {
+            AtomicBoolean pressing = new AtomicBoolean(true);
+            List<Thread> press = load.press(PRESSING, pressing);
+            load.run(SECONDS, 0);
+            pressing.set(false);
+            for (Thread thread : press) {
+                thread.join(DEADLINE_MILLIS);
+            }
+            List<Told> quiet = load.finish();
+            double[] millis = quiet.stream().mapToDouble(Told::millis).sorted().toArray();
+            return new Fared(quiet.stream().filter(one -> one.status()
+                    == 200).count() / (double) quiet.size(),
+                    millis[(int) (millis.length * 0.99)], 0, 0);
+        }
+    }
+
     private static long id(Told one) {
         return Long.parseUnsignedLong(one.asked().id(), 16);
     }
@@ -204,11 +245,18 @@
             stretch(addresses.get(0), LOUD_CAPACITY * 10); // until compiled
             List<Fared> calm = new ArrayList<>();
             List<Fared> loud = new ArrayList<>();
+            List<Fared> press = new ArrayList<>();
             for (int i = 0; i < ROUNDS; i++) {
                 calm.add(stretch(addresses.get(0), 0));
                 loud.add(stretch(addresses.get(0), LOUD_CAPACITY * 10));
-                progress.accept(how + ": calm " + calm.get(i) + ", loud " + loud.get(i));
+                press.add(pressed(addresses.get(0)));
+                progress.accept(how + ": calm " + calm.get(i) + ", loud " + loud.get(i) + ", pressed "
+                        + press.get(i));
             }
+            claims.note(how + ", asked without a pause by " + PRESSING + ": ratio of the p99",
+                    text(median(press, false) / median(calm, false)));
+            claims.note(how + ", asked without a pause: what came of it", outcomes.toString());
+            outcomes.clear();
             double ratio = median(loud, false) / median(calm, false);
             double lost = median(calm, true) - median(loud, true);
             claims.note(how + ": p99 of the quiet, ms, calm and flooded", text(median(calm, false)) + " and "
