--- a/src/main/java/reedmux/settings/Services.java
+++ b/src/main/java/reedmux/settings/Services.java
@@ -45,7 +45,7 @@
      * @param mostQueued   bound on its work that waits for the one thread
      * @param mostBuffered bound on the bytes that its requests hold; 0 for none
      * @param hostless     whether it serves requests without {@code Host}
-     * @param place        where it is declared
+     * @param place        where it is declared; null for the platform's own where nothing is set of it
      */
     public record Service(String name, String config, InetSocketAddress discovery, double weight,
                           int mostInFlight, int mostQueued, int mostBuffered, boolean hostless,
@@ -63,17 +63,15 @@
     static Services of(String file, List<Declaration> declared) throws ScriptException {
         Keys shared = OperatorSettings.only(declared, "sharing");
         Map<String, Service> services = new LinkedHashMap<>();
-        services.put(DEFAULT, new Service(DEFAULT, null, null, 1, 0, QUEUED, 0, true, new Place(1, 1)));
+        services.put(DEFAULT, new Service(DEFAULT, null, null, 1, 0, QUEUED, 0, true, null));
         boolean any = false;
         for (Declaration declaration : declared) {
             if (declaration.kind().equals("service")) {
                 Service service = service(new Keys(declaration));
                 Service before = services.put(service.name, service);
-                if (before != null && (any || !service.name.equals(DEFAULT))) {
-                    if (!service.name.equals(DEFAULT) || before.place.line() > 1) {
-                        throw new Fault(declaration.place(), "service " + service.name
-                                + " is declared twice, first in line " + before.place.line());
-                    }
+                if (before != null && before.place != null) {
+                    throw new Fault(declaration.place(), "service " + service.name
+                            + " is declared twice, first in line " + before.place.line());
                 }
                 any = true;
             }
--- a/src/test/java/reedmux/settings/ServicesTest.java
+++ b/src/test/java/reedmux/settings/ServicesTest.java
@@ -58,6 +58,9 @@
         assertNull(of("# nothing\n").routes());
         assertEquals(List.of(), of("# nothing\n").services());
         assertEquals(2, of("service(name = \"default\", weight = 2)\n").services().get(0).weight());
+        assertEquals("x.star:1:28: service default is declared twice, first in line 1",
+                assertThrows(ScriptException.class, () -> of("service(name = \"default\"); "
+                        + "service(name = \"default\")\n")).getMessage());
     }
 
     @ParameterizedTest
