A decision that throws is answered at once; every refusal says when to come back

Seen: Reducer.protect left an invocation whose decision had thrown to its deadline, 3 s in the new test, though nobody would decide on it any more; one answered before the throw stayed in the map for ever. A call whose start throws had no time limits, so its end failed for want of them. The guard at the deadline and a pool that has ended refused with Retry-After 0.000.

Ruled out: a second answer or a second run; the reply's own guard and the calls' states held in all cases.

A throw is now followed by Event.DecisionFailed: where no call is out the invocation is answered and the module told, else when the last one ends.

--- a/src/main/java/reedmux/core/Event.java
+++ b/src/main/java/reedmux/core/Event.java
@@ -45,6 +45,9 @@
     /** The consumer gives up about now. */
     record DeadlinePassed(Invocation invocation) implements Event { }
 
+    /** The decision on an invocation has thrown, so that nobody decides on it any more. */
+    record DecisionFailed(Invocation invocation) implements Event { }
+
     /** A call of the counter service that cannot be made here. */
     record CountRefused(long name, Outcome outcome) implements Event { }
 
--- a/src/main/java/reedmux/core/Invocation.java
+++ b/src/main/java/reedmux/core/Invocation.java
@@ -30,6 +30,8 @@
     final Reply reply;
     final List<InvokerCall> calls = new ArrayList<>(2);
     boolean over;
+    /** Whether a decision on it has thrown. */
+    boolean faulty;
     Timer deadline;
     /** When it was taken, in microseconds; whether another region sent it; whether its service is noted. */
     long takenAt;
@@ -82,7 +84,11 @@
     }
 
     boolean settled() {
-        return over && calls.stream().allMatch(call -> call.ended);
+        return over && callsEnded();
+    }
+
+    boolean callsEnded() {
+        return calls.stream().allMatch(call -> call.ended);
     }
 
     /** Whether every call made for it is known never to have run, so that a repeat is harmless. */
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -33,7 +33,8 @@
 public final class Reducer {
     /** The status by which another region tells that its time ran out. */
     private static final int LATE = 504;
-    private static final Map<Metric, Double> NO_REPORT = Map.copyOf(new EnumMap<>(Metric.class));
+    /** When to come back after an answer that no decision stands behind, in microseconds. */
+    private static final long ADVICE = 350_000;
 
     private final Gateway module;
     private final long connectTimeout;
@@ -73,14 +74,34 @@
     }
 
     /**
-     * A fault in a decision must not take all other consumers' answers along. The invocation it concerned is
-     * answered at its deadline at the latest, as every invocation is.
+     * A fault in a decision must not take all other consumers' answers along. The invocation it concerned
+     * has its answer as soon as no call for it is out, since nobody decides on it any more.
      */
     private void protect(Event event) {
         try {
             take(event);
         } catch (RuntimeException e) {
             StackTraceElement[] trace = e.getStackTrace();
+            Invocation concerned = concerned(event);
+            if (concerned != null && invocations.get(concerned.id()) == concerned) {
+                concerned.faulty = true;
+                followUps.add(new Event.DecisionFailed(concerned));
+            }
+        }
+    }
+
+    private static Invocation concerned(Event event) {
+        return event instanceof Event.InvocationTaken e ? e.invocation()
+                : event instanceof Event.VisitorTaken e ? e.invocation()
+                : event instanceof Event.CallEnded e ? e.call().invocation
+                : event instanceof Event.SendVoid e ? e.invocation() : null;
+    }
+
+    /** The module knows it in part or not at all: what it might still say of it is not waited for. */
+    private void onDecisionFailed(Invocation invocation) {
+        if (invocation.callsEnded()) {
+            answerUndecided(invocation);
+            forgetIfSettled(invocation);
             effects.log("fault at " + event.getClass().getSimpleName() + ": " + e
                     + (trace.length == 0 ? "" : " at " + trace[0]));
         }
@@ -140,7 +161,7 @@
         } else if (event instanceof Event.ConnectOverdue e && !e.call().ended) {
             effects.stopConnecting(e.call());
         } else if (event instanceof Event.DeadlinePassed e) {
-            onDeadline(e.invocation());
+            answerUndecided(e.invocation());
         } else if (event instanceof Event.ProvidersTold e) {
             onProviders(e.list());
         } else if (event instanceof Event.SendVoid e) {
@@ -153,6 +174,8 @@
             module.handle(now, new Counted(e.name(), e.outcome(), 0, 0), actions);
         } else if (event instanceof Event.VisitorTaken e) {
             onVisitor(e.invocation(), e.path());
+        } else if (event instanceof Event.DecisionFailed e) {
+            onDecisionFailed(e.invocation());
         } else if (event instanceof Event.RegionsTold e && desk != null) {
             desk.adopt(e.rules(), e.gateways(), now);
         }
@@ -212,7 +235,10 @@
             finish(invocation, new Answer.Served((CallResult.Answered) result));
         }
         module.handle(now, new AttemptEnded(invocation.id(), invocation.over, call.provider, call.number, 0,
-                now - call.sentAt, outcome, NO_REPORT), actions);
+                now - call.sentAt, outcome), actions);
+        if (invocation.faulty) {
+            onDecisionFailed(invocation);
+        }
         forgetIfSettled(invocation);
     }
 
@@ -250,16 +276,19 @@
         }
     }
 
-    /** Guards against a held invocation: whatever the module still waits for, the consumer is answered. */
-    private void onDeadline(Invocation invocation) {
+    /**
+     * Answers what the module has not: at the deadline, whatever it still waits for, or after a fault.
+     * Nothing is known of when there will be room, so the advice is the module's own for that case.
+     */
+    private void answerUndecided(Invocation invocation) {
         if (!invocation.over) {
             boolean harmless = invocation.repeatable || invocation.neverRan();
             if (desk != null) {
                 desk.judge(invocation, now, false);
             }
             effects.answer(invocation, harmless
-                    ? new Answer.Rejection(0, !invocation.calls.isEmpty(), invocation.neverRan())
-                    : new Answer.Failed(true));
+                    ? new Answer.Rejection(ADVICE, !invocation.calls.isEmpty(), invocation.neverRan())
+                    : new Answer.Failed(now >= invocation.request.deadline()));
             withdraw(invocation);
         }
     }
@@ -357,6 +386,17 @@
                 return;
             }
             long wait = timeout == 0 ? left : Math.min(left, Math.max(0, timeout));
+            start(call, () -> effects.call(call, wait));
+        }
+
+        /** A call that could not even be started has certainly not run; it ends like any other. */
+        private void start(InvokerCall call, Runnable how) {
+            try {
+                how.run();
+            } catch (RuntimeException e) {
+                followUps.add(new Event.CallEnded(call,
+                        new CallResult.Broken(CallResult.Stage.CONNECTING, String.valueOf(e))));
+            }
             effects.call(call, wait);
             setTimers(call, wait);
         }
@@ -380,6 +420,7 @@
             }
             InvokerCall call = new InvokerCall(invocation, number, departure.gateway(),
                     desk.address(departure.gateway()), now, departure, retryAfter);
+            start(call, () -> effects.callAway(call, departure));
             invocation.calls.add(call);
             effects.callAway(call, departure);
             setTimers(call, departure.patience());
--- a/src/main/java/reedmux/pool/Pool.java
+++ b/src/main/java/reedmux/pool/Pool.java
@@ -38,6 +38,9 @@
     /** The share of a provider's idle limit after which we close and no longer use a connection. */
     private static final double IDLE_SHARE = 0.5;
 
+    /** When one that came too late for a pool that has ended may come back, in microseconds. */
+    private static final long ENDED_ADVICE = 100_000;
+
     /** Requests that may be between the sockets and their decision while others wait to be read. */
     private static final int UNDECIDED = 8;
 
@@ -178,7 +181,7 @@
     private void refuseRest() {
         for (Event event = posted.poll(); event != null; event = posted.poll()) {
             if (event instanceof Event.InvocationTaken taken) {
-                taken.invocation().reply().send(new Answer.Rejection(0, false, true));
+                taken.invocation().reply().send(new Answer.Rejection(ENDED_ADVICE, false, true));
                 intake.decided();
             }
         }
