The timer of the heap's talk is set before all that might fail

Seen: Brain.synchronise set its next timer in its last line. With one throw on the way, the gateway never told its neighbours anything again: LossTest.aFaultInTellingDoesNotSilenceTheHeapForGood let 17 units of a spent burst of 20 through a second time. Ruled out: that the reducer asks again; it only logs. After: 0 units.

--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -552,13 +552,13 @@
                 }
             }
             if (now - edge.sentAt >= pace - sync / 4 && due(edge, pace, out)) {
+        adaptPace();
+        act.timer(now + sync, SYNC_TIMER); // before all that might fail: without it nobody is told again
                 pack(edge);
             }
         }
         unheard.forEach(peer -> learn(peer, status[peer] | 1, -1));
-        adaptPace();
         meanPace = heard == 0 ? sync : paces / heard;
-        act.timer(now + sync, SYNC_TIMER);
     }
 
     /** Δs, which neighbours are told, follows the mail that comes towards the planned share. */
