A neighbour back from a cut is told the counts; lost neighbours' units count once

Seen: a neighbour called silent and heard again without a restart was told nothing of what had been let through meanwhile: 18 units of a burst of 20 went through a second time (LossTest.aNeighbourBackFromACutIsToldTheCount). And Account.rewire summed the counters that faced two neighbours lost at once, though both hold the same units: 10 for 5.

Ruled out: what was on its way when the cut began; that is taken back by the acknowledgements and arrives once (aLinkThatCarriesOneWayOnlyMiscountsNothingOnceItIsWhole passed before, too). At fault: Brain.onPacket and meet, which told counts to a new life only, and State.Account.rewire. After: 0 units and 5.

--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -27,8 +27,8 @@
     /** Pace of asking a silent neighbour; Δs without event in an own stall; time to forget idle accounts. */
     private static final long PROBE_PACE = 1_000_000, STALL_SYNCS = 3, ACCOUNT_IDLE = 60_000_000;
     /**
-     * Shares: of a burst, below which a restarted neighbour is told no count, and kept at most of what went
-     * beyond a quota, as it takes nothing from it; of a ceiling's store, above which it goes to its users.
+     * Shares: of a burst, below which one that is back is told no count, and kept at most of what went beyond
+     * a quota, as it takes nothing from it; of a ceiling's store, above which it goes to its users.
      */
     private static final double TELL_COUNT = 0.1, OVERSHOOT = 0.75, CEILING_SPARE = 0.5;
     /** Most bursts that races are taken to have under way; forgotten slowly while counts exceed a share. */
@@ -637,7 +637,8 @@
         if (!newLife && packet.number() <= edge.received || packet.incarnation() == edge.formerIncarnation) {
             return;
         }
-        if ((status[from] & 1) == 1) { // a false alarm, or it is back, and has missed all news
+        boolean back = (status[from] & 1) == 1;
+        if (back) { // a false alarm, or it is back, and has missed all news
             patience = Math.min(SILENT_MOST, 2 * patience);
             learn(from, status[from] + 1, -1);
             edge.tellAll(status);
@@ -661,17 +662,23 @@
         packet.news().forEach(news -> learn(news.member(), news.version(), from));
         packet.entries().stream().map(edge.names::full).filter(Objects::nonNull)
                 .forEach(entry -> takeIn(entry, from));
+        if (back || edge.formerIncarnation != 0 && newLife) {
+            tellCounts(edge);
+        }
     }
 
-    /** A neighbour's new life knows no counts: what it had not acknowledged goes again, with our counts. */
+    /** A neighbour's new life knows nothing: what it had not acknowledged goes again. */
     private void meet(Edge edge, int peerIncarnation) {
-        boolean restarted = edge.peerIncarnation != 0;
-        if (restarted) {
+        if (edge.peerIncarnation != 0) {
             takeBack(edge, edge.takeUnacknowledged());
         }
         edge.begin(peerIncarnation);
         edge.tellAll(status);
-        for (Account account : restarted ? accounts.values() : List.<Account>of()) {
+    }
+
+    /** To a neighbour that has started anew, or was out of the heap and missed what went round it. */
+    private void tellCounts(Edge edge) {
+        for (Account account : accounts.values()) {
             refresh(account);
             int slot = account.slot(edge.peer);
             if (slot >= 0 && account.localCount > TELL_COUNT * account.plan.burst()) {
--- a/src/main/java/reedmux/policy/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -91,7 +91,9 @@
             tellCount = new boolean[3];
             double stranded = 0;
             for (int i = 0; i < 3; i++) {
-                stranded += old[i] >= 0 && slot(old[i]) < 0 ? oldTo[i] : 0;
+                if (old[i] >= 0 && slot(old[i]) < 0 && Math.abs(oldTo[i]) > Math.abs(stranded)) {
+                    stranded = oldTo[i];
+                }
             }
             for (int i = 0; i < 3; i++) {
                 int peer = near[i];
