On sockets what never came whole to a provider takes no units; one guard at a send

In the simulator a try takes them when it is first sent on, so the setting is told by Config alone; it takes the place of unitsSettledLater, which nothing asked for.

Ruled out: counting at the call's last byte, which would let surges through unseen while calls come up. Brain.close gives back what was counted, here and to the neighbours, where no attempt reached a provider.

With it goes the second question of maySend in send: choose has just asked it at the same moment, so the refusal with an advice of 0 behind it could never be reached.

--- a/src/main/java/reedmux/config/Config.java
+++ b/src/main/java/reedmux/config/Config.java
@@ -78,7 +78,7 @@
         if (draft.settings.isEmpty()) {
             return new Service(settings, where, known(draft, lists), lists, connectTimeout, connIdle, "");
         }
-        draft.settings.put("limits.retryAfter", "true");
+        onSockets(draft.settings);
         draft.settings.put("position", Integer.toString(settings.self()));
         draft.settings.put("groupSize", Integer.toString(settings.groupSize()));
         draft.settings.put("az", Integer.toString(settings.zone()));
@@ -129,8 +129,7 @@
         if (draft.settings.isEmpty()) {
             throw new ConfigException("settings is missing");
         }
-        // On sockets the advice always reaches the consumer, in Retry-After, whatever the simulator does.
-        draft.settings.put("limits.retryAfter", "true");
+        onSockets(draft.settings);
         SettingsReader reader = new SettingsReader("settings.", draft.settings);
         Settings settings = reader.settings();
         ProviderListReader lists = new ProviderListReader(reader.names("dcs"), reader.names("kinds"), clock);
@@ -150,6 +149,29 @@
         InetSocketAddress address = told == null ? inFile : Addresses.parse(told);
         if (address == null) {
             throw new ConfigException(told == null ? key + " is missing"
+    /** The heap spans the group by number: a peer too few, too many or twice would mix up the counts. */
+    private static void checkPeers(Draft draft, int groupSize) throws ConfigException {
+        if (groupSize > 1 && draft.peerListen == null) {
+            throw new ConfigException("peer_listen is missing, and settings.limits.peerMessages is true");
+        }
+        if (draft.peers.size() != groupSize && (groupSize > 1 || !draft.peers.isEmpty())) {
+            throw new ConfigException("peers holds " + draft.peers.size()
+                    + " addresses, and settings.groupSize is " + groupSize);
+        }
+        for (int i = 0; i < draft.peers.size(); i++) {
+            int first = draft.peers.indexOf(draft.peers.get(i));
+            if (first < i) {
+                throw new ConfigException("peers." + i + " is the same address as peers." + first);
+            }
+        }
+    }
+
+    /** On sockets the advice always reaches the consumer, and units are taken later than in the simulator. */
+    private static void onSockets(Map<String, String> settings) {
+        settings.put("limits.retryAfter", "true");
+        settings.put(SettingsReader.UNITS_WHEN_WHOLE, "true");
+    }
+
                     : variable + " is not an address:port: " + told);
         }
         return address;
--- a/src/main/java/reedmux/config/Service.java
+++ b/src/main/java/reedmux/config/Service.java
@@ -21,7 +21,7 @@
                 old.maxAttempts(), old.maxRetryAfter(), old.peerMessagesPerS(), old.peerBytes() - bytes,
                 old.counterTimeout());
         return new Service(new Settings(settings.self(), settings.groupSize(), settings.zone(),
-                settings.askDiscovery(), settings.unitsSettledLater(), settings.mostUnits(), settings.tick(),
+                settings.askDiscovery(), settings.unitsWhenWhole(), settings.mostUnits(), settings.tick(),
                 settings.classes(), settings.plans(), settings.rules(), limits), discovery, known, lists,
                 connectTimeout, connIdle, form);
     }
--- a/src/main/java/reedmux/config/SettingsReader.java
+++ b/src/main/java/reedmux/config/SettingsReader.java
@@ -19,6 +19,8 @@
 public final class SettingsReader {
     /** For units of one request, where no bound is told. */
     private static final double NO_BOUND = 1e9;
+    /** Told by nobody but {@link Config}, as only on sockets a request takes its units that late. */
+    static final String UNITS_WHEN_WHOLE = "reedmux.unitsWhenWhole";
     /** Most bytes of a message between gatekeepers, by the platform's protocol. */
     private static final int PEER_BYTES = 256;
     private final Map<String, String> values;
@@ -53,7 +55,7 @@
             throw bad((classes.isEmpty() ? "lanes" : "packages") + ".count must be above nought");
         }
         return new Settings(self, groupSize, (int) number("az", 0), text("discovery", "push").equals("ask"),
-                flag("extra.truedUp"), number("extra.unitsTop", NO_BOUND), time("tickUs", 1000),
+                flag(UNITS_WHEN_WHOLE), mostUnits, time("tickUs", 1000),
                 List.copyOf(classes), List.copyOf(plans), rules(), limits());
     }
 
--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -223,13 +223,10 @@
             refuseUnlessAway(taken, OVERLOAD_ADVICE / 2 + random.nextLong(OVERLOAD_ADVICE));
             return;
         }
-        if (send(taken, box)) {
-            young++;
-            spend(taken);
-            retries = Math.min(RETRY_MOST, retries + RETRY_EARNED);
-        } else {
-            refuse(taken, 0);
-        }
+        send(taken, box);
+        young++;
+        spend(taken, taken.request.units());
+        retries = Math.min(RETRY_MOST, retries + RETRY_EARNED);
     }
 
     /** Overload: a request goes only while expected in time; little worth for its work means little room. */
@@ -286,9 +283,9 @@
         return Math.max(SIZE_LEAST, Math.min(SIZE_MOST, taken.request.units() / taken.times.units));
     }
 
-    private void spend(Live taken) {
-        taken.account.spend(taken.request.units(), now);
-        count(taken.account, taken.request.units(), -1);
+    private void spend(Live taken, double units) {
+        taken.account.spend(units, now);
+        count(taken.account, units, -1);
     }
 
     /** The fleet has no room, so another region may; what goes there counts here, once, and as open. */
@@ -298,8 +295,9 @@
             return;
         }
         if (taken.attempts.isEmpty()) {
-            spend(taken);
+            spend(taken, taken.request.units());
         }
+        taken.reached = true;
         taken.away = true;
         changeOpen(taken.account, 1);
     }
@@ -331,6 +329,10 @@
     private void close(Live taken) {
         taken.over = true;
         if (taken.allEnded()) {
+            if (settings.unitsWhenWhole() && !taken.reached && !taken.attempts.isEmpty()) {
+                drain(taken.account); // its units were counted when it was sent, and were not taken
+                spend(taken, -taken.request.units());
+            }
             live.remove(taken.request.id());
         }
     }
@@ -798,7 +800,7 @@
         double share = Math.exp(-(now - box.reportAt) / REPORT_MEMORY);
         double busy = Math.min(BUSY_MOST, box.kind.busy + (box.busy - box.kind.busy) * share);
         return Math.max(work(taken) * slowness(box) * (box.open + 1), expected(taken, box))
-                * (1 + ERROR_COST * box.errors + UNREACHED_COST * unreached(box.zone)) / (1 - busy)
+                * (1 + ERROR_COST * box.errors + UNREACHED_COST * unreached(box.zone))
                 * (box.listed.zone() == settings.zone() ? 1 : OTHER_ZONE)
                 * (1 + JITTER * random.nextDouble());
     }
@@ -879,8 +881,8 @@
         }
     }
 
-    // ---- Attempts: one guard for every send, time-outs, what follows an outcome --------------------
-    /** The effect rules, drains, attempt limits and the fall budget; no send goes out without this. */
+    // ---- Attempts: one guard for every choice, time-outs, what follows an outcome --------------------
+    /** The effect rules, drains, attempt limits and the fall budget; no server is chosen without this. */
     private boolean maySend(Live taken, Box box) {
         if (taken.over || taken.streaming || box.listed.status() != Status.READY
                 || taken.attempts.size() >= settings.limits().maxAttempts() || timeLeft(taken) <= 0
@@ -916,10 +918,8 @@
         return taken.request.deadline() - now - 2 * settings.tick();
     }
 
-    private boolean send(Live taken, Box box) {
-        if (!maySend(taken, box)) {
-            return false;
-        }
+    /** To a server that {@link #choose} has just offered, and so one that {@link #maySend} allows. */
+    private void send(Live taken, Box box) {
         long timeout = timeLeft(taken);
         if (taken.kind.repeat() != Repeat.UNSAFE
                 && taken.attempts.size() + 1 < settings.limits().maxAttempts()) {
@@ -938,7 +938,6 @@
         }
         fleet.changeOpen(box, 1);
         changeOpen(taken.account, 1);
-        return true;
     }
 
     private void onAttemptEnded(AttemptEnded ended) {
@@ -949,13 +948,8 @@
         Attempt attempt = taken.attempts.get(ended.attempt());
         attempt.ended = true;
         attempt.mayHaveRun = !ended.outcome().neverRan();
-        fleet.changeOpen(attempt.box, -1);
-        Double busy = ended.report().get(Metric.UTILISATION);
-        if (busy != null && busy >= 0 && busy <= 1) {
-            attempt.box.busy = busy;
-            attempt.box.reportAt = now;
-            attempt.box.kind.busy += CLASS_SAMPLE * (busy - attempt.box.kind.busy);
-        }
+        taken.reached |= ended.outcome() != Outcome.CONNECT_FAILED && ended.outcome() != Outcome.MOOT;
+        attempt.box.open--;
         attemptTime += CLASS_SAMPLE * (ended.took() - attemptTime);
         refresh(taken.account);
         changeOpen(taken.account, -1);
@@ -1033,7 +1027,8 @@
 
     private void tryAgain(Live taken) {
         Box box = retries >= 1 ? choose(taken) : null;
-        if (box != null && send(taken, box)) {
+        if (box != null) {
+            send(taken, box);
             retries--;
         } else {
             giveUp(taken);
--- a/src/main/java/reedmux/policy/Gateway.java
+++ b/src/main/java/reedmux/policy/Gateway.java
@@ -64,8 +64,11 @@
                   int maxAttempts, long maxRetryAfter, double peerMessagesPerS, int peerBytes,
                   long counterTimeout) { }
 
-    /** All that a gateway is told at its start. */
-    record Settings(int self, int groupSize, int zone, boolean askDiscovery, boolean unitsSettledLater,
+    /**
+     * All that a gateway is told at its start; {@code unitsWhenWhole}: a request takes its units only once an
+     * attempt has come whole to a server, and else when it is first sent on.
+     */
+    record Settings(int self, int groupSize, int zone, boolean askDiscovery, boolean unitsWhenWhole,
                     double mostUnits, long tick, List<RequestClass> classes, List<Plan> plans, Rules rules,
                     Limits limits) { }
 
--- a/src/main/java/reedmux/policy/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -375,6 +375,8 @@
 
     /** A request this gateway has taken, kept until its last attempt has ended. */
     static final class Live {
+        /** Whether an attempt has come whole to a server, or it went to another region. */
+        boolean reached;
         final Request request;
         final RequestClass kind;
         final ClassTimes times;
