--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -12,6 +12,8 @@
     // ---- Constants: times in microseconds ----------------------------------------------------------
     private static final double SECOND = 1e6;
     private static final long MILLI = 1000, SYNC_TIMER = 1, ASK_TIMER = 2;
+    /** A customer's number has no more; a longer one would not fit into an entry. */
+    private static final int CUSTOMER_BITS = 33;
     /** Share of the mail limit planned for; the rest is for answers and for clocks that run together. */
     private static final double MAIL_SHARE = 0.8;
     /** Δs: shortest, as bytes cost, and longest; time between looks at the mail, and its change at one. */
@@ -106,7 +108,7 @@
     private final Edge[] edgeTo;
     private final double firstTime;
     private final List<Edge> edges = new ArrayList<>();
-    private final Map<Long, Account> accounts = new LinkedHashMap<>();
+    final Map<Long, Account> accounts = new LinkedHashMap<>();
     private final Account visitors;
     private final Fleet fleet = new Fleet();
     private final List<Box> ready = fleet.ready;
@@ -148,6 +150,10 @@
         act = actions;
         if (startedAt < 0) {
             begin();
+        if (now - sweptAt > ACCOUNT_IDLE / 4) { // at any event: a gateway may only hear of customers
+            sweptAt = now;
+            accounts.values().removeIf(this::forgettable);
+        }
         }
         noticeStall();
         if (event instanceof Request e) {
@@ -201,13 +207,8 @@
 
     // ---- Requests: quota first, then worth, then a server ------------------------------------------
     private void onRequest(Request request) {
-        if (now - sweptAt > ACCOUNT_IDLE / 4) { // here, as a gateway without peers has no other turn
-            sweptAt = now;
-            accounts.values().removeIf(a -> a.open == 0 && now - a.usedAt > ACCOUNT_IDLE);
-        }
         RequestClass kind = settings.classes().get(request.requestClass());
-        Account account = request.plan() == VISITOR ? visitors
-                : account(request.customer(), request.plan(), request.first(), request.spread());
+        Account account = request.plan() == VISITOR ? visitors : account(request);
         ClassTimes times = classes.get(request.requestClass());
         times.units += CLASS_SAMPLE * (request.units() - times.units);
         Live taken = new Live(request, kind, times, account, now);
@@ -344,15 +345,31 @@
             account = new Account(customer, settings.plans().get(plan), plan, first, spread, now);
             account.ceiling = Math.min(account.share(account.plan.ceilingBurst()),
                     account.share(account.plan.ceilingRate()) * (now - startedAt) / SECOND);
+        account.sharers = Math.max(account.sharers, spread);
             accounts.put(customer, account);
-        } else if (account.first != first || account.spread != spread) {
-            account.first = first;
-            account.spread = spread;
-            account.view = -1;
+        }
+        return account;
+    /** The plan and set that a request tells hold; a peer's word of them may come from older settings. */
+    private Account account(Request request) {
+        Account account = account(request.customer(), request.plan(), request.first(), request.spread());
+        if (account.planIndex != request.plan() || account.first != request.first()
+                || account.spread != request.spread()) {
+            account.move(settings.plans().get(request.plan()), request);
         }
         return account;
     }
 
+    /** Whether one that comes back later finds what a new one would: idle for long, and nothing used. */
+    private boolean forgettable(Account account) {
+        drain(account);
+        Plan plan = account.plan;
+        return account.open == 0 && now - account.usedAt > ACCOUNT_IDLE
+                && (plan.rate() == 0 || account.localCount == 0)
+                && (plan.ceilingRate() == 0 || account.ceiling >= account.share(plan.ceilingBurst()));
+    }
+
+    }
+
     private boolean withinPlan(Account account, double units) {
         Plan plan = account.plan;
         double room = plan.burst() - account.localCount;
@@ -704,8 +721,9 @@
      */
     private void takeIn(PeerPacket.Entry entry, int from) {
         if (entry.plan() < 0 || entry.plan() >= settings.plans().size() || entry.spread() < 1
-                || entry.spread() > status.length || entry.first() < 0 || entry.first() >= status.length) {
-            return;
+                || entry.spread() > status.length || entry.first() < 0 || entry.first() >= status.length
+                || entry.customer() >>> CUSTOMER_BITS != 0 || entry.open() != null && entry.open() < 0) {
+            return; // what we would pass on has to fit into a packet
         }
         Account account = account(entry.customer(), entry.plan(), entry.first(), entry.spread());
         refresh(account);
--- a/src/main/java/reedmux/policy/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -21,9 +21,11 @@
     /** A customer here: the paper's four counters, and what the limits beside the quota need. */
     static final class Account {
         final long customer;
-        final Plan plan;
-        final int planIndex;
+        Plan plan;
+        int planIndex;
         int first;
+        /** The most members that anybody has told of: a share is never larger than for all of these. */
+        int sharers;
         int spread;
         int[] near = {-1, -1, -1};
         double[] to = new double[3];
@@ -48,13 +50,24 @@
             this.plan = plan;
             this.planIndex = planIndex;
             this.first = first;
+            sharers = spread;
             this.spread = spread;
             seenAt = drainedAt = usedAt = now;
         }
+        /** Its plan, or its set, is another one from now on; what was counted stays. */
+        void move(Plan told, Request request) {
+            plan = told;
+            planIndex = request.plan();
+            first = request.first();
+            spread = request.spread();
+            ceiling = Math.max(0, ceiling); // where the former plan had none it says nothing
+            view = -1;
+        }
+
 
         /** A member's even part of an amount. */
         double share(double amount) {
-            return amount / spread;
+            return amount / sharers;
         }
 
         /** Adds to all counters but the one facing {@code from}. */
--- a/src/test/java/reedmux/policy/QuotaTest.java
+++ b/src/test/java/reedmux/policy/QuotaTest.java
@@ -85,7 +85,7 @@
             String id = group.request(0, Group.SAFE, CUSTOMER, 0, 1, 1);
             String server = group.sent.get(0).server();
             group.give(0, new Gateway.AttemptEnded(id, true, server, 0, trueUnitsAndRoom[0], Group.MS,
-                    Gateway.Outcome.OK, Map.of()));
+                    Gateway.Outcome.OK));
             group.ends = sent -> Gateway.Outcome.OK;
             assertEquals(trueUnitsAndRoom[1], group.traffic(0, CUSTOMER, 1, 60 * Group.MS, Group.SECOND));
         }
@@ -280,9 +280,12 @@
         packet.add(new PeerPacket.Entry(1, 5, 0, 2, 1, null, null, 0));
         packet.add(new PeerPacket.Entry(2, 0, 0, 3, 1, null, null, 0));
         packet.add(new PeerPacket.Entry(3, 0, 2, 1, 1, null, null, 0));
+        packet.add(new PeerPacket.Entry(1L << 33, 0, 0, 2, 1, null, null, 0));
+        packet.add(new PeerPacket.Entry(4, 0, 0, 2, 1, null, -1, 0));
         packet.add(new PeerPacket.Entry(CUSTOMER, 0, 0, 2, 20, null, null, 0));
         group.give(0, new Gateway.PeerMessage(1, packet.finish()));
         assertTrue(group.wasRefused(group.request(0, Group.SAFE, CUSTOMER, 0, 2)));
+        assertEquals(Set.of(CUSTOMER), group.brains[0].accounts.keySet());
     }
 
     @Test
