Configuration told twice, in part or in contradiction is refused by its key

Seen: keys told twice took the last value, what stood behind the document's end was passed over (so a file written twice, or over a longer one, was taken), 1.5 gatekeepers were one, "yes" was false, two plans or classes of one name left the second without requests, and peers of another number than the group, or one address twice, mixed up whose counts came in. Also refused now: a burst under the largest request, a ceiling under its quota, and no peer_listen where peers may speak.

Ruled out: one that is cut off; ConfigTest cuts the sample at every byte, and each was refused before. At fault: Config.parse, Config.read, SettingsReader.plan, flag and count.

Before: ConfigTest and exchanges/bad-config.txt fail on. After: both pass.

--- a/src/main/java/reedmux/config/Config.java
+++ b/src/main/java/reedmux/config/Config.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -28,6 +29,9 @@
                      int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
                      InetSocketAddress everyPeer, Settings settings, long connectTimeout, long connIdle,
                      ProviderList known, ProviderListReader lists) {
+    /** A key told twice has one value that nobody meant. */
+    private static final JsonFactory JSON = JsonFactory.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
     private static final int DEFAULT_SOCKETS = 1024;
     private static final int LEAST_SOCKETS = 256;
     private static final ProviderList NOBODY = new ProviderList(Scope.CACHED, 0, List.of());
@@ -134,6 +138,9 @@
         Settings settings = reader.settings();
         ProviderListReader lists = new ProviderListReader(reader.names("dcs"), reader.names("kinds"), clock);
         ProviderList known = known(draft, lists);
+        if (settings.limits().peers()) {
+            checkPeers(draft, settings.groupSize());
+        }
         return new Config(environment.getOrDefault("RELAY_NAME", draft.name),
                 address("listen", environment, draft.listen),
                 address("discovery", environment, draft.discovery), draft.seed, draft.sockets,
@@ -142,13 +149,6 @@
                 reader.time("limits.connIdleUs", DEFAULT_CONN_IDLE), known, lists);
     }
 
-    private static InetSocketAddress address(String key, Map<String, String> environment,
-                                             InetSocketAddress inFile) throws ConfigException {
-        String variable = "RELAY_" + key.toUpperCase(Locale.ROOT);
-        String told = environment.get(variable);
-        InetSocketAddress address = told == null ? inFile : Addresses.parse(told);
-        if (address == null) {
-            throw new ConfigException(told == null ? key + " is missing"
     /** The heap spans the group by number: a peer too few, too many or twice would mix up the counts. */
     private static void checkPeers(Draft draft, int groupSize) throws ConfigException {
         if (groupSize > 1 && draft.peerListen == null) {
@@ -172,15 +172,26 @@
         settings.put(SettingsReader.UNITS_WHEN_WHOLE, "true");
     }
 
+    private static InetSocketAddress address(String key, Map<String, String> environment,
+                                             InetSocketAddress inFile) throws ConfigException {
+        String variable = "RELAY_" + key.toUpperCase(Locale.ROOT);
+        String told = environment.get(variable);
+        InetSocketAddress address = told == null ? inFile : Addresses.parse(told);
+        if (address == null) {
+            throw new ConfigException(told == null ? key + " is missing"
                     : variable + " is not an address:port: " + told);
         }
         return address;
     }
 
     private static void parse(byte[] bytes, Draft draft) throws ConfigException {
-        try (JsonParser json = new JsonFactory().createParser(bytes)) {
+        try (JsonParser json = JSON.createParser(bytes)) {
             json.nextToken();
             Json.object(json, name -> draft.field(json, name));
+            if (json.nextToken() != null) {
+                throw new ConfigException("RELAY_CONFIG goes on behind its end at line "
+                        + json.currentLocation().getLineNr());
+            }
         } catch (JsonProcessingException e) {
             throw new ConfigException("RELAY_CONFIG is not JSON: " + e.getOriginalMessage() + " at line "
                     + e.getLocation().getLineNr());
--- a/src/main/java/reedmux/config/SettingsReader.java
+++ b/src/main/java/reedmux/config/SettingsReader.java
@@ -1,6 +1,7 @@
 package reedmux.config;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import reedmux.policy.Gateway.Group;
@@ -46,13 +47,17 @@
         List<RequestClass> classes = new ArrayList<>();
         for (int i = 0; i < count("lanes.count"); i++) {
             classes.add(requestClass("lanes." + i + "."));
+        double mostUnits = number("extra.unitsTop", NO_BOUND);
         }
         List<Plan> plans = new ArrayList<>();
         for (int i = 0; i < count("packages.count"); i++) {
-            plans.add(plan("packages." + i + "."));
+            plans.add(plan("packages." + i + ".", mostUnits));
         }
         if (classes.isEmpty() || plans.isEmpty()) {
             throw bad((classes.isEmpty() ? "lanes" : "packages") + ".count must be above nought");
+        for (String list : List.of("lanes", "packages")) {
+            checkNames(list);
+        }
         }
         return new Settings(self, groupSize, (int) number("az", 0), text("discovery", "push").equals("ask"),
                 flag(UNITS_WHEN_WHOLE), mostUnits, time("tickUs", 1000),
@@ -103,9 +108,29 @@
                 deadline, number(at + "worth", 1), number(at + "lateValue", 0), flag(at + "streaming"));
     }
 
-    private Plan plan(String at) throws ConfigException {
+    /** A request names its class and plan, so that of two with one name the second is never meant. */
+    private void checkNames(String list) throws ConfigException {
+        Map<String, Integer> seen = new HashMap<>();
+        for (int i = 0; i < count(list + ".count"); i++) {
+            String name = values.get(list + "." + i + ".name");
+        if (plan.rate() > 0 && mostUnits < NO_BOUND && plan.burst() < mostUnits) {
+            throw bad(at + "mostAtOnce is under extra.unitsTop: the largest request would never be let in");
+        }
+        if (plan.rate() > 0 && plan.ceilingRate() > 0
+                && (plan.ceilingRate() < plan.rate() || plan.ceilingBurst() < plan.burst())) {
+            throw bad(at + (plan.ceilingRate() < plan.rate() ? "hardRate is under its refill"
+                    : "capDepth is under its mostAtOnce") + ": the ceiling would cut into the quota");
+        }
+            Integer before = name == null ? null : seen.putIfAbsent(name, i);
+            if (before != null) {
+                throw bad(list + "." + i + ".name is that of " + list + "." + before + ": '" + name + "'");
+            }
+        }
+    }
+
+    private Plan plan(String at, double mostUnits) throws ConfigException {
         Plan plan = new Plan(text(at + "name", "plan"), number(at + "refill", 0),
-                number(at + "mostAtOnce", 0), (int) number(at + "concurrency", 0), number(at + "hardRate", 0),
+                number(at + "mostAtOnce", 0), whole(at + "concurrency", 0), number(at + "hardRate", 0),
                 number(at + "capDepth", 0), number(at + "capSlack", 0), number(at + "pays", 1),
                 number(at + "beyondEarns", 0), number(at + "beyondCosts", 0));
         if (plan.rate() > 0 && plan.burst() <= 0) {
@@ -126,7 +151,7 @@
     private Limits limits() throws ConfigException {
         return new Limits(flag("limits.cancelling"), flag("limits.secondCopies"), flag("limits.probes"),
                 flag("limits.peerMessages"), flag("extra.mayCount"),
-                Math.max(1, (int) number("limits.sendCap", 1)),
+                Math.max(1, whole("limits.sendCap", 1)),
                 flag("limits.retryAfter") ? time("limits.maxRetryAfterUs", 0) : 0,
                 number("extra.mailPerS", 0), PEER_BYTES, time("extra.countLimitUs", 0));
     }
@@ -135,8 +160,12 @@
         return values.getOrDefault(key, missing);
     }
 
-    private boolean flag(String key) {
-        return values.getOrDefault(key, "false").equals("true");
+    private boolean flag(String key) throws ConfigException {
+        String value = values.getOrDefault(key, "false");
+        if (!value.equals("true") && !value.equals("false") && !value.equals("-")) {
+            throw bad(key + " is neither true nor false: '" + value + "'");
+        }
+        return value.equals("true");
     }
 
     private double number(String key, double missing) throws ConfigException {
@@ -172,6 +201,14 @@
         if (!values.containsKey(key)) {
             throw bad(key + " is missing");
         }
-        return (int) Math.min(1_000_000, number(key, 0));
+        return Math.min(1_000_000, whole(key, 0));
+    }
+
+    private int whole(String key, int missing) throws ConfigException {
+        double value = number(key, missing);
+        if (value != Math.rint(value)) {
+            throw bad(key + " is not a whole number: '" + values.get(key) + "'");
+        }
+        return (int) Math.min(Integer.MAX_VALUE, value);
     }
 }
--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -100,7 +100,7 @@
                 } else if (line.startsWith("settings ")) {
                     settings.append(named(line.substring(9))).append('\n');
                 } else if (line.startsWith("fails ")) {
-                    expectFailure(config, line.substring(6));
+                    expectFailure(config, named(line.substring(6)));
                 } else if (!line.startsWith("#")) {
                     start(config);
                     play(line);
--- /dev/null
+++ b/src/test/java/reedmux/config/ConfigTest.java
@@ -0,0 +1,47 @@
+package reedmux.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Arrays;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import reedmux.core.Clock;
+
+/** A configuration that was written in part, or more than once, is never taken for a whole one. */
+final class ConfigTest {
+
+    private static byte[] sample() throws IOException {
+        try (InputStream in = Config.class.getResourceAsStream("/sample-config.json")) {
+            return new String(in.readAllBytes()).strip().getBytes();
+        }
+    }
+
+    private static Config read(byte[] bytes) throws ConfigException {
+        return Config.read(bytes, Map.of(), new Clock());
+    }
+
+    @Test
+    void oneThatIsCutOffAtAnyByteIsRefusedWithAReason() throws Exception {
+        byte[] whole = sample();
+        assertEquals(2, read(whole).settings().groupSize());
+        for (int length = 0; length < whole.length; length++) {
+            byte[] part = Arrays.copyOf(whole, length);
+            ConfigException e = assertThrows(ConfigException.class, () -> read(part), "cut at " + length);
+            assertFalse(e.getMessage().isBlank());
+        }
+    }
+
+    @Test
+    void oneThatIsWrittenTwiceOrOverALongerOneIsRefused() throws Exception {
+        byte[] whole = sample();
+        for (int from = 0; from < whole.length; from += 7) {
+            byte[] more = Arrays.copyOf(whole, 2 * whole.length - from);
+            System.arraycopy(whole, from, more, whole.length, whole.length - from);
+            assertThrows(ConfigException.class, () -> read(more), "tail from " + from);
+        }
+    }
+}
