--- a/src/main/java/reedmux/core/InvokerCall.java
+++ b/src/main/java/reedmux/core/InvokerCall.java
@@ -51,6 +51,16 @@
         return invocation;
     }
 
+    /** Which of its invocation's calls it is, from nought. */
+    public int number() {
+        return number;
+    }
+
+    /** How it goes to another region, or null for a provider's call. */
+    public Departure departure() {
+        return departure;
+    }
+
     public String provider() {
         return provider;
     }
--- a/src/main/java/reedmux/lab/sim/Ledger.java
+++ b/src/main/java/reedmux/lab/sim/Ledger.java
@@ -6,33 +6,34 @@
 import java.util.Map;
 import java.util.TreeMap;
 import reedmux.core.Answer;
+import reedmux.lab.rules.RuleChecker;
+import reedmux.lab.rules.RuleChecker.Kind;
 
 /**
- * Sees all that crosses and says which rule is broken. It knows nothing of how the gatekeepers decide.
+ * Sees all that crosses, tells the checker of rules, and counts how regions are served. It knows nothing of
+ * how the gatekeepers decide.
  */
 final class Ledger {
     /** Microseconds by which an answer may come behind the deadline. */
     static final long SLACK = 8_000;
+    /** Longest time for a count to cross a heap of a few gatekeepers, with a lost packet on the way. */
+    private static final long CROSSING = 2_000_000;
 
     /** One request as the world knows it. */
     private static final class Entry {
         final String home;
         final boolean repeatable;
         final long takenAt;
-        final long deadline;
         final long aim;
-        boolean ownerDied;
-        boolean left;
         Answer answer;
         long answeredAt;
         int ran;
-        int crossed;
+        boolean crossed;
 
-        Entry(String home, boolean repeatable, long takenAt, long deadline, long aim) {
+        Entry(String home, boolean repeatable, long takenAt, long aim) {
             this.home = home;
             this.repeatable = repeatable;
             this.takenAt = takenAt;
-            this.deadline = deadline;
             this.aim = aim;
         }
     }
@@ -43,103 +44,53 @@
     private final Timeline time;
     private final Map<String, Entry> entries = new HashMap<>();
     private final Map<String, List<Crossing>> crossings = new TreeMap<>();
-    private final Map<String, Integer> taken = new TreeMap<>();
-    private final List<String> faults = new ArrayList<>();
+    final RuleChecker rules;
     private long copies;
 
-    Ledger(Timeline time) {
+    /** For groups of so many gatekeepers at most. */
+    Ledger(Timeline time, int gatekeepers) {
         this.time = time;
-    }
-
-    private void fault(String what) {
-        if (faults.size() < 20) {
-            faults.add("at " + time.now() + " us: " + what);
-        }
+        rules = new RuleChecker(new RuleChecker.Figures(SLACK, 250_000, 4, 1_000_000, 150_000, 4, true,
+                new RuleChecker.Tolerance(gatekeepers - 1, gatekeepers * CROSSING)));
     }
 
     /** A gatekeeper of a region has taken a consumer's request. */
-    void taken(String region, String id, boolean repeatable, long deadline, long aim) {
-        entries.put(id, new Entry(region, repeatable, time.now(), deadline, aim));
-        taken.merge(region, 1, Integer::sum);
+    void taken(String region, String keeper, String id, boolean repeatable, RuleChecker.Plan plan,
+               long customer, double units, long deadline, long aim) {
+        entries.put(id, new Entry(region, repeatable, time.now(), aim));
+        rules.taken(time.now(), region, keeper, id, repeatable, plan, customer, units, deadline);
     }
 
     /** The gatekeeper that owes this answer has died, or its consumer has left. */
-    void ownerDied(String id) {
-        entries.get(id).ownerDied = true;
-    }
-
-    void left(String id) {
-        entries.get(id).left = true;
+    void excused(String id) {
+        rules.excused(time.now(), id);
     }
 
     void answered(String id, Answer answer) {
         Entry entry = entries.get(id);
-        if (entry.answer != null) {
-            fault(id + " is answered twice");
-        }
-        if (time.now() > entry.deadline + SLACK) {
-            fault(id + " is answered " + (time.now() - entry.deadline) + " us late");
-        }
         entry.answer = answer;
         entry.answeredAt = time.now();
-        if (answer instanceof Answer.Rejection && !entry.repeatable && entry.ran > 0) {
-            fault(id + " is rejected, but has run");
-        }
+        rules.answered(time.now(), id, answer instanceof Answer.Served ? Kind.SERVED
+                : answer instanceof Answer.Rejection ? Kind.REFUSED : Kind.FAILED);
     }
 
     /** A provider has begun to run it. */
     void ran(String id) {
         Entry entry = entries.get(id);
-        entry.ran++;
-        if (entry.ran > 1 && !entry.repeatable) {
-            copies++;
-            fault(id + " runs a second time and must not");
-        }
-        if (entry.answer instanceof Answer.Rejection && !entry.repeatable) {
-            fault(id + " runs after its rejection");
-        }
+        copies += ++entry.ran > 1 && !entry.repeatable ? 1 : 0;
+        rules.runs(time.now(), id);
     }
 
     /** It has gone from one region towards another, whether or not it gets there. */
     void crossed(String from, String id, double units) {
-        Entry entry = entries.get(id);
-        if (++entry.crossed > 1) {
-            fault(id + " travels twice");
-        }
-        if (!entry.home.equals(from)) {
-            fault(id + " of " + entry.home + " is sent on by " + from);
-        }
+        entries.get(id).crossed = true;
+        rules.crossed(time.now(), from, id, units);
         crossings.computeIfAbsent(from, region -> new ArrayList<>()).add(new Crossing(time.now(), units));
     }
 
     /** Looks at what only the end shows; returns all that is wrong, or nothing. */
-    List<String> faults(Map<String, World.Budget> budgets) {
-        entries.forEach((id, entry) -> {
-            if (entry.answer == null && !entry.ownerDied && !entry.left
-                    && entry.deadline + SLACK < time.now()) {
-                fault(id + " is never answered");
-            }
-        });
-        budgets.forEach((region, budget) -> {
-            List<Crossing> sent = crossings.getOrDefault(region, List.of());
-            if (sent.size() > budget.share() * taken.getOrDefault(region, 0) + 1e-6) {
-                fault(region + " sent " + sent.size() + " away of " + taken.get(region));
-            }
-            for (int from = 0; from < sent.size(); from++) {
-                double units = 0;
-                for (int to = from; to < sent.size(); to++) {
-                    units += sent.get(to).units();
-                    double most = budget.burst()
-                            + budget.rate() * (sent.get(to).at() - sent.get(from).at()) / 1e6;
-                    if (units > most + 1e-6) {
-                        fault(region + " sent " + units + " units away in "
-                                + (sent.get(to).at() - sent.get(from).at()) + " us, at most " + most);
-                        return;
-                    }
-                }
-            }
-        });
-        return faults;
+    List<String> faults(Map<String, RuleChecker.Budget> budgets) {
+        return rules.faults(time.now(), budgets).stream().map(RuleChecker.Fault::toString).toList();
     }
 
     /** What became of one region's requests. */
@@ -164,7 +115,7 @@
             n[2] += served ? 1 : 0;
             n[3] += entry.answer instanceof Answer.Rejection ? 1 : 0;
             n[4] += entry.answer instanceof Answer.Failed ? 1 : 0;
-            n[5] += entry.crossed > 0 ? 1 : 0;
+            n[5] += entry.crossed ? 1 : 0;
         }
         List<Crossing> sent = crossings.getOrDefault(region, List.of());
         double most = 0;
--- a/src/main/java/reedmux/lab/sim/RegionScenes.java
+++ b/src/main/java/reedmux/lab/sim/RegionScenes.java
@@ -7,7 +7,7 @@
 import java.util.TreeMap;
 import org.apache.commons.rng.UniformRandomProvider;
 import reedmux.lab.sim.Ledger.Service;
-import reedmux.lab.sim.World.Budget;
+import reedmux.lab.rules.RuleChecker.Budget;
 import reedmux.lab.sim.World.Setup;
 import reedmux.region.RegionRules;
 import reedmux.region.RegionRules.Away;
--- a/src/main/java/reedmux/lab/sim/SimNode.java
+++ b/src/main/java/reedmux/lab/sim/SimNode.java
@@ -58,6 +58,11 @@
         this.seed = seed;
     }
 
+    /** As in histories. */
+    String name() {
+        return region.setup.name() + '/' + number;
+    }
+
     boolean alive() {
         return life != null;
     }
@@ -84,7 +89,8 @@
         if (dead == null) {
             return;
         }
-        dead.owed.forEach(world.ledger::ownerDied);
+        dead.owed.forEach(world.ledger::excused);
+        world.ledger.rules.restarted(world.time.now(), name());
         List.copyOf(dead.flights).forEach(flight -> flight.abandon());
         dead.visitors.values().forEach(visit -> visit.run());
     }
@@ -92,9 +98,13 @@
     void tellProviders() {
         if (life != null) {
             List<ProviderList.Provider> all = new ArrayList<>();
-            region.providers.values().forEach(provider -> all.add(new ProviderList.Provider(new Server(
-                    provider.id, 0, 0, 0, provider.reachable() ? Status.READY : Status.GONE, 1, 0),
-                            NOWHERE)));
+            region.providers.values().forEach(provider -> {
+                Status status = !provider.reachable() ? Status.GONE
+                        : provider.draining ? Status.DRAINING : Status.READY;
+                all.add(new ProviderList.Provider(new Server(provider.id, 0, 0, 0, status, 1,
+                        provider.startedAt), NOWHERE));
+                world.ledger.rules.told(world.time.now(), name(), provider.id, status == Status.READY);
+            });
             life.event(new Event.ProvidersTold(new ProviderList(Scope.FULL, region.listRevision, all)));
         }
     }
@@ -120,7 +130,9 @@
     /** Takes a consumer's request; {@code then} is run when it has its answer. */
     Invocation take(String id, int kind, long customer, long deadline, double units, Runnable then) {
         Life at = life;
-        Request request = new Request(id, kind, 0, customer, deadline, units, region.nodes.size(), 0, false);
+        Request request = new Request(id, kind,
+                region.settings[number].plans().indexOf(region.setup.plan(customer)), customer, deadline,
+                units, region.nodes.size(), 0, false);
         Invocation invocation = new Invocation(request, kind == 0, NOTHING, answer -> {
             at.owed.remove(id);
             if (world.planted == Planted.FORGETS_ANSWERS && answer instanceof Answer.Failed) {
@@ -139,7 +151,7 @@
 
     void consumerLeaves(Invocation invocation) {
         if (life != null && life.owed.remove(invocation.id())) {
-            world.ledger.left(invocation.id());
+            world.ledger.excused(invocation.id());
             life.event(new Event.ConsumerLeft(invocation));
         }
     }
@@ -163,6 +175,11 @@
             if (!ended) {
                 ended = true;
                 from.flights.remove(this);
+                if (call.departure() == null) {
+                    from.toldEnd(call, result instanceof CallResult.Answered answer
+                            ? answer.neverRan() && (answer.status() == 503 || answer.status() == 504)
+                            : !written);
+                }
                 from.event(new Event.CallEnded(call, result));
             }
         }
@@ -211,6 +228,11 @@
             wake();
         }
 
+        private void toldEnd(InvokerCall call, boolean neverRan) {
+            world.ledger.rules.ended(world.time.now(), name(), call.invocation().id(), call.number(),
+                    neverRan);
+        }
+
         private void wake() {
             long due = reducer.nextDue();
             if (due < wakeAt) {
@@ -236,6 +258,8 @@
             Flight flight = new Flight(this, call);
             call.transport(flight);
             SimProvider provider = region.providers.get(call.provider());
+            String id = call.invocation().id();
+            world.ledger.rules.begins(world.time.now(), name(), id, call.number(), provider.id);
             world.time.in(world.delay, () -> {
                 if (flight.ended) {
                     return;
@@ -245,7 +269,9 @@
                 }
                 flight.written = true;
                 world.time.in(world.delay, () -> {
-                    SimProvider.Job job = provider.take(call.invocation().id(),
+                    world.ledger.rules.whole(world.time.now(), name(), id, call.number(), provider.id,
+                            region.setup.work());
+                    SimProvider.Job job = provider.take(id,
                             result -> world.time.in(world.delay + world.held(), () -> flight.end(result)),
                             () -> world.time.in(world.delay, () -> flight.broken("reset")));
                     flight.closed = () -> provider.abort(job);
@@ -311,7 +337,8 @@
         public void tell(int peer, byte[] bytes) {
             for (int i = 0; i < region.nodes.size(); i++) {
                 SimNode to = region.nodes.get(i);
-                if (i != number && (peer < 0 || peer == i) && world.network.nextInt(20) > 0) {
+                if (i != number && (peer < 0 || peer == i) && world.network.nextDouble() >= world.loss
+                        && !world.cut.test(number, i)) {
                     world.time.in(world.delay + world.network.nextLong(5 * World.MS), () -> {
                         if (to.life != null) {
                             to.life.event(new Event.PeerTold(number, bytes));
--- a/src/main/java/reedmux/lab/sim/SimProvider.java
+++ b/src/main/java/reedmux/lab/sim/SimProvider.java
@@ -25,6 +25,10 @@
 
     private static final CallResult.Answered FULL = new CallResult.Answered(503, true, null, new byte[0]);
 
+    /** The share of its capacity that it starts with, and the time until it has all. */
+    static final double COLD_FROM = 0.18;
+    static final long COLD_TIME = 16_000_000;
+
     final String id;
     private final Timeline time;
     private final Ledger ledger;
@@ -35,6 +39,9 @@
     private final Deque<Job> waiting = new ArrayDeque<>();
     private int busy;
     Mood mood = Mood.WELL;
+    boolean draining;
+    /** When its process last started, or 0 for long ago. */
+    long startedAt;
     /** Requests that it has begun to run. */
     long started;
 
@@ -88,7 +95,7 @@
         started++;
         ledger.ran(job.id);
         // Work between a half and one and a half of the mean, as a photo is much like another.
-        time.in((long) (meanWork * (0.5 + random.nextDouble())), () -> {
+        time.in((long) (meanWork * (0.5 + random.nextDouble()) / warmth()), () -> {
             busy--;
             if (!job.aborted && mood != Mood.GONE && mood != Mood.HANGS) {
                 job.answer.accept(new CallResult.Answered(200, false, null, new byte[0]));
@@ -97,6 +104,18 @@
         });
     }
 
+    /** Starts anew: cold, and with nothing of what it had. */
+    void startAnew() {
+        startedAt = time.now();
+        waiting.clear();
+        ledger.rules.started(startedAt, id, cores * 1e6, COLD_FROM, COLD_TIME);
+    }
+
+    private double warmth() {
+        double age = (double) (time.now() - startedAt) / COLD_TIME;
+        return startedAt == 0 || age >= 1 ? 1 : COLD_FROM + (1 - COLD_FROM) * age;
+    }
+
     private void next() {
         while (busy < cores && !waiting.isEmpty()) {
             Job job = waiting.poll();
--- a/src/main/java/reedmux/lab/sim/World.java
+++ b/src/main/java/reedmux/lab/sim/World.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -15,6 +16,7 @@
 import reedmux.policy.Gateway.RequestClass;
 import reedmux.policy.Gateway.Rules;
 import reedmux.policy.Gateway.Settings;
+import reedmux.lab.rules.RuleChecker;
 import reedmux.region.RegionRules;
 
 /**
@@ -28,9 +30,6 @@
     static final long BEGIN = 3600 * SECOND;
     private static final long AIM = 1_200 * MS;
 
-    /** What a region may send away, over all its gatekeepers. */
-    record Budget(double share, double rate, double burst) { }
-
     /** What goes wrong with a call on its way to another region. */
     enum LinkFault { NONE, SILENT, REFUSED, BREAKS_WRITING, BREAKS_AFTER, BREAKS_ANSWERING }
 
@@ -43,15 +42,26 @@
      * @param perSecond   consumers' requests a second
      * @param work        a provider's mean work on a request, in microseconds
      * @param cores       of each provider
-     * @param quota       units a second that each customer may take, and three times as many at once
+     * @param plans       of customers, who have them in turn
      */
     record Setup(String name, RegionRules rules, int gatekeepers, int providers, double perSecond, long work,
-                 int cores, double quota) {
+                 int cores, List<Plan> plans) {
+
+        /** Each customer may take so many units a second, and three times as many at once. */
+        Setup(String name, RegionRules rules, int gatekeepers, int providers, double perSecond, long work,
+              int cores, double quota) {
+            this(name, rules, gatekeepers, providers, perSecond, work, cores, List.of(
+                    new Plan("single-line", quota, 3 * quota, 0, 0, 0, 0, 1.2, 0, 1.2)));
+        }
 
         Setup(String name, RegionRules rules, int gatekeepers, int providers, double perSecond) {
             this(name, rules, gatekeepers, providers, perSecond, 100 * MS, 2, 30);
         }
 
+        Plan plan(long customer) {
+            return plans.get((int) (customer % plans.size()));
+        }
+
         /** In which a request should be answered, in microseconds: slow work has more time. */
         long aim() {
             return Math.max(AIM, 6 * work);
@@ -83,7 +93,7 @@
 
     final Planted planted;
     final Timeline time = new Timeline();
-    final Ledger ledger = new Ledger(time);
+    final Ledger ledger;
     final Map<String, Region> regions = new LinkedHashMap<>();
     final UniformRandomProvider network;
     private final UniformRandomProvider arrivals;
@@ -104,6 +114,9 @@
      */
     long jitter;
     double pauses;
+    /** Share of datagrams between gatekeepers that is lost, and whether one cannot reach another at all. */
+    double loss = 0.05;
+    BiPredicate<Integer, Integer> cut = (from, to) -> false;
     private long ids;
 
     World(long seed, List<Setup> setups) {
@@ -112,6 +125,7 @@
 
     World(long seed, List<Setup> setups, Planted planted) {
         this.planted = planted;
+        ledger = new Ledger(time, setups.stream().mapToInt(Setup::gatekeepers).max().orElse(1));
         network = stream(seed, 1);
         arrivals = stream(seed, 2);
         links = stream(seed, 3);
@@ -146,11 +160,11 @@
     }
 
     private static Settings settings(int self, int members, Setup setup) {
-        return new Settings(self, members, 0, false, false, 8, 2 * MS, List.of(
+        return new Settings(self, members, 0, false, true, 8, 2 * MS, List.of(
                 new RequestClass("check", Repeat.SAFE, Group.ALL, 0, setup.aim(), 4 * SECOND, 1, 0, false),
                 new RequestClass("reject", Repeat.UNSAFE, Group.ALL, 0, setup.aim(), 4 * SECOND, 3, 0,
                         false)),
-                List.of(new Plan("single-line", setup.quota(), 3 * setup.quota(), 0, 0, 0, 0, 1.2, 0, 1.2)),
+                setup.plans(),
                 new Rules(Ledger.SLACK, 10 * SECOND, 0.18, 16 * SECOND, 250 * MS, 4, SECOND),
                 new Limits(true, true, true, members > 1, false, 4, SECOND, 100, 256, 50 * MS));
     }
@@ -212,11 +226,20 @@
         int kind = arrivals.nextInt(2);
         long deadline = time.now() + 2 * region.setup.aim();
         String id = region.setup.name() + '-' + ++ids;
-        ledger.taken(region.setup.name(), id, kind == 0, deadline, region.setup.aim());
-        region.nodes.get((int) (customer % region.nodes.size())).take(id, kind, customer, deadline, 1,
+        SimNode node = region.nodes.get((int) (customer % region.nodes.size()));
+        taken(region, node, id, kind, customer, 1, deadline, region.setup.aim());
+        node.take(id, kind, customer, deadline, 1,
                 () -> time.in(100, () -> askInTurn(region, customer, until)));
     }
 
+    private void taken(Region region, SimNode node, String id, int kind, long customer, double units,
+                       long deadline, long aim) {
+        Plan plan = region.setup.plan(customer);
+        ledger.taken(region.setup.name(), node.name(), id, kind == 0, new RuleChecker.Plan(plan.rate(),
+                plan.burst(), plan.ceilingRate(), plan.ceilingBurst(), plan.ceilingSlack()), customer, units,
+                deadline, aim);
+    }
+
     private void request(Region region) {
         int kind = arrivals.nextInt(2);
         long customer = arrivals.nextInt(customers);
@@ -228,7 +251,7 @@
         if (!node.alive()) {
             return; // the consumer gets no connection, and nobody owes it an answer
         }
-        ledger.taken(region.setup.name(), id, kind == 0, deadline, AIM);
+        taken(region, node, id, kind, customer, units, deadline, AIM);
         Invocation invocation = node.take(id, kind, customer, deadline, units);
         if (leaves) {
             time.in(50 * MS + arrivals.nextLong(SECOND), () -> node.consumerLeaves(invocation));
@@ -246,6 +269,20 @@
         time.in(500 * MS, () -> tell(of));
     }
 
+    /** A provider drains, or is ready again, as all gatekeepers are told at once. */
+    void drain(String region, int number, boolean drains) {
+        Region of = regions.get(region);
+        List.copyOf(of.providers.values()).get(number).draining = drains;
+        tell(of);
+    }
+
+    /** A provider's process starts anew, cold; gatekeepers are told a while later. */
+    void startAnew(String region, int number) {
+        Region of = regions.get(region);
+        List.copyOf(of.providers.values()).get(number).startAnew();
+        time.in(300 * MS, () -> tell(of));
+    }
+
     private void tell(Region region) {
         region.listRevision++;
         region.nodes.forEach(SimNode::tellProviders);
