Load reports and sums over the fleet are gone: nothing brings the one, the other is worked out

Seen: the module weighed servers by load reports, which no provider of the deployment sends and the reducer never passed on; Gateway.Metric, the wire's reading of them, State.Kind and four figures of a server went with it. The sums of open attempts, bounds and servers out over the fleet were kept beside the servers and had drifted before; they are added up when they are asked for, over a dozen servers. The count of silent members was a shortcut past a loop over a set of two to four.

--- a/src/main/java/reedmux/config/SettingsReader.java
+++ b/src/main/java/reedmux/config/SettingsReader.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import reedmux.policy.Gateway.Group;
 import reedmux.policy.Gateway.Limits;
-import reedmux.policy.Gateway.Metric;
 import reedmux.policy.Gateway.Plan;
 import reedmux.policy.Gateway.Repeat;
 import reedmux.policy.Gateway.RequestClass;
@@ -47,40 +46,23 @@
         List<RequestClass> classes = new ArrayList<>();
         for (int i = 0; i < count("lanes.count"); i++) {
             classes.add(requestClass("lanes." + i + "."));
-        double mostUnits = number("extra.unitsTop", NO_BOUND);
         }
+        double mostUnits = number("extra.unitsTop", NO_BOUND);
         List<Plan> plans = new ArrayList<>();
         for (int i = 0; i < count("packages.count"); i++) {
             plans.add(plan("packages." + i + ".", mostUnits));
         }
         if (classes.isEmpty() || plans.isEmpty()) {
             throw bad((classes.isEmpty() ? "lanes" : "packages") + ".count must be above nought");
+        }
         for (String list : List.of("lanes", "packages")) {
             checkNames(list);
         }
-        }
         return new Settings(self, groupSize, (int) number("az", 0), text("discovery", "push").equals("ask"),
                 flag(UNITS_WHEN_WHOLE), mostUnits, time("tickUs", 1000),
                 List.copyOf(classes), List.copyOf(plans), rules(), limits());
     }
 
-    /** The names of the values in a load report, null where the name is not known. */
-    public List<Metric> metrics() {
-        List<Metric> metrics = new ArrayList<>();
-        for (String name : text("telemetry.fields", "").split(",")) {
-            metrics.add(switch (name) {
-                case "busy_reqs" -> Metric.IN_FLIGHT;
-                case "pending" -> Metric.QUEUED;
-                case "cpu_share" -> Metric.UTILISATION;
-                case "svc_ms" -> Metric.LATENCY_MS;
-                case "served_ps" -> Metric.REQUESTS_PER_S;
-                case "failed_ps" -> Metric.ERRORS_PER_S;
-                default -> null;
-            });
-        }
-        return metrics;
-    }
-
     /** A list of names, in its order. */
     public List<String> names(String key) {
         return List.of(text(key, "").split(","));
@@ -113,14 +95,6 @@
         Map<String, Integer> seen = new HashMap<>();
         for (int i = 0; i < count(list + ".count"); i++) {
             String name = values.get(list + "." + i + ".name");
-        if (plan.rate() > 0 && mostUnits < NO_BOUND && plan.burst() < mostUnits) {
-            throw bad(at + "mostAtOnce is under extra.unitsTop: the largest request would never be let in");
-        }
-        if (plan.rate() > 0 && plan.ceilingRate() > 0
-                && (plan.ceilingRate() < plan.rate() || plan.ceilingBurst() < plan.burst())) {
-            throw bad(at + (plan.ceilingRate() < plan.rate() ? "hardRate is under its refill"
-                    : "capDepth is under its mostAtOnce") + ": the ceiling would cut into the quota");
-        }
             Integer before = name == null ? null : seen.putIfAbsent(name, i);
             if (before != null) {
                 throw bad(list + "." + i + ".name is that of " + list + "." + before + ": '" + name + "'");
@@ -139,6 +113,14 @@
         if (plan.ceilingRate() > 0 && plan.ceilingBurst() <= 0) {
             throw bad(at + "capDepth must be above nought where hardRate is");
         }
+        if (plan.rate() > 0 && mostUnits < NO_BOUND && plan.burst() < mostUnits) {
+            throw bad(at + "mostAtOnce is under extra.unitsTop: the largest request would never be let in");
+        }
+        if (plan.rate() > 0 && plan.ceilingRate() > 0
+                && (plan.ceilingRate() < plan.rate() || plan.ceilingBurst() < plan.burst())) {
+            throw bad(at + (plan.ceilingRate() < plan.rate() ? "hardRate is under its refill"
+                    : "capDepth is under its mostAtOnce") + ": the ceiling would cut into the quota");
+        }
         return plan;
     }
 
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -10,7 +9,6 @@
 import reedmux.policy.Gateway.Actions;
 import reedmux.policy.Gateway.AttemptEnded;
 import reedmux.policy.Gateway.Counted;
-import reedmux.policy.Gateway.Metric;
 import reedmux.policy.Gateway.Outcome;
 import reedmux.policy.Gateway.PeerMessage;
 import reedmux.policy.Gateway.Probed;
@@ -82,6 +80,8 @@
             take(event);
         } catch (RuntimeException e) {
             StackTraceElement[] trace = e.getStackTrace();
+            effects.log("fault at " + event.getClass().getSimpleName() + ": " + e
+                    + (trace.length == 0 ? "" : " at " + trace[0]));
             Invocation concerned = concerned(event);
             if (concerned != null && invocations.get(concerned.id()) == concerned) {
                 concerned.faulty = true;
@@ -102,8 +102,6 @@
         if (invocation.callsEnded()) {
             answerUndecided(invocation);
             forgetIfSettled(invocation);
-            effects.log("fault at " + event.getClass().getSimpleName() + ": " + e
-                    + (trace.length == 0 ? "" : " at " + trace[0]));
         }
     }
 
@@ -166,18 +164,18 @@
             onProviders(e.list());
         } else if (event instanceof Event.SendVoid e) {
             module.handle(now, new AttemptEnded(e.invocation().id(), e.invocation().over, e.provider(),
-                    e.number(), 0, 0, e.outcome(), NO_REPORT), actions);
+                    e.number(), 0, 0, e.outcome()), actions);
         } else if (event instanceof Event.ProbeEnded e) {
             Outcome outcome = e.result().outcome();
-            module.handle(now, new Probed(e.provider(), outcome, now - e.askedAt(), NO_REPORT), actions);
+            module.handle(now, new Probed(e.provider(), outcome, now - e.askedAt()), actions);
         } else if (event instanceof Event.CountRefused e) {
             module.handle(now, new Counted(e.name(), e.outcome(), 0, 0), actions);
         } else if (event instanceof Event.VisitorTaken e) {
             onVisitor(e.invocation(), e.path());
-        } else if (event instanceof Event.DecisionFailed e) {
-            onDecisionFailed(e.invocation());
         } else if (event instanceof Event.RegionsTold e && desk != null) {
             desk.adopt(e.rules(), e.gateways(), now);
+        } else if (event instanceof Event.DecisionFailed e) {
+            onDecisionFailed(e.invocation());
         }
     }
 
@@ -265,14 +263,15 @@
     }
 
     private void withdraw(Invocation invocation) {
-        if (!invocation.over) {
+        // One that was turned away before it was taken has never been counted here, and has no timer.
+        if (!invocation.over && invocations.get(invocation.id()) == invocation) {
             end(invocation);
             // What another region does for nobody costs two regions; but one that must not run twice may
             // have run by now, and nothing is gained by not hearing of it.
             invocation.calls.stream().filter(call -> call.departure != null && invocation.repeatable)
                     .forEach(call -> stop(call, InvokerCall.Stop.CANCELLED));
-            module.handle(now, new Withdrawn(invocation.id()), actions);
             forgetIfSettled(invocation);
+            module.handle(now, new Withdrawn(invocation.id()), actions);
         }
     }
 
@@ -386,6 +385,7 @@
                 return;
             }
             long wait = timeout == 0 ? left : Math.min(left, Math.max(0, timeout));
+            setTimers(call, wait);
             start(call, () -> effects.call(call, wait));
         }
 
@@ -397,8 +397,6 @@
                 followUps.add(new Event.CallEnded(call,
                         new CallResult.Broken(CallResult.Stage.CONNECTING, String.valueOf(e))));
             }
-            effects.call(call, wait);
-            setTimers(call, wait);
         }
 
         @Override
@@ -420,10 +418,9 @@
             }
             InvokerCall call = new InvokerCall(invocation, number, departure.gateway(),
                     desk.address(departure.gateway()), now, departure, retryAfter);
-            start(call, () -> effects.callAway(call, departure));
             invocation.calls.add(call);
-            effects.callAway(call, departure);
             setTimers(call, departure.patience());
+            start(call, () -> effects.callAway(call, departure));
             return true;
         }
 
--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -63,8 +63,6 @@
     private static final double WAIT_LEAST = 0.3, WAIT_MOST = 0.85, WAIT_SLOPE = 0.35;
     /** What an error, and a zone where no connection comes about, cost against an answer, in usual times. */
     private static final double ERROR_COST = 4, UNREACHED_COST = 20;
-    /** What a load report says fades like this, and a server is taken as no busier than this. */
-    private static final double REPORT_MEMORY = 1.5 * SECOND, BUSY_MOST = 0.9;
     /** Memory of a server's speed and of a class's raised latency; a class's first guess, by its aim. */
     private static final double SLOWNESS_MEMORY = 8 * SECOND, CLASS_MEMORY = 3 * SECOND, FIRST_GUESS = 0.125;
     /** Time constant of own rates, and weight of a sample after a long time without one. */
@@ -117,7 +115,7 @@
     private volatile boolean restarted;
     private Actions act;
     private long now, startedAt = -1, handledAt, sweptAt, sync, paceAt, warmRateAt, goodAt;
-    private int silent, view, mail;
+    private int view, mail;
     private double patience = SILENT_LEAST, retries = RETRY_MOST, mailPlanned;
     private double attemptTime, meanPace, meanDensity, timeouts, warmRate, sentRate, wanted, good, young;
 
@@ -150,12 +148,12 @@
         act = actions;
         if (startedAt < 0) {
             begin();
+        }
+        noticeStall();
         if (now - sweptAt > ACCOUNT_IDLE / 4) { // at any event: a gateway may only hear of customers
             sweptAt = now;
             accounts.values().removeIf(this::forgettable);
         }
-        }
-        noticeStall();
         if (event instanceof Request e) {
             onRequest(e);
         } else if (event instanceof AttemptEnded e) {
@@ -241,7 +239,7 @@
         if (taken.account == visitors) {
             most = Math.min(most, VISITOR_SLOW * taken.times.best * size(taken));
         }
-        return throttled(density / meanDensity) || fleet.open > fill * fleet.limit
+        return throttled(density / meanDensity) || fleet.open() > fill * fleet.limit()
                 || expected(taken, box) > most;
     }
 
@@ -298,8 +296,8 @@
         if (taken.attempts.isEmpty()) {
             spend(taken, taken.request.units());
         }
-        taken.reached = true;
         taken.away = true;
+        taken.reached = true;
         changeOpen(taken.account, 1);
     }
 
@@ -330,11 +328,11 @@
     private void close(Live taken) {
         taken.over = true;
         if (taken.allEnded()) {
+            live.remove(taken.request.id());
             if (settings.unitsWhenWhole() && !taken.reached && !taken.attempts.isEmpty()) {
                 drain(taken.account); // its units were counted when it was sent, and were not taken
                 spend(taken, -taken.request.units());
             }
-            live.remove(taken.request.id());
         }
     }
 
@@ -345,10 +343,12 @@
             account = new Account(customer, settings.plans().get(plan), plan, first, spread, now);
             account.ceiling = Math.min(account.share(account.plan.ceilingBurst()),
                     account.share(account.plan.ceilingRate()) * (now - startedAt) / SECOND);
-        account.sharers = Math.max(account.sharers, spread);
             accounts.put(customer, account);
         }
+        account.sharers = Math.max(account.sharers, spread);
         return account;
+    }
+
     /** The plan and set that a request tells hold; a peer's word of them may come from older settings. */
     private Account account(Request request) {
         Account account = account(request.customer(), request.plan(), request.first(), request.spread());
@@ -368,8 +368,6 @@
                 && (plan.ceilingRate() == 0 || account.ceiling >= account.share(plan.ceilingBurst()));
     }
 
-    }
-
     private boolean withinPlan(Account account, double units) {
         Plan plan = account.plan;
         double room = plan.burst() - account.localCount;
@@ -464,7 +462,7 @@
             return;
         }
         account.view = view;
-        account.silentShare = silent == 0 ? 0 : account.silentShare(status);
+        account.silentShare = account.silentShare(status);
         int[] near = neighbours(account.first, account.spread);
         if (Arrays.equals(account.near, near)) {
             return;
@@ -541,7 +539,6 @@
             learn(member, version + (version & 1), -1); // we are not silent
         } else if (changed) {
             view++;
-            silent += (version & 1) == 1 ? 1 : -1;
             Edge edge = edgeTo[member];
             if (edge != null && (version & 1) == 1) {
                 edge.askedSince = -1; // what it may yet have taken in counts twice if it goes another way
@@ -555,6 +552,8 @@
     // ---- Packets: send, take in, acknowledge -------------------------------------------------------
     /** Every Δs, which the mail limit sets: send each neighbour its counters, judge who is silent. */
     private void synchronise() {
+        adaptPace();
+        act.timer(now + sync, SYNC_TIMER); // before all that might fail: without it nobody is told again
         patience = Math.max(SILENT_LEAST, patience * SILENT_FADE);
         double paces = 0;
         int heard = 0;
@@ -571,8 +570,6 @@
                 }
             }
             if (now - edge.sentAt >= pace - sync / 4 && due(edge, pace, out)) {
-        adaptPace();
-        act.timer(now + sync, SYNC_TIMER); // before all that might fail: without it nobody is told again
                 pack(edge);
             }
         }
@@ -665,6 +662,9 @@
         if (newLife) {
             meet(edge, packet.incarnation());
         }
+        if (back || edge.formerIncarnation != 0 && newLife) {
+            tellCounts(edge);
+        }
         edge.pace = Math.min(SYNC_MAX, packet.pace() * MILLI);
         if (packet.asks() && edge.owesSince < 0) {
             edge.owesSince = now;
@@ -681,9 +681,6 @@
         packet.news().forEach(news -> learn(news.member(), news.version(), from));
         packet.entries().stream().map(edge.names::full).filter(Objects::nonNull)
                 .forEach(entry -> takeIn(entry, from));
-        if (back || edge.formerIncarnation != 0 && newLife) {
-            tellCounts(edge);
-        }
     }
 
     /** A neighbour's new life knows nothing: what it had not acknowledged goes again. */
@@ -785,7 +782,7 @@
      * never at cold servers, whose budgets add up over windows. It harms while several of the few are slow.
      */
     private Box choose(Live taken) {
-        boolean ignoreOut = fleet.out > ready.size() * (1 - KEEP_IN);
+        boolean ignoreOut = fleet.out() > ready.size() * (1 - KEEP_IN);
         Box best = null;
         double least = Double.MAX_VALUE;
         int window = window();
@@ -815,8 +812,6 @@
     }
 
     private double cost(Live taken, Box box) {
-        double share = Math.exp(-(now - box.reportAt) / REPORT_MEMORY);
-        double busy = Math.min(BUSY_MOST, box.kind.busy + (box.busy - box.kind.busy) * share);
         return Math.max(work(taken) * slowness(box) * (box.open + 1), expected(taken, box))
                 * (1 + ERROR_COST * box.errors + UNREACHED_COST * unreached(box.zone))
                 * (box.listed.zone() == settings.zone() ? 1 : OTHER_ZONE)
@@ -889,11 +884,9 @@
         box.goods = good ? box.goods + 1 : 0;
         if (box.out() && good && box.goods >= GOOD_BACK) {
             box.outUntil = -1;
-            fleet.out -= box.ready ? 1 : 0;
             box.errors = Math.min(box.errors, ERRORS_OUT / 2);
             box.timesOut = Math.max(0, box.timesOut - 1);
         } else if (!good && (box.out() || box.failures >= FAILURES_OUT || box.errors > ERRORS_OUT)) {
-            fleet.out += box.out() || !box.ready ? 0 : 1;
             box.outUntil = now + Math.min(OUT_MOST, OUT_FIRST << Math.min(OUT_DOUBLED, box.timesOut));
             box.timesOut++;
         }
@@ -954,7 +947,7 @@
         if (box.open == 0) {
             box.quietSince = now;
         }
-        fleet.changeOpen(box, 1);
+        box.open++;
         changeOpen(taken.account, 1);
     }
 
@@ -1012,12 +1005,12 @@
         Box box = attempt.box;
         if (outcome == Outcome.OK && !slow) {
             if (box.open + 1 > box.limit / 2) {
-                fleet.changeLimit(box, box.limit + LIMIT_UP / box.limit);
+                box.limit += LIMIT_UP / box.limit;
             }
         } else if (attempt.sentAt >= box.cutAt && outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
             box.cutAt = now;
             double left = outcome == Outcome.FULL ? LIMIT_FULL : LIMIT_SLOW;
-            fleet.changeLimit(box, Math.max(1, box.limit * left));
+            box.limit = Math.max(1, box.limit * left);
         }
     }
 
--- a/src/main/java/reedmux/policy/Gateway.java
+++ b/src/main/java/reedmux/policy/Gateway.java
@@ -1,7 +1,6 @@
 package reedmux.policy;
 
 import java.util.List;
-import java.util.Map;
 
 /**
  * One gateway in front of a shared fleet of servers: what it is told, and what it may do. Times are
@@ -41,9 +40,6 @@
     /** A listed server's state. */
     enum Status { READY, DRAINING, GONE }
 
-    /** The values a load report may hold. */
-    enum Metric { IN_FLIGHT, QUEUED, UTILISATION, LATENCY_MS, REQUESTS_PER_S, ERRORS_PER_S }
-
     /** A class of requests; {@code aim} and {@code deadline} run from the arrival. */
     record RequestClass(String name, Repeat repeat, Group group, long window, long aim, long deadline,
                         double worth, double lateWorth, boolean stream) { }
@@ -93,7 +89,7 @@
 
     /** An attempt has ended; {@code over} tells that so has the request, {@code units} are the true ones. */
     record AttemptEnded(String request, boolean over, String server, int attempt, double units, long took,
-                        Outcome outcome, Map<Metric, Double> report) implements Event { }
+                        Outcome outcome) implements Event { }
 
     /** The answer to an attempt has begun to stream; its time-outs no longer run. */
     record StreamStarted(String request, String server, int attempt, long took) implements Event { }
@@ -111,7 +107,7 @@
     record Returned(String request) implements Event { }
 
     /** A probe has ended. */
-    record Probed(String server, Outcome outcome, long took, Map<Metric, Double> report) implements Event { }
+    record Probed(String server, Outcome outcome, long took) implements Event { }
 
     /** What a gateway may do; each call takes effect at once, in the order made. */
     interface Actions {
--- a/src/main/java/reedmux/policy/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,9 +23,9 @@
         Plan plan;
         int planIndex;
         int first;
+        int spread;
         /** The most members that anybody has told of: a share is never larger than for all of these. */
         int sharers;
-        int spread;
         int[] near = {-1, -1, -1};
         double[] to = new double[3];
         double[] branch = new double[3];
@@ -50,10 +49,11 @@
             this.plan = plan;
             this.planIndex = planIndex;
             this.first = first;
-            sharers = spread;
             this.spread = spread;
+            sharers = spread;
             seenAt = drainedAt = usedAt = now;
         }
+
         /** Its plan, or its set, is another one from now on; what was counted stays. */
         void move(Plan told, Request request) {
             plan = told;
@@ -64,7 +64,6 @@
             view = -1;
         }
 
-
         /** A member's even part of an amount. */
         double share(double amount) {
             return amount / sharers;
@@ -102,6 +101,7 @@
             toldOpen = new int[3];
             grant = new double[3];
             tellCount = new boolean[3];
+            // What waited for two that went at once is mostly the same units, and counts once.
             double stranded = 0;
             for (int i = 0; i < 3; i++) {
                 if (old[i] >= 0 && slot(old[i]) < 0 && Math.abs(oldTo[i]) > Math.abs(stranded)) {
@@ -244,37 +244,24 @@
     /** The servers that may be used, and sums over them. */
     static final class Fleet {
         private final Map<String, Box> boxes = new TreeMap<>();
-        private final Map<Integer, Kind> kinds = new TreeMap<>();
         private final Map<Integer, Zone> zones = new TreeMap<>();
         final List<Box> ready = new ArrayList<>();
-        int open;
-        double limit;
-        int out;
 
         /** Takes in a list or changes; returns servers that are new or have started anew. */
         List<Box> apply(Gateway.ServerList list, double limitOfNew) {
             if (list.scope() == Gateway.Scope.FULL) {
                 Set<String> listed = new LinkedHashSet<>();
                 list.servers().forEach(server -> listed.add(server.id()));
-                boxes.values().removeIf(box -> {
-                    box.ready &= listed.contains(box.listed.id());
-                    return !listed.contains(box.listed.id());
-                });
+                boxes.keySet().retainAll(listed);
             }
             List<Box> fresh = new ArrayList<>();
             for (Server server : list.servers()) {
                 Box box = boxes.get(server.id());
-                // What is still out at one that is gone or has started anew ends on its old box; that box
-                // must not go on counting, or the sums over the fleet would drift with each replacement.
-                if (box != null && (server.status() == Gateway.Status.GONE
-                        || box.listed.started() != server.started())) {
-                    box.ready = false;
-                }
+                // What is still out at one that is gone or has started anew ends on its old box.
                 if (server.status() == Gateway.Status.GONE) {
                     boxes.remove(server.id());
                 } else if (box == null || box.listed.started() != server.started()) {
                     Box now = new Box(server, limitOfNew,
-                            kinds.computeIfAbsent(server.kind(), k -> new Kind()),
                             zones.computeIfAbsent(server.zone(), z -> new Zone()));
                     boxes.put(server.id(), now);
                     fresh.add(now);
@@ -282,34 +269,37 @@
                     box.listed = server;
                 }
             }
-            sum();
+            ready.clear();
+            boxes.values().stream().filter(box -> box.listed.status() == Gateway.Status.READY)
+                    .forEach(ready::add);
             return fresh;
         }
 
-        private void sum() {
-            ready.clear();
-            open = 0;
-            limit = 0;
-            out = 0;
-            for (Box box : boxes.values()) {
-                box.ready = box.listed.status() == Gateway.Status.READY;
-                if (box.ready) {
-                    ready.add(box);
-                    open += box.open;
-                    limit += box.limit;
-                    out += box.out() ? 1 : 0;
-                }
+        /** Attempts that are out at those that may be used. */
+        int open() {
+            int open = 0;
+            for (Box box : ready) {
+                open += box.open;
             }
+            return open;
         }
 
-        void changeOpen(Box box, int by) {
-            box.open += by;
-            open += box.ready ? by : 0;
+        /** The bounds on these, added up. */
+        double limit() {
+            double limit = 0;
+            for (Box box : ready) {
+                limit += box.limit;
+            }
+            return limit;
         }
 
-        void changeLimit(Box box, double to) {
-            limit += box.ready ? to - box.limit : 0;
-            box.limit = to;
+        /** How many are out of use. */
+        int out() {
+            int out = 0;
+            for (Box box : ready) {
+                out += box.out() ? 1 : 0;
+            }
+            return out;
         }
     }
 
@@ -328,20 +318,14 @@
         long outUntil = -1;
         long quietSince;
         long learntAt;
-        final Kind kind;
         final Zone zone;
-        boolean ready;
-        double busy;
-        long reportAt;
         double credit;
         long creditAt;
 
-        Box(Server listed, double limit, Kind kind, Zone zone) {
+        Box(Server listed, double limit, Zone zone) {
             this.listed = listed;
             this.limit = limit;
-            this.kind = kind;
             this.zone = zone;
-            busy = kind.busy;
         }
 
         boolean out() {
@@ -349,11 +333,6 @@
         }
     }
 
-    /** What servers of one kind have in common: how busy they are. */
-    static final class Kind {
-        double busy;
-    }
-
     /** Which part of the attempts at a zone's servers get no connection. */
     static final class Zone {
         double unreached;
@@ -388,8 +367,6 @@
 
     /** A request this gateway has taken, kept until its last attempt has ended. */
     static final class Live {
-        /** Whether an attempt has come whole to a server, or it went to another region. */
-        boolean reached;
         final Request request;
         final RequestClass kind;
         final ClassTimes times;
@@ -398,6 +375,8 @@
         final List<Attempt> attempts = new ArrayList<>(2);
         boolean over;
         boolean settled;
+        /** Whether an attempt has come whole to a server, or it went to another region. */
+        boolean reached;
         boolean streaming;
         boolean away;
 
--- a/src/main/java/reedmux/pool/Pools.java
+++ b/src/main/java/reedmux/pool/Pools.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.hc.core5.reactor.ConnectionInitiator;
-import reedmux.core.Answer;
 import reedmux.core.Clock;
 import reedmux.core.Event;
 import reedmux.core.Invocation;
--- a/src/main/java/reedmux/wire/Drill.java
+++ b/src/main/java/reedmux/wire/Drill.java
@@ -13,7 +13,6 @@
 import reedmux.policy.Gateway.AttemptEnded;
 import reedmux.policy.Gateway.Counted;
 import reedmux.policy.Gateway.Event;
-import reedmux.policy.Gateway.Metric;
 import reedmux.policy.Gateway.Outcome;
 import reedmux.policy.Gateway.PeerMessage;
 import reedmux.policy.Gateway.Probed;
@@ -32,7 +31,7 @@
     private static final int REPEAT_BIT = 2;
 
     /** An instance with what is needed to read its lines. */
-    private record Instance(Gateway gateway, Settings settings, List<Metric> metrics, Reply reply) { }
+    private record Instance(Gateway gateway, Settings settings, Reply reply) { }
 
     private final BiFunction<Settings, Long, Gateway> start;
     private final Map<Integer, Instance> instances = new HashMap<>();
@@ -96,7 +95,7 @@
         Settings settings = options.settings();
         Reply reply = new Reply(out, id);
         protect(reply, () -> instances.put(id,
-                new Instance(start.apply(settings, seed), settings, options.metrics(), reply)));
+                new Instance(start.apply(settings, seed), settings, reply)));
     }
 
     /** An exception in the module is the instance's fault and is told as such, never swallowed. */
@@ -115,14 +114,13 @@
             case "VIEW" -> serverList(line, in);
             case "KNOCK" -> request(line, instance.settings);
             case "ELAPSED" -> new TimerDue(line.whole());
-            case "SETTLED" -> attemptEnded(line, instance.metrics);
+            case "SETTLED" -> attemptEnded(line);
             case "INBOX" -> new PeerMessage(line.index(instance.settings.groupSize()), line.bytes());
             case "FIRST_BYTE" -> new StreamStarted(line.requestId(), line.text(), line.integer(),
                     line.whole());
             case "TALLY_BACK" -> new Counted(line.whole(), outcome(line), line.number(), line.whole());
             case "WITHDRAWN" -> new Withdrawn(line.requestId());
-            case "CHECKED" -> new Probed(line.text(), outcome(line), line.whole(),
-                    line.report(instance.metrics));
+            case "CHECKED" -> new Probed(line.text(), outcome(line), line.whole());
             default -> throw line.malformed("unknown event '" + name + "'");
         };
     }
@@ -143,7 +141,7 @@
                 (line.whole() & REPEAT_BIT) != 0);
     }
 
-    private static AttemptEnded attemptEnded(Fields line, List<Metric> metrics) throws Malformed {
+    private static AttemptEnded attemptEnded(Fields line) throws Malformed {
         String id = line.requestId();
         boolean over = line.bool();
         String server = line.text();
@@ -151,7 +149,7 @@
         int attempt = line.integer();
         double units = line.number();
         long took = line.whole();
-        return new AttemptEnded(id, over, server, attempt, units, took, outcome(line), line.report(metrics));
+        return new AttemptEnded(id, over, server, attempt, units, took, outcome(line));
     }
 
     private ServerList serverList(Fields line, BufferedReader in) throws IOException, Malformed {
--- a/src/main/java/reedmux/wire/Fields.java
+++ b/src/main/java/reedmux/wire/Fields.java
@@ -1,11 +1,8 @@
 package reedmux.wire;
 
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Map;
-import reedmux.policy.Gateway.Metric;
 
 /** The tab-separated parts of one line, read from left to right. */
 final class Fields {
@@ -137,27 +134,4 @@
             throw malformed("not hex bytes");
         }
     }
-
-    /** A load report, its values in the order of {@code metrics}; one without a known name is passed over. */
-    Map<Metric, Double> report(List<Metric> metrics) throws Malformed {
-        Map<Metric, Double> report = new EnumMap<>(Metric.class);
-        if (next >= parts.size()) {
-            return report;
-        }
-        String part = text();
-        if (part.equals(ABSENT)) {
-            return report;
-        }
-        String[] values = part.split(",", -1);
-        for (int i = 0; i < values.length && i < metrics.size(); i++) {
-            if (metrics.get(i) != null && !values[i].equals(ABSENT)) {
-                try {
-                    report.put(metrics.get(i), Double.parseDouble(values[i]));
-                } catch (NumberFormatException e) {
-                    throw malformed("not a number in the report: '" + values[i] + "'");
-                }
-            }
-        }
-        return report;
-    }
 }
--- a/src/main/java/reedmux/wire/Options.java
+++ b/src/main/java/reedmux/wire/Options.java
@@ -1,11 +1,9 @@
 package reedmux.wire;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import reedmux.config.ConfigException;
 import reedmux.config.SettingsReader;
-import reedmux.policy.Gateway.Metric;
 import reedmux.policy.Gateway.Settings;
 
 /** The settings of a {@code CONFIGURE} line, taken apart here and read where all configuration is. */
@@ -33,8 +31,4 @@
             throw line.malformed(e.getMessage());
         }
     }
-
-    List<Metric> metrics() {
-        return reader.metrics();
-    }
 }
--- a/src/test/java/reedmux/policy/Group.java
+++ b/src/test/java/reedmux/policy/Group.java
@@ -219,7 +219,7 @@
             long took = answered ? 50 * MS + slow : timeout;
             Outcome end = answered ? outcome : Outcome.TIMEOUT;
             later(now + took, gateway, life,
-                    new AttemptEnded(request, end == Outcome.OK, server, attempt, 0, took, end, Map.of()));
+                    new AttemptEnded(request, end == Outcome.OK, server, attempt, 0, took, end));
         }
 
         @Override
--- a/src/test/java/reedmux/policy/GuardTest.java
+++ b/src/test/java/reedmux/policy/GuardTest.java
@@ -254,8 +254,7 @@
         String id = group.request(0, Group.SAFE, 1, 0, 1);
         String server = serversOf(group, id).get(0);
         group.give(0, new Gateway.StreamStarted(id, server, 0, 20 * Group.MS));
-        group.give(0, new Gateway.AttemptEnded(id, true, server, 0, 0, Group.SECOND, Outcome.RESET,
-                Map.of()));
+        group.give(0, new Gateway.AttemptEnded(id, true, server, 0, 0, Group.SECOND, Outcome.RESET));
         group.run(5 * Group.SECOND);
         assertEquals(1, group.sent.size());
         assertTrue(group.failed.isEmpty() && group.refused.isEmpty());
--- a/src/test/java/reedmux/policy/MemoryTest.java
+++ b/src/test/java/reedmux/policy/MemoryTest.java
@@ -27,24 +27,24 @@
     @Test
     public void attemptsAtAServerThatStartsAnewAreNotOutAtItsNewLife() {
         State.Box old = told(Scope.FULL, "s", 0);
-        fleet.changeOpen(old, 3);
+        old.open += 3;
         State.Box fresh = told(Scope.CHANGES, "s", 7);
         assertEquals(0, fresh.open);
-        fleet.changeOpen(fresh, 1);
-        fleet.changeOpen(old, -3);
+        fresh.open++;
+        old.open -= 3;
         assertEquals(1, fresh.open);
-        assertEquals(1, fleet.open);
+        assertEquals(1, fleet.open());
     }
 
     @Test
     public void attemptsAtAServerThatIsGoneLeaveTheSumsAlone() {
         State.Box old = told(Scope.FULL, "s", 0);
-        fleet.changeOpen(old, 3);
+        old.open += 3;
         told(Scope.FULL, "other", 0);
-        fleet.changeOpen(old, -3);
-        fleet.changeLimit(old, 1);
-        assertEquals(0, fleet.open);
-        assertEquals(6, fleet.limit, 0);
+        old.open -= 3;
+        old.limit = 1;
+        assertEquals(0, fleet.open());
+        assertEquals(6, fleet.limit(), 0);
     }
 
     @Test
--- a/src/test/java/reedmux/wire/DrillTest.java
+++ b/src/test/java/reedmux/wire/DrillTest.java
@@ -121,8 +121,7 @@
         drill.run(new BufferedReader(new StringReader(batch)), out);
         assertEquals(one.repeat(6) + "FINISHED\n", output());
         assertEquals(new Gateway.Counted(9, Outcome.OK, 38, 2), seen.get(1));
-        assertEquals(0.62, ((Gateway.Probed) seen.get(2)).report().get(Gateway.Metric.UTILISATION));
-        assertEquals(2, ((Gateway.Probed) seen.get(2)).report().size());
+        assertEquals(new Gateway.Probed("s", Outcome.TIMEOUT, 14), seen.get(2));
     }
 
     @Test
