--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -61,8 +61,8 @@
     /** Shares by relative worth, least, most, slope: of all bounds in use, of the aim in a request's time. */
     private static final double FILL_LEAST = 0.6, FILL_MOST = 1, FILL_SLOPE = 0.2;
     private static final double WAIT_LEAST = 0.3, WAIT_MOST = 0.85, WAIT_SLOPE = 0.35;
-    /** What an error, and a zone where no connection comes about, cost against an answer, in usual times. */
-    private static final double ERROR_COST = 4, UNREACHED_COST = 20;
+    /** What an error costs against an answer, in usual times. */
+    private static final double ERROR_COST = 4;
     /** Memory of a server's speed and of a class's raised latency; a class's first guess, by its aim. */
     private static final double SLOWNESS_MEMORY = 8 * SECOND, CLASS_MEMORY = 3 * SECOND, FIRST_GUESS = 0.125;
     /** Time constant of own rates, and weight of a sample after a long time without one. */
@@ -813,7 +813,7 @@
 
     private double cost(Live taken, Box box) {
         return Math.max(work(taken) * slowness(box) * (box.open + 1), expected(taken, box))
-                * (1 + ERROR_COST * box.errors + UNREACHED_COST * unreached(box.zone))
+                * (1 + ERROR_COST * box.errors)
                 * (box.listed.zone() == settings.zone() ? 1 : OTHER_ZONE)
                 * (1 + JITTER * random.nextDouble());
     }
@@ -824,11 +824,6 @@
         return box.open == 0 ? usual : Math.max(usual, now - box.quietSince);
     }
 
-    /** Part of a zone's attempts without connection; it fades, so that a zone once cut off is tried again. */
-    private double unreached(Zone zone) {
-        return zone.unreached * Math.exp(-(now - zone.learntAt) / SLOWNESS_MEMORY);
-    }
-
     /** Latency there against the usual; an old figure fades, so that a server once slow is tried again. */
     private double slowness(Box box) {
         return 1 + (box.slowness - 1) * Math.exp(-(now - box.learntAt) / SLOWNESS_MEMORY);
@@ -876,9 +871,6 @@
             return;
         }
         boolean good = outcome == Outcome.OK;
-        int unreached = outcome == Outcome.CONNECT_FAILED ? 1 : 0;
-        box.zone.unreached = unreached(box.zone) + SAMPLE * (unreached - unreached(box.zone));
-        box.zone.learntAt = now;
         box.errors += SAMPLE * ((good ? 0 : 1) - box.errors);
         box.failures = good ? 0 : box.failures + 1;
         box.goods = good ? box.goods + 1 : 0;
--- a/src/main/java/reedmux/policy/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -244,7 +244,6 @@
     /** The servers that may be used, and sums over them. */
     static final class Fleet {
         private final Map<String, Box> boxes = new TreeMap<>();
-        private final Map<Integer, Zone> zones = new TreeMap<>();
         final List<Box> ready = new ArrayList<>();
 
         /** Takes in a list or changes; returns servers that are new or have started anew. */
@@ -261,8 +260,7 @@
                 if (server.status() == Gateway.Status.GONE) {
                     boxes.remove(server.id());
                 } else if (box == null || box.listed.started() != server.started()) {
-                    Box now = new Box(server, limitOfNew,
-                            zones.computeIfAbsent(server.zone(), z -> new Zone()));
+                    Box now = new Box(server, limitOfNew);
                     boxes.put(server.id(), now);
                     fresh.add(now);
                 } else {
@@ -318,14 +316,12 @@
         long outUntil = -1;
         long quietSince;
         long learntAt;
-        final Zone zone;
         double credit;
         long creditAt;
 
-        Box(Server listed, double limit, Zone zone) {
+        Box(Server listed, double limit) {
             this.listed = listed;
             this.limit = limit;
-            this.zone = zone;
         }
 
         boolean out() {
@@ -333,12 +329,6 @@
         }
     }
 
-    /** Which part of the attempts at a zone's servers get no connection. */
-    static final class Zone {
-        double unreached;
-        long learntAt;
-    }
-
     /** A class's mean latency, its best mean so far and its mean units. */
     static final class ClassTimes {
         double latency;
--- a/src/test/java/reedmux/policy/LossTest.java
+++ b/src/test/java/reedmux/policy/LossTest.java
@@ -47,6 +47,48 @@
         assertEquals(0, group.traffic(1, CUSTOMER, 2, 60 * Group.MS, 3 * Group.SECOND));
     }
 
+    /** In a cut each goes on with its part of the rate; with the whole each it would be 458 and 687. */
+    @Test
+    void thoseThatAreCutOffShareTheRate() {
+        for (int members : new int[] {2, 3}) {
+            Group group = Group.of(members, Group.quota(10, 30));
+            for (int i = 0; i < members; i++) {
+                group.request(i, Group.SAFE, CUSTOMER, 0, members);
+            }
+            group.run(5 * Group.SECOND);
+            group.lost = (from, to) -> true;
+            int before = group.sent.size();
+            for (int turn = 0; turn < 1000; turn++) {
+                for (int i = 0; i < members; i++) {
+                    group.request(i, Group.SAFE, CUSTOMER, 0, members);
+                }
+                group.run(20 * Group.MS);
+            }
+            assertEquals(members * 30 + 200, group.sent.size() - before, 15, "each a burst, all the rate");
+        }
+    }
+
+    /** What went beyond a quota takes nothing from it, so a customer is not refused long after a surge. */
+    @Test
+    void afterASurgeThroughAllGatewaysTheRateIsServedAgain() {
+        Group group = Group.of(3, Group.quota(2, 16));
+        for (int i = 0; i < 3; i++) {
+            group.request(i, Group.SAFE, CUSTOMER, 0, 3);
+        }
+        group.run(15 * Group.SECOND);
+        for (int i = 0; i < 48; i++) {
+            group.request(i % 3, Group.SAFE, CUSTOMER, 0, 3);
+        }
+        group.run(Group.SECOND);
+        int before = group.sent.size();
+        assertEquals(51, before, "nobody knows in time");
+        for (int i = 0; i < 30; i++) {
+            group.request(i % 3, Group.SAFE, CUSTOMER, 0, 3);
+            group.run(650 * Group.MS);
+        }
+        assertTrue(group.sent.size() - before >= 12, "after it: " + (group.sent.size() - before));
+    }
+
     /** Deltas go up but nothing comes down for long: what was told before and since adds up, once. */
     @Test
     void aLinkThatCarriesOneWayOnlyMiscountsNothingOnceItIsWhole() {
