--- a/src/main/java/reedmux/config/SettingsReader.java
+++ b/src/main/java/reedmux/config/SettingsReader.java
@@ -1,11 +1,11 @@
 package reedmux.config;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import reedmux.policy.Gateway.Group;
 import reedmux.policy.Gateway.Limits;
-import reedmux.policy.Gateway.Metric;
 import reedmux.policy.Gateway.Plan;
 import reedmux.policy.Gateway.Repeat;
 import reedmux.policy.Gateway.RequestClass;
@@ -19,6 +19,8 @@
 public final class SettingsReader {
     /** For units of one request, where no bound is told. */
     private static final double NO_BOUND = 1e9;
+    /** Told by nobody but {@link Config}, as only on sockets a request takes its units that late. */
+    static final String UNITS_WHEN_WHOLE = "reedmux.unitsWhenWhole";
     /** Most bytes of a message between gatekeepers, by the platform's protocol. */
     private static final int PEER_BYTES = 256;
     private final Map<String, String> values;
@@ -45,35 +47,22 @@
         for (int i = 0; i < count("lanes.count"); i++) {
             classes.add(requestClass("lanes." + i + "."));
         }
+        double mostUnits = number("extra.unitsTop", NO_BOUND);
         List<Plan> plans = new ArrayList<>();
         for (int i = 0; i < count("packages.count"); i++) {
-            plans.add(plan("packages." + i + "."));
+            plans.add(plan("packages." + i + ".", mostUnits));
         }
         if (classes.isEmpty() || plans.isEmpty()) {
             throw bad((classes.isEmpty() ? "lanes" : "packages") + ".count must be above nought");
         }
+        for (String list : List.of("lanes", "packages")) {
+            checkNames(list);
+        }
         return new Settings(self, groupSize, (int) number("az", 0), text("discovery", "push").equals("ask"),
-                flag("extra.truedUp"), number("extra.unitsTop", NO_BOUND), time("tickUs", 1000),
+                flag(UNITS_WHEN_WHOLE), mostUnits, time("tickUs", 1000),
                 List.copyOf(classes), List.copyOf(plans), rules(), limits());
     }
 
-    /** The names of the values in a load report, null where the name is not known. */
-    public List<Metric> metrics() {
-        List<Metric> metrics = new ArrayList<>();
-        for (String name : text("telemetry.fields", "").split(",")) {
-            metrics.add(switch (name) {
-                case "busy_reqs" -> Metric.IN_FLIGHT;
-                case "pending" -> Metric.QUEUED;
-                case "cpu_share" -> Metric.UTILISATION;
-                case "svc_ms" -> Metric.LATENCY_MS;
-                case "served_ps" -> Metric.REQUESTS_PER_S;
-                case "failed_ps" -> Metric.ERRORS_PER_S;
-                default -> null;
-            });
-        }
-        return metrics;
-    }
-
     /** A list of names, in its order. */
     public List<String> names(String key) {
         return List.of(text(key, "").split(","));
@@ -101,9 +90,21 @@
                 deadline, number(at + "worth", 1), number(at + "lateValue", 0), flag(at + "streaming"));
     }
 
-    private Plan plan(String at) throws ConfigException {
+    /** A request names its class and plan, so that of two with one name the second is never meant. */
+    private void checkNames(String list) throws ConfigException {
+        Map<String, Integer> seen = new HashMap<>();
+        for (int i = 0; i < count(list + ".count"); i++) {
+            String name = values.get(list + "." + i + ".name");
+            Integer before = name == null ? null : seen.putIfAbsent(name, i);
+            if (before != null) {
+                throw bad(list + "." + i + ".name is that of " + list + "." + before + ": '" + name + "'");
+            }
+        }
+    }
+
+    private Plan plan(String at, double mostUnits) throws ConfigException {
         Plan plan = new Plan(text(at + "name", "plan"), number(at + "refill", 0),
-                number(at + "mostAtOnce", 0), (int) number(at + "concurrency", 0), number(at + "hardRate", 0),
+                number(at + "mostAtOnce", 0), whole(at + "concurrency", 0), number(at + "hardRate", 0),
                 number(at + "capDepth", 0), number(at + "capSlack", 0), number(at + "pays", 1),
                 number(at + "beyondEarns", 0), number(at + "beyondCosts", 0));
         if (plan.rate() > 0 && plan.burst() <= 0) {
@@ -112,6 +113,14 @@
         if (plan.ceilingRate() > 0 && plan.ceilingBurst() <= 0) {
             throw bad(at + "capDepth must be above nought where hardRate is");
         }
+        if (plan.rate() > 0 && mostUnits < NO_BOUND && plan.burst() < mostUnits) {
+            throw bad(at + "mostAtOnce is under extra.unitsTop: the largest request would never be let in");
+        }
+        if (plan.rate() > 0 && plan.ceilingRate() > 0
+                && (plan.ceilingRate() < plan.rate() || plan.ceilingBurst() < plan.burst())) {
+            throw bad(at + (plan.ceilingRate() < plan.rate() ? "hardRate is under its refill"
+                    : "capDepth is under its mostAtOnce") + ": the ceiling would cut into the quota");
+        }
         return plan;
     }
 
@@ -124,7 +133,7 @@
     private Limits limits() throws ConfigException {
         return new Limits(flag("limits.cancelling"), flag("limits.secondCopies"), flag("limits.probes"),
                 flag("limits.peerMessages"), flag("extra.mayCount"),
-                Math.max(1, (int) number("limits.sendCap", 1)),
+                Math.max(1, whole("limits.sendCap", 1)),
                 flag("limits.retryAfter") ? time("limits.maxRetryAfterUs", 0) : 0,
                 number("extra.mailPerS", 0), PEER_BYTES, time("extra.countLimitUs", 0));
     }
@@ -133,8 +142,12 @@
         return values.getOrDefault(key, missing);
     }
 
-    private boolean flag(String key) {
-        return values.getOrDefault(key, "false").equals("true");
+    private boolean flag(String key) throws ConfigException {
+        String value = values.getOrDefault(key, "false");
+        if (!value.equals("true") && !value.equals("false") && !value.equals("-")) {
+            throw bad(key + " is neither true nor false: '" + value + "'");
+        }
+        return value.equals("true");
     }
 
     private double number(String key, double missing) throws ConfigException {
@@ -170,6 +183,14 @@
         if (!values.containsKey(key)) {
             throw bad(key + " is missing");
         }
-        return (int) Math.min(1_000_000, number(key, 0));
+        return Math.min(1_000_000, whole(key, 0));
+    }
+
+    private int whole(String key, int missing) throws ConfigException {
+        double value = number(key, missing);
+        if (value != Math.rint(value)) {
+            throw bad(key + " is not a whole number: '" + values.get(key) + "'");
+        }
+        return (int) Math.min(Integer.MAX_VALUE, value);
     }
 }
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -10,7 +9,6 @@
 import reedmux.policy.Gateway.Actions;
 import reedmux.policy.Gateway.AttemptEnded;
 import reedmux.policy.Gateway.Counted;
-import reedmux.policy.Gateway.Metric;
 import reedmux.policy.Gateway.Outcome;
 import reedmux.policy.Gateway.PeerMessage;
 import reedmux.policy.Gateway.Probed;
@@ -33,7 +31,8 @@
 public final class Reducer {
     /** The status by which another region tells that its time ran out. */
     private static final int LATE = 504;
-    private static final Map<Metric, Double> NO_REPORT = Map.copyOf(new EnumMap<>(Metric.class));
+    /** When to come back after an answer that no decision stands behind, in microseconds. */
+    private static final long ADVICE = 350_000;
 
     private final Gateway module;
     private final long connectTimeout;
@@ -73,8 +72,8 @@
     }
 
     /**
-     * A fault in a decision must not take all other consumers' answers along. The invocation it concerned is
-     * answered at its deadline at the latest, as every invocation is.
+     * A fault in a decision must not take all other consumers' answers along. The invocation it concerned
+     * has its answer as soon as no call for it is out, since nobody decides on it any more.
      */
     private void protect(Event event) {
         try {
@@ -83,6 +82,26 @@
             StackTraceElement[] trace = e.getStackTrace();
             effects.log("fault at " + event.getClass().getSimpleName() + ": " + e
                     + (trace.length == 0 ? "" : " at " + trace[0]));
+            Invocation concerned = concerned(event);
+            if (concerned != null && invocations.get(concerned.id()) == concerned) {
+                concerned.faulty = true;
+                followUps.add(new Event.DecisionFailed(concerned));
+            }
+        }
+    }
+
+    private static Invocation concerned(Event event) {
+        return event instanceof Event.InvocationTaken e ? e.invocation()
+                : event instanceof Event.VisitorTaken e ? e.invocation()
+                : event instanceof Event.CallEnded e ? e.call().invocation
+                : event instanceof Event.SendVoid e ? e.invocation() : null;
+    }
+
+    /** The module knows it in part or not at all: what it might still say of it is not waited for. */
+    private void onDecisionFailed(Invocation invocation) {
+        if (invocation.callsEnded()) {
+            answerUndecided(invocation);
+            forgetIfSettled(invocation);
         }
     }
 
@@ -140,21 +159,23 @@
         } else if (event instanceof Event.ConnectOverdue e && !e.call().ended) {
             effects.stopConnecting(e.call());
         } else if (event instanceof Event.DeadlinePassed e) {
-            onDeadline(e.invocation());
+            answerUndecided(e.invocation());
         } else if (event instanceof Event.ProvidersTold e) {
             onProviders(e.list());
         } else if (event instanceof Event.SendVoid e) {
             module.handle(now, new AttemptEnded(e.invocation().id(), e.invocation().over, e.provider(),
-                    e.number(), 0, 0, e.outcome(), NO_REPORT), actions);
+                    e.number(), 0, 0, e.outcome()), actions);
         } else if (event instanceof Event.ProbeEnded e) {
             Outcome outcome = e.result().outcome();
-            module.handle(now, new Probed(e.provider(), outcome, now - e.askedAt(), NO_REPORT), actions);
+            module.handle(now, new Probed(e.provider(), outcome, now - e.askedAt()), actions);
         } else if (event instanceof Event.CountRefused e) {
             module.handle(now, new Counted(e.name(), e.outcome(), 0, 0), actions);
         } else if (event instanceof Event.VisitorTaken e) {
             onVisitor(e.invocation(), e.path());
         } else if (event instanceof Event.RegionsTold e && desk != null) {
             desk.adopt(e.rules(), e.gateways(), now);
+        } else if (event instanceof Event.DecisionFailed e) {
+            onDecisionFailed(e.invocation());
         }
     }
 
@@ -212,7 +233,10 @@
             finish(invocation, new Answer.Served((CallResult.Answered) result));
         }
         module.handle(now, new AttemptEnded(invocation.id(), invocation.over, call.provider, call.number, 0,
-                now - call.sentAt, outcome, NO_REPORT), actions);
+                now - call.sentAt, outcome), actions);
+        if (invocation.faulty) {
+            onDecisionFailed(invocation);
+        }
         forgetIfSettled(invocation);
     }
 
@@ -239,27 +263,31 @@
     }
 
     private void withdraw(Invocation invocation) {
-        if (!invocation.over) {
+        // One that was turned away before it was taken has never been counted here, and has no timer.
+        if (!invocation.over && invocations.get(invocation.id()) == invocation) {
             end(invocation);
             // What another region does for nobody costs two regions; but one that must not run twice may
             // have run by now, and nothing is gained by not hearing of it.
             invocation.calls.stream().filter(call -> call.departure != null && invocation.repeatable)
                     .forEach(call -> stop(call, InvokerCall.Stop.CANCELLED));
-            module.handle(now, new Withdrawn(invocation.id()), actions);
             forgetIfSettled(invocation);
+            module.handle(now, new Withdrawn(invocation.id()), actions);
         }
     }
 
-    /** Guards against a held invocation: whatever the module still waits for, the consumer is answered. */
-    private void onDeadline(Invocation invocation) {
+    /**
+     * Answers what the module has not: at the deadline, whatever it still waits for, or after a fault.
+     * Nothing is known of when there will be room, so the advice is the module's own for that case.
+     */
+    private void answerUndecided(Invocation invocation) {
         if (!invocation.over) {
             boolean harmless = invocation.repeatable || invocation.neverRan();
             if (desk != null) {
                 desk.judge(invocation, now, false);
             }
             effects.answer(invocation, harmless
-                    ? new Answer.Rejection(0, !invocation.calls.isEmpty(), invocation.neverRan())
-                    : new Answer.Failed(true));
+                    ? new Answer.Rejection(ADVICE, !invocation.calls.isEmpty(), invocation.neverRan())
+                    : new Answer.Failed(now >= invocation.request.deadline()));
             withdraw(invocation);
         }
     }
@@ -357,8 +385,18 @@
                 return;
             }
             long wait = timeout == 0 ? left : Math.min(left, Math.max(0, timeout));
-            effects.call(call, wait);
             setTimers(call, wait);
+            start(call, () -> effects.call(call, wait));
+        }
+
+        /** A call that could not even be started has certainly not run; it ends like any other. */
+        private void start(InvokerCall call, Runnable how) {
+            try {
+                how.run();
+            } catch (RuntimeException e) {
+                followUps.add(new Event.CallEnded(call,
+                        new CallResult.Broken(CallResult.Stage.CONNECTING, String.valueOf(e))));
+            }
         }
 
         @Override
@@ -381,8 +419,8 @@
             InvokerCall call = new InvokerCall(invocation, number, departure.gateway(),
                     desk.address(departure.gateway()), now, departure, retryAfter);
             invocation.calls.add(call);
-            effects.callAway(call, departure);
             setTimers(call, departure.patience());
+            start(call, () -> effects.callAway(call, departure));
             return true;
         }
 
--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -12,6 +12,8 @@
     // ---- Constants: times in microseconds ----------------------------------------------------------
     private static final double SECOND = 1e6;
     private static final long MILLI = 1000, SYNC_TIMER = 1, ASK_TIMER = 2;
+    /** A customer's number has no more; a longer one would not fit into an entry. */
+    private static final int CUSTOMER_BITS = 33;
     /** Share of the mail limit planned for; the rest is for answers and for clocks that run together. */
     private static final double MAIL_SHARE = 0.8;
     /** Δs: shortest, as bytes cost, and longest; time between looks at the mail, and its change at one. */
@@ -27,8 +29,8 @@
     /** Pace of asking a silent neighbour; Δs without event in an own stall; time to forget idle accounts. */
     private static final long PROBE_PACE = 1_000_000, STALL_SYNCS = 3, ACCOUNT_IDLE = 60_000_000;
     /**
-     * Shares: of a burst, below which a restarted neighbour is told no count, and kept at most of what went
-     * beyond a quota, as it takes nothing from it; of a ceiling's store, above which it goes to its users.
+     * Shares: of a burst, below which one that is back is told no count, and kept at most of what went beyond
+     * a quota, as it takes nothing from it; of a ceiling's store, above which it goes to its users.
      */
     private static final double TELL_COUNT = 0.1, OVERSHOOT = 0.75, CEILING_SPARE = 0.5;
     /** Most bursts that races are taken to have under way; forgotten slowly while counts exceed a share. */
@@ -59,10 +61,8 @@
     /** Shares by relative worth, least, most, slope: of all bounds in use, of the aim in a request's time. */
     private static final double FILL_LEAST = 0.6, FILL_MOST = 1, FILL_SLOPE = 0.2;
     private static final double WAIT_LEAST = 0.3, WAIT_MOST = 0.85, WAIT_SLOPE = 0.35;
-    /** What an error, and a zone where no connection comes about, cost against an answer, in usual times. */
-    private static final double ERROR_COST = 4, UNREACHED_COST = 20;
-    /** What a load report says fades like this, and a server is taken as no busier than this. */
-    private static final double REPORT_MEMORY = 1.5 * SECOND, BUSY_MOST = 0.9;
+    /** What an error costs against an answer, in usual times. */
+    private static final double ERROR_COST = 4;
     /** Memory of a server's speed and of a class's raised latency; a class's first guess, by its aim. */
     private static final double SLOWNESS_MEMORY = 8 * SECOND, CLASS_MEMORY = 3 * SECOND, FIRST_GUESS = 0.125;
     /** Time constant of own rates, and weight of a sample after a long time without one. */
@@ -106,7 +106,7 @@
     private final Edge[] edgeTo;
     private final double firstTime;
     private final List<Edge> edges = new ArrayList<>();
-    private final Map<Long, Account> accounts = new LinkedHashMap<>();
+    final Map<Long, Account> accounts = new LinkedHashMap<>();
     private final Account visitors;
     private final Fleet fleet = new Fleet();
     private final List<Box> ready = fleet.ready;
@@ -115,7 +115,7 @@
     private volatile boolean restarted;
     private Actions act;
     private long now, startedAt = -1, handledAt, sweptAt, sync, paceAt, warmRateAt, goodAt;
-    private int silent, view, mail;
+    private int view, mail;
     private double patience = SILENT_LEAST, retries = RETRY_MOST, mailPlanned;
     private double attemptTime, meanPace, meanDensity, timeouts, warmRate, sentRate, wanted, good, young;
 
@@ -150,6 +150,10 @@
             begin();
         }
         noticeStall();
+        if (now - sweptAt > ACCOUNT_IDLE / 4) { // at any event: a gateway may only hear of customers
+            sweptAt = now;
+            accounts.values().removeIf(this::forgettable);
+        }
         if (event instanceof Request e) {
             onRequest(e);
         } else if (event instanceof AttemptEnded e) {
@@ -201,13 +205,8 @@
 
     // ---- Requests: quota first, then worth, then a server ------------------------------------------
     private void onRequest(Request request) {
-        if (now - sweptAt > ACCOUNT_IDLE / 4) { // here, as a gateway without peers has no other turn
-            sweptAt = now;
-            accounts.values().removeIf(a -> a.open == 0 && now - a.usedAt > ACCOUNT_IDLE);
-        }
         RequestClass kind = settings.classes().get(request.requestClass());
-        Account account = request.plan() == VISITOR ? visitors
-                : account(request.customer(), request.plan(), request.first(), request.spread());
+        Account account = request.plan() == VISITOR ? visitors : account(request);
         ClassTimes times = classes.get(request.requestClass());
         times.units += CLASS_SAMPLE * (request.units() - times.units);
         Live taken = new Live(request, kind, times, account, now);
@@ -223,13 +222,10 @@
             refuseUnlessAway(taken, OVERLOAD_ADVICE / 2 + random.nextLong(OVERLOAD_ADVICE));
             return;
         }
-        if (send(taken, box)) {
-            young++;
-            spend(taken);
-            retries = Math.min(RETRY_MOST, retries + RETRY_EARNED);
-        } else {
-            refuse(taken, 0);
-        }
+        send(taken, box);
+        young++;
+        spend(taken, taken.request.units());
+        retries = Math.min(RETRY_MOST, retries + RETRY_EARNED);
     }
 
     /** Overload: a request goes only while expected in time; little worth for its work means little room. */
@@ -243,7 +239,7 @@
         if (taken.account == visitors) {
             most = Math.min(most, VISITOR_SLOW * taken.times.best * size(taken));
         }
-        return throttled(density / meanDensity) || fleet.open > fill * fleet.limit
+        return throttled(density / meanDensity) || fleet.open() > fill * fleet.limit()
                 || expected(taken, box) > most;
     }
 
@@ -286,9 +282,9 @@
         return Math.max(SIZE_LEAST, Math.min(SIZE_MOST, taken.request.units() / taken.times.units));
     }
 
-    private void spend(Live taken) {
-        taken.account.spend(taken.request.units(), now);
-        count(taken.account, taken.request.units(), -1);
+    private void spend(Live taken, double units) {
+        taken.account.spend(units, now);
+        count(taken.account, units, -1);
     }
 
     /** The fleet has no room, so another region may; what goes there counts here, once, and as open. */
@@ -298,9 +294,10 @@
             return;
         }
         if (taken.attempts.isEmpty()) {
-            spend(taken);
+            spend(taken, taken.request.units());
         }
         taken.away = true;
+        taken.reached = true;
         changeOpen(taken.account, 1);
     }
 
@@ -332,6 +329,10 @@
         taken.over = true;
         if (taken.allEnded()) {
             live.remove(taken.request.id());
+            if (settings.unitsWhenWhole() && !taken.reached && !taken.attempts.isEmpty()) {
+                drain(taken.account); // its units were counted when it was sent, and were not taken
+                spend(taken, -taken.request.units());
+            }
         }
     }
 
@@ -343,14 +344,30 @@
             account.ceiling = Math.min(account.share(account.plan.ceilingBurst()),
                     account.share(account.plan.ceilingRate()) * (now - startedAt) / SECOND);
             accounts.put(customer, account);
-        } else if (account.first != first || account.spread != spread) {
-            account.first = first;
-            account.spread = spread;
-            account.view = -1;
         }
+        account.sharers = Math.max(account.sharers, spread);
         return account;
     }
 
+    /** The plan and set that a request tells hold; a peer's word of them may come from older settings. */
+    private Account account(Request request) {
+        Account account = account(request.customer(), request.plan(), request.first(), request.spread());
+        if (account.planIndex != request.plan() || account.first != request.first()
+                || account.spread != request.spread()) {
+            account.move(settings.plans().get(request.plan()), request);
+        }
+        return account;
+    }
+
+    /** Whether one that comes back later finds what a new one would: idle for long, and nothing used. */
+    private boolean forgettable(Account account) {
+        drain(account);
+        Plan plan = account.plan;
+        return account.open == 0 && now - account.usedAt > ACCOUNT_IDLE
+                && (plan.rate() == 0 || account.localCount == 0)
+                && (plan.ceilingRate() == 0 || account.ceiling >= account.share(plan.ceilingBurst()));
+    }
+
     private boolean withinPlan(Account account, double units) {
         Plan plan = account.plan;
         double room = plan.burst() - account.localCount;
@@ -445,7 +462,7 @@
             return;
         }
         account.view = view;
-        account.silentShare = silent == 0 ? 0 : account.silentShare(status);
+        account.silentShare = account.silentShare(status);
         int[] near = neighbours(account.first, account.spread);
         if (Arrays.equals(account.near, near)) {
             return;
@@ -522,7 +539,6 @@
             learn(member, version + (version & 1), -1); // we are not silent
         } else if (changed) {
             view++;
-            silent += (version & 1) == 1 ? 1 : -1;
             Edge edge = edgeTo[member];
             if (edge != null && (version & 1) == 1) {
                 edge.askedSince = -1; // what it may yet have taken in counts twice if it goes another way
@@ -536,6 +552,8 @@
     // ---- Packets: send, take in, acknowledge -------------------------------------------------------
     /** Every Δs, which the mail limit sets: send each neighbour its counters, judge who is silent. */
     private void synchronise() {
+        adaptPace();
+        act.timer(now + sync, SYNC_TIMER); // before all that might fail: without it nobody is told again
         patience = Math.max(SILENT_LEAST, patience * SILENT_FADE);
         double paces = 0;
         int heard = 0;
@@ -556,9 +574,7 @@
             }
         }
         unheard.forEach(peer -> learn(peer, status[peer] | 1, -1));
-        adaptPace();
         meanPace = heard == 0 ? sync : paces / heard;
-        act.timer(now + sync, SYNC_TIMER);
     }
 
     /** Δs, which neighbours are told, follows the mail that comes towards the planned share. */
@@ -637,7 +653,8 @@
         if (!newLife && packet.number() <= edge.received || packet.incarnation() == edge.formerIncarnation) {
             return;
         }
-        if ((status[from] & 1) == 1) { // a false alarm, or it is back, and has missed all news
+        boolean back = (status[from] & 1) == 1;
+        if (back) { // a false alarm, or it is back, and has missed all news
             patience = Math.min(SILENT_MOST, 2 * patience);
             learn(from, status[from] + 1, -1);
             edge.tellAll(status);
@@ -645,6 +662,9 @@
         if (newLife) {
             meet(edge, packet.incarnation());
         }
+        if (back || edge.formerIncarnation != 0 && newLife) {
+            tellCounts(edge);
+        }
         edge.pace = Math.min(SYNC_MAX, packet.pace() * MILLI);
         if (packet.asks() && edge.owesSince < 0) {
             edge.owesSince = now;
@@ -663,15 +683,18 @@
                 .forEach(entry -> takeIn(entry, from));
     }
 
-    /** A neighbour's new life knows no counts: what it had not acknowledged goes again, with our counts. */
+    /** A neighbour's new life knows nothing: what it had not acknowledged goes again. */
     private void meet(Edge edge, int peerIncarnation) {
-        boolean restarted = edge.peerIncarnation != 0;
-        if (restarted) {
+        if (edge.peerIncarnation != 0) {
             takeBack(edge, edge.takeUnacknowledged());
         }
         edge.begin(peerIncarnation);
         edge.tellAll(status);
-        for (Account account : restarted ? accounts.values() : List.<Account>of()) {
+    }
+
+    /** To a neighbour that has started anew, or was out of the heap and missed what went round it. */
+    private void tellCounts(Edge edge) {
+        for (Account account : accounts.values()) {
             refresh(account);
             int slot = account.slot(edge.peer);
             if (slot >= 0 && account.localCount > TELL_COUNT * account.plan.burst()) {
@@ -695,8 +718,9 @@
      */
     private void takeIn(PeerPacket.Entry entry, int from) {
         if (entry.plan() < 0 || entry.plan() >= settings.plans().size() || entry.spread() < 1
-                || entry.spread() > status.length || entry.first() < 0 || entry.first() >= status.length) {
-            return;
+                || entry.spread() > status.length || entry.first() < 0 || entry.first() >= status.length
+                || entry.customer() >>> CUSTOMER_BITS != 0 || entry.open() != null && entry.open() < 0) {
+            return; // what we would pass on has to fit into a packet
         }
         Account account = account(entry.customer(), entry.plan(), entry.first(), entry.spread());
         refresh(account);
@@ -758,7 +782,7 @@
      * never at cold servers, whose budgets add up over windows. It harms while several of the few are slow.
      */
     private Box choose(Live taken) {
-        boolean ignoreOut = fleet.out > ready.size() * (1 - KEEP_IN);
+        boolean ignoreOut = fleet.out() > ready.size() * (1 - KEEP_IN);
         Box best = null;
         double least = Double.MAX_VALUE;
         int window = window();
@@ -788,10 +812,8 @@
     }
 
     private double cost(Live taken, Box box) {
-        double share = Math.exp(-(now - box.reportAt) / REPORT_MEMORY);
-        double busy = Math.min(BUSY_MOST, box.kind.busy + (box.busy - box.kind.busy) * share);
         return Math.max(work(taken) * slowness(box) * (box.open + 1), expected(taken, box))
-                * (1 + ERROR_COST * box.errors + UNREACHED_COST * unreached(box.zone)) / (1 - busy)
+                * (1 + ERROR_COST * box.errors)
                 * (box.listed.zone() == settings.zone() ? 1 : OTHER_ZONE)
                 * (1 + JITTER * random.nextDouble());
     }
@@ -802,11 +824,6 @@
         return box.open == 0 ? usual : Math.max(usual, now - box.quietSince);
     }
 
-    /** Part of a zone's attempts without connection; it fades, so that a zone once cut off is tried again. */
-    private double unreached(Zone zone) {
-        return zone.unreached * Math.exp(-(now - zone.learntAt) / SLOWNESS_MEMORY);
-    }
-
     /** Latency there against the usual; an old figure fades, so that a server once slow is tried again. */
     private double slowness(Box box) {
         return 1 + (box.slowness - 1) * Math.exp(-(now - box.learntAt) / SLOWNESS_MEMORY);
@@ -854,26 +871,21 @@
             return;
         }
         boolean good = outcome == Outcome.OK;
-        int unreached = outcome == Outcome.CONNECT_FAILED ? 1 : 0;
-        box.zone.unreached = unreached(box.zone) + SAMPLE * (unreached - unreached(box.zone));
-        box.zone.learntAt = now;
         box.errors += SAMPLE * ((good ? 0 : 1) - box.errors);
         box.failures = good ? 0 : box.failures + 1;
         box.goods = good ? box.goods + 1 : 0;
         if (box.out() && good && box.goods >= GOOD_BACK) {
             box.outUntil = -1;
-            fleet.out -= box.ready ? 1 : 0;
             box.errors = Math.min(box.errors, ERRORS_OUT / 2);
             box.timesOut = Math.max(0, box.timesOut - 1);
         } else if (!good && (box.out() || box.failures >= FAILURES_OUT || box.errors > ERRORS_OUT)) {
-            fleet.out += box.out() || !box.ready ? 0 : 1;
             box.outUntil = now + Math.min(OUT_MOST, OUT_FIRST << Math.min(OUT_DOUBLED, box.timesOut));
             box.timesOut++;
         }
     }
 
-    // ---- Attempts: one guard for every send, time-outs, what follows an outcome --------------------
-    /** The effect rules, drains, attempt limits and the fall budget; no send goes out without this. */
+    // ---- Attempts: one guard for every choice, time-outs, what follows an outcome --------------------
+    /** The effect rules, drains, attempt limits and the fall budget; no server is chosen without this. */
     private boolean maySend(Live taken, Box box) {
         if (taken.over || taken.streaming || box.listed.status() != Status.READY
                 || taken.attempts.size() >= settings.limits().maxAttempts() || timeLeft(taken) <= 0
@@ -909,10 +921,8 @@
         return taken.request.deadline() - now - 2 * settings.tick();
     }
 
-    private boolean send(Live taken, Box box) {
-        if (!maySend(taken, box)) {
-            return false;
-        }
+    /** To a server that {@link #choose} has just offered, and so one that {@link #maySend} allows. */
+    private void send(Live taken, Box box) {
         long timeout = timeLeft(taken);
         if (taken.kind.repeat() != Repeat.UNSAFE
                 && taken.attempts.size() + 1 < settings.limits().maxAttempts()) {
@@ -929,9 +939,8 @@
         if (box.open == 0) {
             box.quietSince = now;
         }
-        fleet.changeOpen(box, 1);
+        box.open++;
         changeOpen(taken.account, 1);
-        return true;
     }
 
     private void onAttemptEnded(AttemptEnded ended) {
@@ -942,13 +951,8 @@
         Attempt attempt = taken.attempts.get(ended.attempt());
         attempt.ended = true;
         attempt.mayHaveRun = !ended.outcome().neverRan();
-        fleet.changeOpen(attempt.box, -1);
-        Double busy = ended.report().get(Metric.UTILISATION);
-        if (busy != null && busy >= 0 && busy <= 1) {
-            attempt.box.busy = busy;
-            attempt.box.reportAt = now;
-            attempt.box.kind.busy += CLASS_SAMPLE * (busy - attempt.box.kind.busy);
-        }
+        taken.reached |= ended.outcome() != Outcome.CONNECT_FAILED && ended.outcome() != Outcome.MOOT;
+        attempt.box.open--;
         attemptTime += CLASS_SAMPLE * (ended.took() - attemptTime);
         refresh(taken.account);
         changeOpen(taken.account, -1);
@@ -993,12 +997,12 @@
         Box box = attempt.box;
         if (outcome == Outcome.OK && !slow) {
             if (box.open + 1 > box.limit / 2) {
-                fleet.changeLimit(box, box.limit + LIMIT_UP / box.limit);
+                box.limit += LIMIT_UP / box.limit;
             }
         } else if (attempt.sentAt >= box.cutAt && outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
             box.cutAt = now;
             double left = outcome == Outcome.FULL ? LIMIT_FULL : LIMIT_SLOW;
-            fleet.changeLimit(box, Math.max(1, box.limit * left));
+            box.limit = Math.max(1, box.limit * left);
         }
     }
 
@@ -1026,7 +1030,8 @@
 
     private void tryAgain(Live taken) {
         Box box = retries >= 1 ? choose(taken) : null;
-        if (box != null && send(taken, box)) {
+        if (box != null) {
+            send(taken, box);
             retries--;
         } else {
             giveUp(taken);
