A spoilt packet that passes its check no longer cuts an edge for good

Seen on reading: a datagram spoilt on its way passes the 16-bit check once in 65,536 times. With another incarnation it became the neighbour's new life, and all true ones after it were refused as those of a former one; with a number far ahead, or news with the highest version, the neighbour was deaf or silent for good. Ruled out: a longer check, which would cut off gatekeepers of the version before during a rolling restart.

Brain.onPacket believes a new life at its first four numbers or by a second packet that says the same, and passes over numbers more than 65,536 ahead; Brain.learn passes over versions that nobody lives through. One packet more until a restart is noticed, where its first four packets were lost. LossTest brings all three about.

--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -14,6 +14,8 @@
     private static final long MILLI = 1000, SYNC_TIMER = 1, ASK_TIMER = 2;
     /** A customer's number has no more; a longer one would not fit into an entry. */
     private static final int CUSTOMER_BITS = 33;
+    /** First numbers of a new life; packets that may be lost in a row; changes that nobody lives through. */
+    private static final int FIRST_PACKETS = 4, MOST_AHEAD = 1 << 16, MOST_CHANGES = 1 << 30;
     /** Share of the mail limit planned for; the rest is for answers and for clocks that run together. */
     private static final double MAIL_SHARE = 0.8;
     /** Δs: shortest, as bytes cost, and longest; time between looks at the mail, and its change at one. */
@@ -525,7 +527,7 @@
     // ---- Members heard and silent ------------------------------------------------------------------
     /** Takes in how often a member has changed; the higher version wins, so no rumour goes round. */
     private void learn(int member, int version, int from) {
-        if (member < 0 || member >= status.length || version <= status[member]) {
+        if (member < 0 || member >= status.length || version <= status[member] || version > MOST_CHANGES) {
             return;
         }
         boolean changed = (version & 1) != (status[member] & 1);
@@ -650,7 +652,15 @@
         mail++;
         Edge edge = edge(from);
         boolean newLife = edge.peerIncarnation != packet.incarnation();
-        if (!newLife && packet.number() <= edge.received || packet.incarnation() == edge.formerIncarnation) {
+        if (!newLife && (packet.number() <= edge.received || packet.number() > edge.received + MOST_AHEAD)
+                || packet.incarnation() == edge.formerIncarnation) {
+            return;
+        }
+        // A new life counts from one. Else a second packet has to say the same: one spoilt one that passes
+        // its check would make all that come after it look old.
+        if (newLife && edge.peerIncarnation != 0 && packet.number() > FIRST_PACKETS
+                && edge.unconfirmed != packet.incarnation()) {
+            edge.unconfirmed = packet.incarnation();
             return;
         }
         boolean back = (status[from] & 1) == 1;
--- a/src/main/java/reedmux/policy/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -174,6 +174,8 @@
         int peerIncarnation;
         int formerIncarnation;
         long received;
+        /** An incarnation that one packet has told of, and none since. */
+        int unconfirmed;
         int accepted;
 
         Edge(int peer, long pace, long now) {
--- a/src/test/java/reedmux/policy/LossTest.java
+++ b/src/test/java/reedmux/policy/LossTest.java
@@ -106,6 +106,31 @@
         assertEquals(30, sent + left, 3);
     }
 
+    /** One spoilt packet in 65,536 passes its check: it must not make all later ones look old for good. */
+    @Test
+    void aSpoiltPacketThatPassesItsCheckCutsNoEdgeForGood() {
+        for (int spoilt = 0; spoilt < 3; spoilt++) {
+            Group group = Group.of(2, Group.quota(0.001, 20));
+            group.request(1, Group.SAFE, CUSTOMER, 0, 2);
+            group.run(Group.SECOND);
+            PeerPacket last = PeerPacket.read(group.told.get(group.tellers.lastIndexOf(1)));
+            List<PeerPacket.News> silentForEver = List.of(new PeerPacket.News(1, Integer.MAX_VALUE));
+            group.give(0, new Gateway.PeerMessage(1, new PeerPacket.Writer(new PeerPacket.Names(),
+                    last.incarnation() ^ (spoilt == 0 ? 5 : 0), 0, 0,
+                    spoilt == 0 ? 500 : spoilt == 1 ? 1L << 50 : last.number() + 1, 0, true, 40,
+                    spoilt == 2 ? silentForEver : List.of(), 256).finish()));
+            group.run(10 * Group.SECOND);
+            for (int i = 0; i < 19; i++) {
+                group.request(1, Group.SAFE, CUSTOMER, 0, 2);
+                group.run(400 * Group.MS);
+            }
+            assertEquals(20, group.sent.size());
+            group.run(20 * Group.SECOND);
+            int more = group.traffic(0, CUSTOMER, 2, 60 * Group.MS, Group.SECOND);
+            assertTrue(more <= 1, "spoilt in way " + spoilt + ": " + more); // one that it may stand in for
+        }
+    }
+
     /** Two neighbours that go at once leave the same units behind twice; the one who follows got both. */
     @Test
     void whatWaitedForTwoLostNeighboursCountsOnce() {
