A test for the last of the room by lot, and advice where no bound on it is told

Without limits.maxRetryAfterUs every refusal said to come back at once; a second is the bound then (ConfigTest, which failed before).

--- a/src/main/java/reedmux/config/SettingsReader.java
+++ b/src/main/java/reedmux/config/SettingsReader.java
@@ -21,6 +21,8 @@
     private static final double NO_BOUND = 1e9;
     /** Told by nobody but {@link Config}, as only on sockets a request takes its units that late. */
     static final String UNITS_WHEN_WHOLE = "reedmux.unitsWhenWhole";
+    /** The longest advice to stay away, in microseconds, where no bound is told. */
+    private static final long MOST_ADVICE = 1_000_000;
     /** Most bytes of a message between gatekeepers, by the platform's protocol. */
     private static final int PEER_BYTES = 256;
     private final Map<String, String> values;
@@ -134,7 +136,7 @@
         return new Limits(flag("limits.cancelling"), flag("limits.secondCopies"), flag("limits.probes"),
                 flag("limits.peerMessages"), flag("extra.mayCount"),
                 Math.max(1, whole("limits.sendCap", 1)),
-                flag("limits.retryAfter") ? time("limits.maxRetryAfterUs", 0) : 0,
+                flag("limits.retryAfter") ? time("limits.maxRetryAfterUs", MOST_ADVICE) : 0,
                 number("extra.mailPerS", 0), PEER_BYTES, time("extra.countLimitUs", 0));
     }
 
--- a/src/test/java/reedmux/config/ConfigTest.java
+++ b/src/test/java/reedmux/config/ConfigTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -35,6 +36,14 @@
         }
     }
 
+    /** Without a bound every refusal said to come back at once. */
+    @Test
+    void whereNoBoundOnAdviceIsToldThereIsAdviceAllTheSame() throws Exception {
+        String text = new String(sample()).replace("\"maxRetryAfterUs\":1000000,", "");
+        assertTrue(text.length() < sample().length);
+        assertEquals(1_000_000, read(text.getBytes()).settings().limits().maxRetryAfter());
+    }
+
     @Test
     void oneThatIsWrittenTwiceOrOverALongerOneIsRefused() throws Exception {
         byte[] whole = sample();
--- a/src/test/java/reedmux/policy/LossTest.java
+++ b/src/test/java/reedmux/policy/LossTest.java
@@ -68,6 +68,20 @@
         }
     }
 
+    /** Forty that each take the last of the room at one moment; 560 go through where no lot is drawn. */
+    @Test
+    void theLastOfTheRoomGoesByLotWhereManyRaceForIt() {
+        Group group = Group.of(40, Group.quota(10, 30));
+        group.run(10 * Group.SECOND);
+        for (int surge = 0; surge < 20; surge++) {
+            for (int i = 0; i < 80; i++) {
+                group.request(i % 40, Group.SAFE, CUSTOMER, 0, 40);
+            }
+            group.run(Group.SECOND);
+        }
+        assertTrue(group.sent.size() <= 340, "of 230 in the quota: " + group.sent.size());
+    }
+
     /** What went beyond a quota takes nothing from it, so a customer is not refused long after a surge. */
     @Test
     void afterASurgeThroughAllGatewaysTheRateIsServedAgain() {
