A gateway outside a customer's set has no part of its ceiling

Seen: a request that names a set which the gateway is not in brought in one more share of the ceiling: 87 units sent on where 62 are allowed (LossTest.whoIsNoMemberOfASetHasNoPartOfItsCeiling). By the protocol none comes in that way; a front's detour would. Ruled out: refusing all such requests, as plans without a ceiling break no rule. State.Account.share is nought for who is no member, so that plans with a ceiling are refused there, with advice. After: 0 of them sent on.

--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -343,6 +343,7 @@
         Account account = accounts.get(customer);
         if (account == null) {
             account = new Account(customer, settings.plans().get(plan), plan, first, spread, now);
+            account.member = inSet(first, spread);
             account.ceiling = Math.min(account.share(account.plan.ceilingBurst()),
                     account.share(account.plan.ceilingRate()) * (now - startedAt) / SECOND);
             accounts.put(customer, account);
@@ -357,6 +358,7 @@
         if (account.planIndex != request.plan() || account.first != request.first()
                 || account.spread != request.spread()) {
             account.move(settings.plans().get(request.plan()), request);
+            account.member = inSet(account.first, account.spread);
         }
         return account;
     }
@@ -487,12 +489,14 @@
      * links that both ends agree on form no ring, whatever each thinks of third members.
      */
     int[] neighbours(int first, int spread) {
-        int self = settings.self();
         int[] lower = side(first, spread, -1);
         int[] upper = side(first, spread, 1);
-        boolean inSet = Math.floorMod(self - first, status.length) < spread;
         int parent = lower[0] < 0 || upper[0] >= 0 && outranks(lower[0], upper[0]) ? upper[0] : lower[0];
-        return inSet ? new int[] {parent, lower[1], upper[1]} : new int[] {-1, -1, -1};
+        return inSet(first, spread) ? new int[] {parent, lower[1], upper[1]} : new int[] {-1, -1, -1};
+    }
+
+    private boolean inSet(int first, int spread) {
+        return Math.floorMod(settings.self() - first, status.length) < spread;
     }
 
     /** On one side: the nearest member that outranks us, and the highest of those before it. */
--- a/src/main/java/reedmux/policy/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -26,6 +26,8 @@
         int spread;
         /** The most members that anybody has told of: a share is never larger than for all of these. */
         int sharers;
+        /** Whether we are one of its gateways. */
+        boolean member;
         int[] near = {-1, -1, -1};
         double[] to = new double[3];
         double[] branch = new double[3];
@@ -64,9 +66,9 @@
             view = -1;
         }
 
-        /** A member's even part of an amount. */
+        /** A member's even part of an amount; whoever is none has no part. */
         double share(double amount) {
-            return amount / sharers;
+            return member ? amount / sharers : 0;
         }
 
         /** Adds to all counters but the one facing {@code from}. */
--- a/src/test/java/reedmux/policy/LossTest.java
+++ b/src/test/java/reedmux/policy/LossTest.java
@@ -222,6 +222,22 @@
         assertTrue(group.sent.size() <= 20 + 4 * 10 + 2, "sent on: " + group.sent.size());
     }
 
+    /** A request that goes astray must not bring in one more share of the ceiling than there are members. */
+    @Test
+    void whoIsNoMemberOfASetHasNoPartOfItsCeiling() {
+        Group group = Group.of(3, new Plan("plan", 100, 100, 0, 10, 20, 2, 1, 0, 1));
+        group.run(10 * Group.SECOND);
+        for (int i = 0; i < 400; i++) {
+            for (int gateway = 0; gateway < 3; gateway++) {
+                group.request(gateway, Group.SAFE, CUSTOMER, 0, 2);
+            }
+            group.run(10 * Group.MS);
+        }
+        assertTrue(group.sent.size() <= 20 + 4 * 10 + 2, "sent on: " + group.sent.size());
+        assertEquals(0, group.sent.stream().filter(one -> one.gateway() == 2).count());
+        assertTrue(group.refused.stream().allMatch(one -> one.retryAfter() > 0), "with advice");
+    }
+
     /** On sockets a request takes its units once it is whole at a server; the simulator takes them before. */
     @Test
     void whatNeverCameWholeToAServerTakesNoUnits() {
--- a/src/test/java/reedmux/policy/PeerPacketTest.java
+++ b/src/test/java/reedmux/policy/PeerPacketTest.java
@@ -7,7 +7,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.junitpioneer.jupiter.ExpectedToFail;
 
 class PeerPacketTest {
 
@@ -44,4 +46,22 @@
             assertNull(PeerPacket.read(changed));
         }
     }
+
+    /** Sixteen bits let one spoilt packet in 65,536 through; a longer check is another form of the wire. */
+    @ExpectedToFail("the check has 16 bits, docs/audit-findings.md F18")
+    @Test
+    void noSpoiltPacketPassesItsCheck() {
+        PeerPacket.Writer writer = new PeerPacket.Writer(new PeerPacket.Names(), 3, 4, 1, 9, 8, true, 40,
+                List.of(), 256);
+        writer.add(new PeerPacket.Entry(7, 0, 0, 2, 5, null, null, 0));
+        byte[] whole = writer.finish();
+        SplittableRandom random = new SplittableRandom(18);
+        for (int i = 0; i < 2_000_000; i++) {
+            byte[] spoilt = whole.clone();
+            for (int k = 0; k < 3; k++) {
+                spoilt[random.nextInt(whole.length)] ^= (byte) random.nextInt(1, 256);
+            }
+            assertTrue(Arrays.equals(whole, spoilt) || PeerPacket.read(spoilt) == null, "passed: " + i);
+        }
+    }
 }
