--- a/src/test/java/reedmux/policy/LossTest.java
+++ b/src/test/java/reedmux/policy/LossTest.java
@@ -103,6 +103,23 @@
         assertTrue(group.sent.size() - before >= 12, "after it: " + (group.sent.size() - before));
     }
 
+    /** What an edge could not tell before a long cut has drained since, and counts for nothing after it. */
+    @Test
+    void whatWaitedThroughALongCutIsNotCountedAsNew() {
+        Group group = Group.of(2, Group.quota(1, 9));
+        group.request(0, Group.SAFE, CUSTOMER, 0, 2);
+        group.request(1, Group.SAFE, CUSTOMER, 0, 2);
+        group.run(10 * Group.SECOND);
+        group.lost = (from, to) -> true;
+        assertEquals(9, group.traffic(0, CUSTOMER, 2, Group.MS, 9 * Group.MS));
+        group.run(120 * Group.SECOND);
+        group.request(0, Group.SAFE, 5, 0, 2); // lets the sweep come by
+        group.lost = (from, to) -> false;
+        group.request(1, Group.SAFE, CUSTOMER, 0, 2); // seen for the first time again
+        group.run(3 * Group.SECOND);
+        assertEquals(9, group.traffic(1, CUSTOMER, 2, Group.MS, 9 * Group.MS));
+    }
+
     /** Deltas go up but nothing comes down for long: what was told before and since adds up, once. */
     @Test
     void aLinkThatCarriesOneWayOnlyMiscountsNothingOnceItIsWhole() {
