Second reading: unused figures go, calls without a place are tested, a document's name

Seen on reading the whole change again: RuleChecker.worstQuota reached nobody and History.figures one test, so both go. A further service's document that is not JSON was called RELAY_CONFIG, which names another file (Config.parse); it is "the document" now, behind its own file's name.

What decides, calls or answers is unchanged.

--- a/src/main/java/reedmux/config/Config.java
+++ b/src/main/java/reedmux/config/Config.java
@@ -74,7 +74,7 @@
      */
     public Service service(byte[] bytes, InetSocketAddress told, Clock clock) throws ConfigException {
         Draft draft = new Draft();
-        parse(bytes, draft);
+        parse(bytes, "the document", draft);
         InetSocketAddress where = told == null ? draft.discovery : told;
         if (where == null) {
             throw new ConfigException("discovery is missing");
@@ -129,7 +129,7 @@
     public static Config read(byte[] bytes, Map<String, String> environment, Clock clock)
             throws ConfigException {
         Draft draft = new Draft();
-        parse(bytes, draft);
+        parse(bytes, "RELAY_CONFIG", draft);
         if (draft.settings.isEmpty()) {
             throw new ConfigException("settings is missing");
         }
@@ -184,19 +184,20 @@
         return address;
     }
 
-    private static void parse(byte[] bytes, Draft draft) throws ConfigException {
+    /** {@code what} stands for the document in messages; whoever knows its file puts that in front. */
+    private static void parse(byte[] bytes, String what, Draft draft) throws ConfigException {
         try (JsonParser json = JSON.createParser(bytes)) {
             json.nextToken();
             Json.object(json, name -> draft.field(json, name));
             if (json.nextToken() != null) {
-                throw new ConfigException("RELAY_CONFIG goes on behind its end at line "
+                throw new ConfigException(what + " goes on behind its end at line "
                         + json.currentLocation().getLineNr());
             }
         } catch (JsonProcessingException e) {
-            throw new ConfigException("RELAY_CONFIG is not JSON: " + e.getOriginalMessage() + " at line "
+            throw new ConfigException(what + " is not JSON: " + e.getOriginalMessage() + " at line "
                     + e.getLocation().getLineNr());
         } catch (IOException e) {
-            throw new ConfigException("RELAY_CONFIG cannot be read: " + e.getMessage());
+            throw new ConfigException(what + " cannot be read: " + e.getMessage());
         }
     }
 
--- a/src/main/java/reedmux/lab/rules/History.java
+++ b/src/main/java/reedmux/lab/rules/History.java
@@ -26,14 +26,6 @@
         checker = new RuleChecker(figures);
     }
 
-    /** Figures from a line {@code figures ...} with the values of {@link Figures} in their order. */
-    public static Figures figures(String line) {
-        String[] f = line.split(" ");
-        return new Figures(Long.parseLong(f[1]), Long.parseLong(f[2]), Double.parseDouble(f[3]),
-                Long.parseLong(f[4]), Long.parseLong(f[5]), Integer.parseInt(f[6]),
-                Boolean.parseBoolean(f[7]), new Tolerance(Double.parseDouble(f[8]), Long.parseLong(f[9])));
-    }
-
     /**
      * Reads and checks a history.
      *
--- a/src/main/java/reedmux/lab/rules/RuleChecker.java
+++ b/src/main/java/reedmux/lab/rules/RuleChecker.java
@@ -121,7 +121,6 @@
     private final Map<String, Integer> taken = new TreeMap<>();
     private final Map<Rule, Integer> seen = new EnumMap<>(Rule.class);
     private final List<Fault> faults = new ArrayList<>();
-    private double worstQuota = Double.NEGATIVE_INFINITY;
     private Tolerance quotaTolerance;
     private StringBuilder transcript;
 
@@ -269,7 +268,6 @@
             double over = use.level - plan.burst;
             double most = quotaTolerance.bursts * plan.burst
                     + plan.rate * quotaTolerance.time / SECOND;
-            worstQuota = Math.max(worstQuota, over / plan.burst);
             if (over > most + GRAIN) {
                 fault(Rule.QUOTA, at, id + " lifts " + entry.customer + " " + over
                         + " units over its quota, at most " + most);
@@ -401,9 +399,4 @@
     public Map<Rule, Integer> seen() {
         return Map.copyOf(seen);
     }
-
-    /** The most that any customer has been over its quota, in bursts. */
-    public double worstQuota() {
-        return worstQuota;
-    }
 }
--- a/src/main/java/reedmux/lab/sim/RuleScenes.java
+++ b/src/main/java/reedmux/lab/sim/RuleScenes.java
@@ -27,8 +27,7 @@
     private RuleScenes() { }
 
     /** What a run shows: rules broken, what was looked at, and all that happened as text. */
-    public record Result(List<Fault> faults, Map<RuleChecker.Rule, Integer> seen, double worstQuota,
-                         String history) { }
+    public record Result(List<Fault> faults, Map<RuleChecker.Rule, Integer> seen, String history) { }
 
     /** Plays a storm of so many seconds; all chance comes from the seed. */
     public static Result storm(long seed, int seconds) {
@@ -50,8 +49,7 @@
         world.time.run(end + 5 * World.SECOND);
         RuleChecker rules = world.ledger.rules;
         List<Fault> faults = rules.faults(world.time.now(), Map.of());
-        return new Result(faults, rules.seen(), rules.worstQuota(),
-                rules.transcript() + "end " + world.time.now() + '\n');
+        return new Result(faults, rules.seen(), rules.transcript() + "end " + world.time.now() + '\n');
     }
 
     /**
--- a/src/test/java/reedmux/config/ConfigTest.java
+++ b/src/test/java/reedmux/config/ConfigTest.java
@@ -44,6 +44,17 @@
         assertEquals(1_000_000, read(text.getBytes()).settings().limits().maxRetryAfter());
     }
 
+    /** A further service's document was called RELAY_CONFIG, which names another file. */
+    @Test
+    void aServicesDocumentIsNotCalledByAnotherFilesName() throws Exception {
+        Config config = read(sample());
+        for (String bad : new String[] {"{", "{} {}", "{\"seed\":\"1\",\"seed\":\"1\"}"}) {
+            ConfigException e = assertThrows(ConfigException.class,
+                    () -> config.service(bad.getBytes(), null, new Clock()));
+            assertTrue(e.getMessage().startsWith("the document "), e.getMessage());
+        }
+    }
+
     @Test
     void oneThatIsWrittenTwiceOrOverALongerOneIsRefused() throws Exception {
         byte[] whole = sample();
--- /dev/null
+++ b/src/test/java/reedmux/http/CallsTest.java
@@ -0,0 +1,42 @@
+package reedmux.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import reedmux.core.CallResult;
+import reedmux.core.CallResult.Stage;
+import reedmux.core.Clock;
+import reedmux.policy.Gateway.Outcome;
+
+/** Calls that get no connection at all end at once, and as never run. */
+final class CallsTest {
+    private static final Connection.Origin PROVIDER =
+            new Connection.Origin("s-1", new InetSocketAddress("127.0.0.1", 9));
+
+    private static List<CallResult> started(Calls calls) {
+        List<CallResult> ends = new ArrayList<>();
+        calls.start(PROVIDER, OutgoingRequest.get("/", "127.0.0.1:9"), ends::add);
+        return ends;
+    }
+
+    @Test
+    void withoutAPlaceForAConnection() {
+        List<CallResult> ends = started(new Calls(null, new Clock(), Calls.Room.of(0), 1));
+        assertEquals(List.of(new CallResult.Broken(Stage.CONNECTING, "all connections are in use")), ends);
+        assertEquals(Outcome.CONNECT_FAILED, ends.get(0).outcome());
+    }
+
+    /** As at the very end of leaving; the place goes back, or the next call would find none. */
+    @Test
+    void whenTheReactorTakesNoMore() {
+        Calls calls = new Calls((host, remote, local, timeout, attachment, callback) -> {
+            throw new IllegalStateException("shut down");
+        }, new Clock(), Calls.Room.of(1), 1);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(List.of(new CallResult.Broken(Stage.CONNECTING, "shut down")), started(calls));
+        }
+    }
+}
--- a/src/test/java/reedmux/lab/rules/RuleCheckerTest.java
+++ b/src/test/java/reedmux/lab/rules/RuleCheckerTest.java
@@ -20,6 +20,7 @@
 import reedmux.lab.rules.RuleChecker.Fault;
 import reedmux.lab.rules.RuleChecker.Figures;
 import reedmux.lab.rules.RuleChecker.Rule;
+import reedmux.lab.rules.RuleChecker.Tolerance;
 import reedmux.lab.sim.RuleScenes;
 
 /**
@@ -28,8 +29,8 @@
  */
 final class RuleCheckerTest {
     private static final Path FOLDER = Path.of("src/test/resources/histories");
-    private static final Figures FIGURES =
-            History.figures("figures 8000 250000 4 1000000 150000 4 true 1 2000000");
+    private static final Figures FIGURES = new Figures(8_000, 250_000, 4, 1_000_000, 150_000, 4, true,
+            new Tolerance(1, 2_000_000));
 
     record Case(String title, String verdict, List<String> lines) {
         @Override
