A door for operators, the figures, and one life cycle for draining and SIGTERM

Ruled out: that the door could share the consumers' reactor; a caller would wait behind every consumer. At fault: Node.afterTurn and ConsumerServer.leaving knew one way to stop, by SIGTERM; nothing listened for operators. The change: operator.Door on a thread of its own, Figures counted where things happen (ConsumerExchange, CallExchange, Pool), LifeCycle read by health, last answers, idle connections, accepting and the end.

--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -17,6 +17,10 @@
 import reedmux.http.Acceptor;
 import reedmux.http.ConsumerServer;
 import reedmux.http.Transport;
+import reedmux.operator.Door;
+import reedmux.operator.Figures;
+import reedmux.operator.LifeCycle;
+import reedmux.operator.OperatorCalls;
 import reedmux.peer.PeerLink;
 import reedmux.pool.Pool;
 import reedmux.pool.Pools;
@@ -35,12 +39,6 @@
     private static final long BUFFERED = 12L * 1024 * 1024;
     /** Between looks for connections whose time is up: a bad consumer is owed its end within 3 s. */
     private static final long SWEEP = TimeUnit.MILLISECONDS.toMicros(250);
-    /** After a SIGTERM new connections come for a while yet, and are served. */
-    private static final long ACCEPT_ON = TimeUnit.MILLISECONDS.toMicros(600);
-
-    /** Time for the last answers to leave, and between looks at whether all are answered. */
-    private static final long LAST_WRITES = TimeUnit.MILLISECONDS.toMicros(50);
-
     private final Config config;
     private final Clock clock;
     private final Consumer<String> log;
@@ -53,13 +51,14 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final CountDownLatch listening = new CountDownLatch(1);
     private volatile boolean serving;
+    private final LifeCycle life = new LifeCycle();
+    private final Figures figures = new Figures();
+    private final Door door;
     private volatile boolean warm = true;
-    private volatile long leavingSince;
     private volatile Acceptor listener;
     private volatile SocketAddress listenAddress;
     private boolean accepting = true;
     private long sweptAt;
-    private long quietSince = Long.MAX_VALUE;
 
     /** A gatekeeper for which the operators have set nothing of their own. */
     public Node(Config config, Clock clock, Consumer<String> log) throws IOException {
@@ -74,11 +73,12 @@
         peers = new PeerLink(config.peerListen(), config.peers(), config.everyPeer());
         int consumerConnections = (int) (config.sockets() * CONSUMERS_SHARE);
         pools = new Pools(loaded.services().sharing(consumerConnections, BUFFERED,
-                (int) (config.sockets() * PROVIDERS_SHARE)), clock, peers, peers, config.seed(), log);
-        consumers = new ConsumerServer(pools.front(), this::canServe, consumerConnections);
+                (int) (config.sockets() * PROVIDERS_SHARE)), clock, peers, peers, config.seed(), log,
+                figures);
+        consumers = new ConsumerServer(pools.front(), this::canServe, life, consumerConnections);
         regions = region == null ? null
                 : new RegionLink(region, config, clock, event -> pools.main().post(event), this::canServe,
-                log);
+                life, log);
         reactor = Transport.reactor(local -> regions == null ? consumers : regions.serverOf(local, consumers),
                 log, reactorThreads);
         if (regions != null) {
@@ -86,6 +86,8 @@
         }
         pools.open(reactor, loaded.services().pools(), loaded.services().routes(),
                 regions == null ? null : new Pool.Away(regions.desk(), regions::call));
+        OperatorCalls calls = new OperatorCalls(life, figures, this::canServe, clock::now, log);
+        door = config.operator() == null ? null : new Door(config.operator(), calls::answer, log);
     }
 
     /** Listens, and serves until {@link #leave}; the calling thread owns the reducer. */
@@ -99,11 +101,17 @@
             }
             listenAddress = listener.address();
             serving = true;
+            if (warm) {
+                life.ready(clock.now());
+            }
             listening.countDown();
             pools.loop().run(pools, this::afterTurn);
             log.accept("ended; datagrams dropped " + peers.dropped() + ", not sent " + peers.unsent());
         } finally {
             pools.close();
+            if (door != null) {
+                door.close();
+            }
             if (listener != null) {
                 listener.close();
             }
@@ -125,7 +133,7 @@
     }
 
     private boolean canServe() {
-        return serving && warm && pools.main().anyProvider();
+        return life.takesClients() && pools.main().anyProvider();
     }
 
     /** Something to wait for. */
@@ -149,6 +157,9 @@
                 log.accept("warm-up: " + e); // it then starts cold, which is slower and no worse
             } finally {
                 warm = true;
+                if (serving) {
+                    life.ready(clock.now());
+                }
             }
         }, "reedmux-warm-up");
         thread.setDaemon(true);
@@ -165,7 +176,7 @@
                 regions.sweep(now);
             }
         }
-        if (leavingSince == 0) {
+        if (life.phase() != LifeCycle.Phase.LEAVING) {
             // A reactor whose thread has died closes its sockets and says nothing. To go on without
             // sockets would look alive and serve nobody, so the program ends and is started again.
             if (!reactorThreads.stream().allMatch(Thread::isAlive)) {
@@ -173,19 +184,13 @@
             }
             return sweptAt + SWEEP;
         }
-        if (now < leavingSince + ACCEPT_ON) {
-            return leavingSince + ACCEPT_ON;
-        }
-        if (accepting) {
+        if (accepting && !life.accepts(now)) {
             accepting = false;
             stopListening();
-            consumers.closeIdle();
+            consumers.sweep();
         }
-        // An answer is still to be written by the I/O thread when the reducer has done with it: only a
-        // while after the last one may the sockets go.
-        boolean quiet = pools.unanswered() == 0;
-        quietSince = quiet ? Math.min(quietSince, now) : Long.MAX_VALUE;
-        return quiet && now - quietSince >= LAST_WRITES ? Loop.END : now + LAST_WRITES;
+        return life.ends(now, pools.unanswered(), consumers.connected()) ? Loop.END
+                : Math.min(life.next(now), sweptAt + SWEEP);
     }
 
     private void stopListening() {
@@ -201,11 +206,7 @@
 
     /** Stops taking in new work a little later, answers all that was taken, and ends. */
     public void leave() {
-        consumers.leave();
-        if (regions != null) {
-            regions.leave();
-        }
-        leavingSince = clock.now();
+        life.leave(clock.now());
         pools.loop().wake();
     }
 
@@ -250,6 +251,11 @@
         return listenAddress;
     }
 
+    /** Where operators connect; null where no place for them is named. */
+    public InetSocketAddress operatorAddress() throws IOException {
+        return door == null ? null : door.address();
+    }
+
     /** Where other regions connect, once they can; null where they may not. */
     public InetSocketAddress awaitRegions() throws InterruptedException, IOException {
         listening.await();
--- a/src/main/java/reedmux/cli/RegionLink.java
+++ b/src/main/java/reedmux/cli/RegionLink.java
@@ -13,6 +13,7 @@
 import reedmux.core.Clock;
 import reedmux.core.Event;
 import reedmux.core.InvokerCall;
+import reedmux.operator.LifeCycle;
 import reedmux.core.RegionDesk;
 import reedmux.http.Acceptor;
 import reedmux.http.Calls;
@@ -47,11 +48,11 @@
     private long toldAt;
 
     RegionLink(Region settings, Config config, Clock clock, Consumer<Event> events, BooleanSupplier ready,
-               Consumer<String> log) {
+               LifeCycle life, Consumer<String> log) {
         this.settings = settings;
         this.log = log;
         server = new ConsumerServer(new RegionFront(config.settings(), clock, events), ready,
-                settings.connectionsIn());
+                life, settings.connectionsIn());
         desk = new RegionDesk(new Regions(settings.rules(), config.settings().groupSize(), clock.now(),
                 config.seed()), settings.gateways(),
                 config.settings().classes().stream().mapToLong(RequestClass::aim).toArray());
@@ -129,15 +130,10 @@
         }
     }
 
-    void leave() {
-        server.leave();
-    }
-
     void stopListening() throws IOException {
         if (listener != null) {
             listener.close();
         }
-        server.closeIdle();
     }
 
     void close() throws IOException {
--- a/src/main/java/reedmux/cli/WarmUp.java
+++ b/src/main/java/reedmux/cli/WarmUp.java
@@ -23,6 +23,7 @@
 import reedmux.core.Reducer;
 import reedmux.http.ProviderClient;
 import reedmux.http.RequestReader;
+import reedmux.operator.Figures;
 import reedmux.policy.Brain;
 import reedmux.policy.Gateway.Plan;
 import reedmux.policy.Gateway.RequestClass;
@@ -143,7 +144,8 @@
     private final class Sparring {
         private final Practice here = new Practice(1);
         private final Practice there = new Practice(2);
-        private final RequestReader reader = new RequestReader(config.settings(), clock, event -> { });
+        private final RequestReader reader = new RequestReader(config.settings(), clock, event -> { },
+                new Figures().service(""));
         private final int self = config.settings().self();
         private final int other = config.settings().groupSize() - 1 - self;
         private long now = 1;
--- a/src/main/java/reedmux/config/Config.java
+++ b/src/main/java/reedmux/config/Config.java
@@ -23,12 +23,13 @@
 
 /**
  * All that the gatekeeper is told at its start, read once and checked here, with the defaults that hold where
- * a key is missing. A {@link ConfigException} names the key that is at fault.
+ * a key is missing. A {@link ConfigException} names the key that is at fault. {@code operator} is null where no
+ * place for operators is named.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
                      int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
                      InetSocketAddress everyPeer, Settings settings, long connectTimeout, long connIdle,
-                     ProviderList known, ProviderListReader lists) {
+                     ProviderList known, ProviderListReader lists, InetSocketAddress operator) {
     /** A key told twice has one value that nobody meant. */
     private static final JsonFactory JSON = JsonFactory.builder()
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
@@ -111,6 +112,9 @@
         if (!listen.equals(other.listen)) {
             keys.add("listen");
         }
+        if (!Objects.equals(operator, other.operator)) {
+            keys.add("operator");
+        }
         if (sockets != other.sockets) {
             keys.add("limits.sockets");
         }
@@ -146,7 +150,8 @@
                 address("discovery", environment, draft.discovery), draft.seed, draft.sockets,
                 settings.limits().peers() ? draft.peerListen : null, List.copyOf(draft.peers),
                 draft.everyPeer, settings, reader.time("limits.connectTimeoutUs", DEFAULT_CONNECT_TIMEOUT),
-                reader.time("limits.connIdleUs", DEFAULT_CONN_IDLE), known, lists);
+                reader.time("limits.connIdleUs", DEFAULT_CONN_IDLE), known, lists,
+                optional("operator", environment, draft.operator));
     }
 
     /** The heap spans the group by number: a peer too few, too many or twice would mix up the counts. */
@@ -174,12 +179,20 @@
 
     private static InetSocketAddress address(String key, Map<String, String> environment,
                                              InetSocketAddress inFile) throws ConfigException {
+        InetSocketAddress address = optional(key, environment, inFile);
+        if (address == null) {
+            throw new ConfigException(key + " is missing");
+        }
+        return address;
+    }
+
+    private static InetSocketAddress optional(String key, Map<String, String> environment,
+                                              InetSocketAddress inFile) throws ConfigException {
         String variable = "RELAY_" + key.toUpperCase(Locale.ROOT);
         String told = environment.get(variable);
         InetSocketAddress address = told == null ? inFile : Addresses.parse(told);
-        if (address == null) {
-            throw new ConfigException(told == null ? key + " is missing"
-                    : variable + " is not an address:port: " + told);
+        if (address == null && told != null) {
+            throw new ConfigException(variable + " is not an address:port: " + told);
         }
         return address;
     }
@@ -206,6 +219,7 @@
         String name = "reedmux";
         InetSocketAddress listen;
         InetSocketAddress discovery;
+        InetSocketAddress operator;
         long seed;
         int sockets = DEFAULT_SOCKETS;
         InetSocketAddress peerListen;
@@ -222,6 +236,7 @@
                 case "name" -> this.name = Json.text(json);
                 case "listen" -> listen = Json.address(json);
                 case "discovery" -> discovery = Json.address(json);
+                case "operator" -> operator = Json.address(json);
                 case "seed" -> seed = seed(json);
                 case "limits" -> Json.object(json, key -> limit(json, key));
                 case "peer_listen" -> peerListen = Json.address(json);
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -128,6 +128,11 @@
         return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at;
     }
 
+    /** Providers in the list; for the owning thread. */
+    public int listed() {
+        return providers.size();
+    }
+
     /** Invocations that still wait for their answer. */
     public int unanswered() {
         return unanswered;
--- a/src/main/java/reedmux/http/CallExchange.java
+++ b/src/main/java/reedmux/http/CallExchange.java
@@ -30,7 +30,9 @@
     private final Calls calls;
     private final Connection.Origin origin;
     private final OutgoingRequest request;
+    private final Runnable written;
     private final Consumer<CallResult> done;
+    private final AtomicBoolean counted = new AtomicBoolean();
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile boolean stopped;
     private volatile Future<?> connecting;
@@ -45,8 +47,10 @@
     private Body.In body;
     private CallResult result;
 
-    CallExchange(Calls calls, Connection.Origin origin, OutgoingRequest request, Consumer<CallResult> done) {
+    CallExchange(Calls calls, Connection.Origin origin, OutgoingRequest request, Runnable written,
+                 Consumer<CallResult> done) {
         this.calls = calls;
+        this.written = written;
         this.origin = origin;
         this.request = request;
         this.done = done;
@@ -82,6 +86,7 @@
 
     void end(CallResult result) {
         if (ended.compareAndSet(false, true)) {
+            countWritten();
             done.accept(result);
         }
     }
@@ -178,6 +183,13 @@
         return header == null || value < 0 ? -1 : (long) Math.min(value * unit, LONGEST);
     }
 
+    /** Counts it if it has gone out whole; to be asked whenever some of it may have. */
+    void countWritten() {
+        if (!counted.get() && sent() && counted.compareAndSet(false, true)) {
+            written.run();
+        }
+    }
+
     private boolean sent() {
         EndpointDetails details = endpoint;
         return details != null && details.getSentBytesCount() - sentBefore >= length;
--- a/src/main/java/reedmux/http/Calls.java
+++ b/src/main/java/reedmux/http/Calls.java
@@ -63,7 +63,12 @@
 
     /** Starts a call; {@code done} hears of its end exactly once, on whatever thread that happens. */
     CallExchange start(Origin to, OutgoingRequest request, Consumer<CallResult> done) {
-        CallExchange exchange = new CallExchange(this, to, request, done);
+        return start(to, request, () -> { }, done);
+    }
+
+    /** The same; {@code written} hears once it has been written whole, if it ever is. */
+    CallExchange start(Origin to, OutgoingRequest request, Runnable written, Consumer<CallResult> done) {
+        CallExchange exchange = new CallExchange(this, to, request, written, done);
         go(exchange);
         return exchange;
     }
--- a/src/main/java/reedmux/http/Connection.java
+++ b/src/main/java/reedmux/http/Connection.java
@@ -180,6 +180,10 @@
                 }
             }
             super.outputReady(ioSession);
+            CallExchange user = calls.userOf(Connection.this);
+            if (user != null) {
+                user.countWritten();
+            }
             if (waiting.get() != null) {
                 ioSession.setEvent(SelectionKey.OP_WRITE); // one that came while the library cleared it
             }
--- a/src/main/java/reedmux/http/ConsumerExchange.java
+++ b/src/main/java/reedmux/http/ConsumerExchange.java
@@ -20,6 +20,7 @@
 import reedmux.core.Answer;
 import reedmux.core.Event;
 import reedmux.core.Invocation;
+import reedmux.operator.Figures;
 
 /** One request of a consumer and its one answer. */
 final class ConsumerExchange implements AsyncServerExchangeHandler, Invocation.Reply {
@@ -36,6 +37,7 @@
     private volatile boolean reading;
     private volatile Consumer<Event> home;
     private volatile Invocation invocation;
+    private volatile Figures.OfClass counts;
     private volatile Body.Out out;
     private long takenAt;
     private long wholeAt;
@@ -146,6 +148,7 @@
         wholeAt = server.reader().tellsTime() ? server.reader().now() : 0;
         Front.Read read = server.reader().read(request, bytes, takenAt, this);
         link.intake = read.intake();
+        counts = read.counts();
         if (read.invocation() == null) {
             if (read.last()) {
                 link.last();
@@ -154,6 +157,9 @@
         } else {
             home = read.home();
             invocation = read.invocation();
+            if (counts != null) {
+                counts.taken();
+            }
             home.accept(read.event());
         }
     }
@@ -174,6 +180,12 @@
         if (!answered.compareAndSet(false, true)) {
             return;
         }
+        if (counts != null) {
+            counts.answered(told.status());
+            if (invocation != null) {
+                counts.ended();
+            }
+        }
         byte[] bytes = told.body();
         HttpResponse response = new BasicHttpResponse(told.status());
         if (told.contentType() != null) {
@@ -192,7 +204,7 @@
         if (told.status() == 405) {
             response.addHeader("Allow", request.getMethod().equals("GET") ? "POST" : "GET");
         }
-        if (server.leaving() || link.deaf()) {
+        if (server.lastAnswers() || link.deaf()) {
             response.addHeader("Connection", "close");
         }
         link.answering();
@@ -222,6 +234,9 @@
     /** The connection has ended; without an answer that means the consumer went away. */
     void consumerLeft() {
         if (invocation != null && answered.compareAndSet(false, true)) {
+            if (counts != null) {
+                counts.ended();
+            }
             home.accept(new Event.ConsumerLeft(invocation));
         }
     }
--- a/src/main/java/reedmux/http/ConsumerServer.java
+++ b/src/main/java/reedmux/http/ConsumerServer.java
@@ -33,6 +33,7 @@
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
+import reedmux.operator.LifeCycle;
 
 /**
  * One listener's side, the consumers' or the other regions': accepted connections, each with at most one
@@ -66,16 +67,18 @@
 
     private final Front reader;
     private final BooleanSupplier ready;
+    private final LifeCycle life;
     private final int mostConnections;
     /** Used on the I/O thread alone. */
     private final ByteBuffer scrap = ByteBuffer.allocate(16 * 1024);
     private final Set<Link> links = new LinkedHashSet<>();
     private final Semaphore room;
     private volatile long requestLimit = REQUEST_LIMIT;
-    private volatile boolean leaving;
 
-    public ConsumerServer(Front reader, BooleanSupplier ready, int mostConnections) {
+    /** {@code ready}: whether clients may be sent here; {@code life}: how long they are kept. */
+    public ConsumerServer(Front reader, BooleanSupplier ready, LifeCycle life, int mostConnections) {
         this.reader = reader;
+        this.life = life;
         this.ready = ready;
         this.mostConnections = mostConnections;
         room = new Semaphore(mostConnections);
@@ -91,25 +94,22 @@
     }
 
     boolean ready() {
-        return ready.getAsBoolean() && !leaving;
+        return ready.getAsBoolean();
     }
 
-    boolean leaving() {
-        return leaving;
+    boolean lastAnswers() {
+        return life.lastAnswers();
     }
 
     Front reader() {
         return reader;
     }
 
-    /** From now on every answer is its connection's last, so that consumers move on. */
-    public void leave() {
-        leaving = true;
-    }
-
-    /** Closes the connections that wait for nothing. */
-    public void closeIdle() {
-        open().forEach(Link::askToClose);
+    /** Whether consumers hold connections. */
+    public boolean connected() {
+        synchronized (links) {
+            return !links.isEmpty();
+        }
     }
 
     /** Closes the connections whose time is up. */
@@ -118,8 +118,9 @@
         List<Link> all = open();
         // Those that wait to be accepted may be usual consumers, behind hundreds that say nothing.
         requestLimit = all.size() > mostConnections * ROOMY ? DAWDLES : REQUEST_LIMIT;
+        boolean closesIdle = life.closesIdle(now);
         for (Link link : all) {
-            if (link.overdue(now)) {
+            if (link.overdue(now) || closesIdle && link.idle(now)) {
                 link.askToClose();
             }
         }
@@ -284,6 +285,12 @@
             };
         }
 
+        /** Whether it waits for nothing, or has said nothing for a while. */
+        private boolean idle(long now) {
+            Doing doing = doing(now);
+            return doing == Doing.IDLE || doing == Doing.DAWDLING && !reading();
+        }
+
         /** Has the I/O thread close it, unless a request has come in by then; may be called by any thread. */
         private void askToClose() {
             toldToClose = true;
@@ -321,7 +328,7 @@
         /** What a sweep found may have changed since, and only here nothing more can come in between. */
         private void closeIfStillDue(IOSession ioSession) throws IOException {
             toldToClose = false;
-            boolean due = leaving || overdue(reader.now());
+            boolean due = overdue(reader.now()) || life.closesIdle(reader.now()) && idle(reader.now());
             if (due && !heads.deaf()) {
                 events.take(ioSession, null); // the next request may have just arrived
             }
--- a/src/main/java/reedmux/http/Front.java
+++ b/src/main/java/reedmux/http/Front.java
@@ -6,6 +6,7 @@
 import reedmux.core.Answer;
 import reedmux.core.Event;
 import reedmux.core.Invocation;
+import reedmux.operator.Figures;
 
 /**
  * What one listener makes of the requests that come in and of their answers. How connections are kept,
@@ -28,27 +29,32 @@
     /**
      * A request as it was read: an invocation with the event that tells of it and whom all events of it are
      * told, or a refusal of it, which may be the connection's last answer. {@code intake} is null where
-     * nothing bounds what the connection's next request may meet.
+     * nothing bounds what the connection's next request may meet, {@code counts} where nobody counts it.
      */
     record Read(Invocation invocation, Event event, Consumer<Event> home, Response refusal, boolean last,
-                Intake intake) {
+                Intake intake, Figures.OfClass counts) {
 
         static Read of(Invocation invocation, Event event, Consumer<Event> home) {
-            return new Read(invocation, event, home, null, false, null);
+            return new Read(invocation, event, home, null, false, null, null);
         }
 
         public static Read refused(Response refusal) {
-            return new Read(null, null, null, refusal, false, null);
+            return new Read(null, null, null, refusal, false, null, null);
         }
 
         /** A refusal after which nothing more is read from the connection. */
         public static Read last(int status, String problem) {
-            return new Read(null, null, null, Response.text(status, problem), true, null);
+            return new Read(null, null, null, Response.text(status, problem), true, null, null);
         }
 
         /** The same, of a connection whose further requests come in through this. */
         public Read through(Intake next) {
-            return new Read(invocation, event, home, refusal, last, next);
+            return new Read(invocation, event, home, refusal, last, next, counts);
+        }
+
+        /** The same, counted there. */
+        Read counted(Figures.OfClass there) {
+            return new Read(invocation, event, home, refusal, last, intake, there);
         }
     }
 
--- a/src/main/java/reedmux/http/ProviderClient.java
+++ b/src/main/java/reedmux/http/ProviderClient.java
@@ -13,8 +13,11 @@
     private static final String NOBODY = "";
     private final Calls calls;
     private final Consumer<Event> events;
+    private final Runnable written;
 
-    public ProviderClient(Calls calls, Consumer<Event> events) {
+    /** {@code written} hears of each invoker call that has been written whole. */
+    public ProviderClient(Calls calls, Consumer<Event> events, Runnable written) {
+        this.written = written;
         this.calls = calls;
         this.events = events;
     }
@@ -24,7 +27,7 @@
         Message message = (Message) call.invocation().message();
         call.transport(calls.start(new Origin(call.provider(), call.address()),
                 new OutgoingRequest(message.method(), message.target(), host(call.address()),
-                message.traceId(), timeout / 1000, message.contentType(), message.body()),
+                message.traceId(), timeout / 1000, message.contentType(), message.body()), written,
                 result -> events.accept(new Event.CallEnded(call, result))));
     }
 
--- a/src/main/java/reedmux/http/RequestReader.java
+++ b/src/main/java/reedmux/http/RequestReader.java
@@ -1,5 +1,6 @@
 package reedmux.http;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
@@ -17,6 +18,7 @@
 import reedmux.core.Clock;
 import reedmux.core.Event;
 import reedmux.core.Invocation;
+import reedmux.operator.Figures;
 
 /** Reads what the headers say of a request, and says plainly what is wrong with one. */
 public final class RequestReader implements Front {
@@ -42,18 +44,20 @@
 
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> plans = new HashMap<>();
+    private final List<Figures.OfClass> counts = new ArrayList<>();
     private final Settings settings;
     private final Clock clock;
     private final Consumer<Event> home;
 
-    /** {@code home} is told of each request, on whatever thread reads it. */
-    public RequestReader(Settings settings, Clock clock, Consumer<Event> home) {
+    /** {@code home} is told of each request, on whatever thread reads it; each is counted. */
+    public RequestReader(Settings settings, Clock clock, Consumer<Event> home, Figures.OfService figures) {
         this.settings = settings;
         this.clock = clock;
         this.home = home;
         List<RequestClass> kinds = settings.classes();
         for (int i = 0; i < kinds.size(); i++) {
             classes.put(kinds.get(i).name(), i);
+            counts.add(figures.ofClass(kinds.get(i).name()));
         }
         List<Plan> told = settings.plans();
         for (int i = 0; i < told.size(); i++) {
@@ -90,6 +94,11 @@
         if (requestClass == null) {
             return refused(404, "no such class");
         }
+        return read(request, requestClass, body, takenAt, reply).counted(counts.get(requestClass));
+    }
+
+    private Read read(HttpRequest request, int requestClass, byte[] body, long takenAt,
+                      Invocation.Reply reply) {
         Repeat repeat = settings.classes().get(requestClass).repeat();
         if (!request.getMethod().equals(repeat == Repeat.SAFE ? "GET" : "POST")) {
             return refused(405, "the class does not take this method");
--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -182,6 +182,15 @@
         return restarted;
     }
 
+    /** Listed servers that are avoided for their health; none where too many are for that to be believed. */
+    public int avoided() {
+        return ignoresOut() ? 0 : fleet.out();
+    }
+
+    private boolean ignoresOut() {
+        return fleet.out() > ready.size() * (1 - KEEP_IN);
+    }
+
     private void begin() {
         startedAt = now;
         if (settings.limits().peers() && settings.groupSize() > 1) {
@@ -796,7 +805,7 @@
      * never at cold servers, whose budgets add up over windows. It harms while several of the few are slow.
      */
     private Box choose(Live taken) {
-        boolean ignoreOut = fleet.out() > ready.size() * (1 - KEEP_IN);
+        boolean ignoreOut = ignoresOut();
         Box best = null;
         double least = Double.MAX_VALUE;
         int window = window();
--- a/src/main/java/reedmux/pool/Pool.java
+++ b/src/main/java/reedmux/pool/Pool.java
@@ -24,6 +24,7 @@
 import reedmux.http.Intake;
 import reedmux.http.ProviderClient;
 import reedmux.http.RequestReader;
+import reedmux.operator.Figures;
 import reedmux.peer.PeerLink;
 import reedmux.peer.PoolTag;
 import reedmux.policy.Brain;
@@ -47,7 +48,7 @@
     /** What all pools use together. */
     record Shared(ConnectionInitiator reactor, Clock clock, Loop loop, PeerLink peers,
                   ScheduledExecutorService timers, Consumer<String> log, BiConsumer<Pool,
-                  Invocation> over) { }
+                  Invocation> over, Figures figures) { }
 
     /** What the pool of the platform's own service has in addition: other regions. Null for all others. */
     public record Away(RegionDesk desk, BiConsumer<InvokerCall, Departure> calls) { }
@@ -60,6 +61,7 @@
     final int slot;
     private final Queue<Event> posted = new ConcurrentLinkedQueue<>();
     private final Intake intake = new Intake(UNDECIDED);
+    private final Figures.OfService figures;
     private final RequestReader reader;
     private final Calls calls;
     private final ProviderClient providers;
@@ -84,9 +86,10 @@
         tag = main ? PoolTag.NONE : PoolTag.of(setup.name());
         label = main ? "" : "service " + setup.name() + ": ";
         Service service = main ? setup.service() : setup.service().withLess(PoolTag.LENGTH);
-        reader = new RequestReader(service.settings(), shared.clock, this::post);
+        figures = shared.figures.service(main ? "" : setup.name());
+        reader = new RequestReader(service.settings(), shared.clock, this::post, figures);
         calls = new Calls(shared.reactor, shared.clock, room, (long) (service.connIdle() * IDLE_SHARE));
-        providers = new ProviderClient(calls, this::post);
+        providers = new ProviderClient(calls, this::post, figures::called);
         watch = new Watch(providers, service.discovery(), service.lists(), this::told, this::log,
                 shared.timers);
         module = new Brain(service.settings(), seed ^ tag);
@@ -225,6 +228,11 @@
         return reducer.nextDue();
     }
 
+    /** Tells the figures of the list; by the thread that runs the turns. */
+    void tellHosts() {
+        figures.hosts(reducer.listed(), module.avoided());
+    }
+
     int unanswered() {
         return reducer.unanswered();
     }
@@ -255,6 +263,7 @@
     /** Ends it; connections that are in use end with their calls. */
     void close() {
         closed = true;
+        figures.hosts(0, 0);
         watch.close();
         calls.end();
         refuseRest();
--- a/src/main/java/reedmux/pool/Pools.java
+++ b/src/main/java/reedmux/pool/Pools.java
@@ -17,6 +17,7 @@
 import reedmux.core.Loop;
 import reedmux.discovery.Watch;
 import reedmux.http.Front;
+import reedmux.operator.Figures;
 import reedmux.peer.PeerLink;
 import reedmux.peer.PoolTag;
 import reedmux.routing.RouteTable;
@@ -64,6 +65,7 @@
     private final Loop loop;
     private final PeerLink peers;
     private final Consumer<String> log;
+    private final Figures figures;
     private final Sharing sharing;
     private final long seed;
     private final ScheduledExecutorService timers = Watch.timers();
@@ -87,7 +89,8 @@
     private long toldAt;
 
     public Pools(Sharing sharing, Clock clock, Loop.Waiter waiter, PeerLink peers, long seed,
-                 Consumer<String> log) {
+                 Consumer<String> log, Figures figures) {
+        this.figures = figures;
         this.sharing = sharing;
         this.clock = clock;
         this.peers = peers;
@@ -116,7 +119,7 @@
      */
     public synchronized void open(ConnectionInitiator reactor, List<PoolSetup> setups, RouteTable routes,
                                   Pool.Away away) {
-        shared = new Pool.Shared(reactor, clock, loop, peers, timers, log, this::over);
+        shared = new Pool.Shared(reactor, clock, loop, peers, timers, log, this::over, figures);
         List<Pool> made = new ArrayList<>();
         for (PoolSetup setup : setups) {
             made.add(make(setup, made.isEmpty() ? away : null));
@@ -371,6 +374,7 @@
         }
         for (Pool pool : List.copyOf(running)) {
             pool.calls().sweep();
+            pool.tellHosts();
             pool.intake().sweep();
             long since = pool.leavingSince();
             if (since > 0 && (at - since > LAST_POSTS && pool.idle() && queues.waiting(pool.slot) == 0
--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -41,7 +41,7 @@
  * {@code crowd} has so many consumers ask for health and stay, {@code silent} so many say nothing,
  * {@code skip} reads on to the end of a head, {@code node log} compares what was logged.
  * c1, c2 are consumers, p1, p2 providers, d, d2 are discovery, u1 a peer, r1, r2 gateways of another region,
- * x1 a gateway that calls our listener for regions. {@code settings} adds a line to the operators' own
+ * o1 an operator at the door, x1 a gateway that calls our listener for regions. {@code settings} adds a line to the operators' own
  * settings, {@code node settle} reads such a line anew.
  */
 @RunWith(Parameterized.class)
@@ -251,7 +251,8 @@
         if (socket == null) {
             socket = listeners.containsKey(party) ? listeners.get(party).accept() : new Socket();
             if (!socket.isConnected()) {
-                socket.connect(party.startsWith("x") ? node.awaitRegions() : node.awaitListening());
+                socket.connect(party.startsWith("x") ? node.awaitRegions()
+                        : party.startsWith("o") ? node.operatorAddress() : node.awaitListening());
             }
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(HANGS);
