A new version takes the old one's place under load, with its counts and peers

At fault: Acceptor bound without SO_REUSEPORT and closed with connections in its queue; PeerLink bound at the start; nothing passed from one process to the other, so quotas and ceilings would have been doubled. Ruled out: memory. Two processes hold 147 to 155 of 208 MB as they are; and a bind failure of the door, as each process has a place of its own there. The change: reedmux.handover (frames, local socket, each side's part), policy.Twin (counts handed over, then exchanged every 50 ms; ceilings halved), PeerLink opened and released, an Acceptor that empties its queue before it closes, the warm-up at a port aside, LifeCycle.succeeded.

--- a/src/main/java/reedmux/cli/Main.java
+++ b/src/main/java/reedmux/cli/Main.java
@@ -17,6 +17,7 @@
 import reedmux.config.Config;
 import reedmux.config.ConfigException;
 import reedmux.core.Clock;
+import reedmux.handover.Link;
 import reedmux.settings.OperatorSettings;
 import reedmux.settings.ScriptException;
 
@@ -132,7 +133,8 @@
             Clock clock = new Clock();
             Loaded loaded = loaded(System.getenv(), settings, clock);
             Node node = new Node(loaded, clock,
-                    line -> System.err.println("reedmux: " + line));
+                    line -> System.err.println("reedmux: " + line),
+                    meeting(System.getenv(), loaded.config()));
             // Set before anything is ready: without a handler SIGHUP ends the program.
             onHangUp(() -> node.reload(() -> Loaded.again(System.getenv(), settings, clock)));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -154,6 +156,14 @@
         }
     }
 
+    /** Where processes of this gatekeeper meet; null without a door, at which an upgrade says its yes. */
+    private static Path meeting(Map<String, String> environment, Config config) {
+        String folder = environment.get("TMPDIR");
+        return folder == null || folder.isBlank() || config.operator() == null ? null
+                : Link.place(Path.of(folder), config.name(), config.listen().getAddress().getHostAddress()
+                + '-' + config.listen().getPort());
+    }
+
     /**
      * Runs this at each SIGHUP, on a thread of its own. The JDK's class for signals is no part of its
      * documented interface, and a use of it in the text is a warning that nothing can silence; so it is
--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -14,6 +16,8 @@
 import reedmux.config.ConfigException;
 import reedmux.core.Clock;
 import reedmux.core.Loop;
+import reedmux.handover.Frame;
+import reedmux.handover.Succession;
 import reedmux.http.Acceptor;
 import reedmux.http.ConsumerServer;
 import reedmux.http.Transport;
@@ -22,6 +26,7 @@
 import reedmux.operator.LifeCycle;
 import reedmux.operator.OperatorCalls;
 import reedmux.peer.PeerLink;
+import reedmux.policy.Twin;
 import reedmux.pool.Pool;
 import reedmux.pool.Pools;
 import reedmux.settings.OperatorSettings.Region;
@@ -39,6 +44,8 @@
     private static final long BUFFERED = 12L * 1024 * 1024;
     /** Between looks for connections whose time is up: a bad consumer is owed its end within 3 s. */
     private static final long SWEEP = TimeUnit.MILLISECONDS.toMicros(250);
+    /** Between words to another process that is this gatekeeper too. */
+    private static final long EXCHANGE = TimeUnit.MILLISECONDS.toMicros(50);
     private final Config config;
     private final Clock clock;
     private final Consumer<String> log;
@@ -54,10 +61,17 @@
     private final LifeCycle life = new LifeCycle();
     private final Figures figures = new Figures();
     private final Door door;
+    /** Null where no other process may take our place. */
+    private final Succession succession;
+    /** Whether another process of this gatekeeper ran at our start. */
+    private final boolean second;
+    private volatile boolean failed;
     private volatile boolean warm = true;
     private volatile Acceptor listener;
     private volatile SocketAddress listenAddress;
     private boolean accepting = true;
+    private boolean peersWanted;
+    private long exchangedAt;
     private long sweptAt;
 
     /** A gatekeeper for which the operators have set nothing of their own. */
@@ -66,12 +80,22 @@
     }
 
     Node(Loaded loaded, Clock clock, Consumer<String> log) throws IOException {
+        this(loaded, clock, log, null);
+    }
+
+    /** {@code meeting}: where processes of this gatekeeper meet, or null. */
+    Node(Loaded loaded, Clock clock, Consumer<String> log, Path meeting) throws IOException {
         config = loaded.config();
         Region region = loaded.settings().region();
         this.clock = clock;
         this.log = log;
         peers = new PeerLink(config.peerListen(), config.peers(), config.everyPeer());
         int consumerConnections = (int) (config.sockets() * CONSUMERS_SHARE);
+        succession = meeting == null ? null : new Succession(meeting, config.rules(), new Counts(), log);
+        second = meets();
+        if (!second) {
+            peers.open();
+        }
         pools = new Pools(loaded.services().sharing(consumerConnections, BUFFERED,
                 (int) (config.sockets() * PROVIDERS_SHARE)), clock, peers, peers, config.seed(), log,
                 figures);
@@ -95,20 +119,20 @@
         reactor.start();
         pools.start();
         try {
-            listener = listen();
-            if (regions != null) {
-                regions.listen(reactor);
-            }
-            listenAddress = listener.address();
-            serving = true;
-            if (warm) {
-                life.ready(clock.now());
+            if (!second) {
+                serve();
+            } else if (warm) { // nobody warms up who would do it after that
+                Thread taking = new Thread(this::takeOver, "reedmux-take-over");
+                taking.setDaemon(true);
+                taking.start();
             }
-            listening.countDown();
             pools.loop().run(pools, this::afterTurn);
             log.accept("ended; datagrams dropped " + peers.dropped() + ", not sent " + peers.unsent());
         } finally {
             pools.close();
+            if (succession != null) {
+                succession.close();
+            }
             if (door != null) {
                 door.close();
             }
@@ -124,9 +148,119 @@
         }
     }
 
+    private void serve() throws IOException {
+        listener = listen();
+        if (regions != null) {
+            regions.listen(reactor, succession != null);
+        }
+        listenAddress = listener.address();
+        serving = true;
+        listening.countDown();
+        if (warm) {
+            ready();
+        }
+    }
+
+    private void ready() {
+        if (life.phase() == LifeCycle.Phase.STARTING && succession != null) {
+            succession.serving();
+        }
+        life.ready(clock.now());
+    }
+
+    private boolean meets() {
+        try {
+            return succession != null && succession.meet();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** What a hand-over asks of us. */
+    private final class Counts implements Succession.Body {
+        @Override
+        public void onLoop(Runnable task) {
+            pools.run(task);
+        }
+
+        @Override
+        public List<Frame.Counted> hand() {
+            try {
+                peers.release();
+            } catch (IOException e) {
+                log.accept("hand-over: the peers' socket: " + e.getMessage());
+            }
+            List<Frame.Counted> all = new ArrayList<>();
+            Map<String, Twin> twins = pools.twins();
+            twins.forEach((name, twin) -> all.add(new Frame.Counted(name, twin.hand(clock.now()),
+                    all.size() == twins.size() - 1)));
+            return all;
+        }
+
+        @Override
+        public void take(List<Frame.Counted> counted) {
+            Map<String, Twin> twins = pools.twins();
+            for (Frame.Counted service : counted) {
+                Twin twin = twins.get(service.service());
+                if (twin != null) {
+                    twin.take(clock.now(), service.kept());
+                }
+            }
+            openPeers();
+        }
+
+        @Override
+        public void hear(String service, List<Twin.Spent> spent) {
+            Twin twin = pools.twins().get(service);
+            if (twin != null) {
+                twin.hear(clock.now(), spent);
+            }
+        }
+
+        @Override
+        public List<Frame.SpentSince> spent() {
+            List<Frame.SpentSince> all = new ArrayList<>();
+            pools.twins().forEach((name, twin) -> {
+                List<Twin.Spent> spent = twin.spent();
+                if (!spent.isEmpty()) {
+                    all.add(new Frame.SpentSince(name, spent));
+                }
+            });
+            return all;
+        }
+
+        @Override
+        public void alone(boolean elder) {
+            pools.twins().values().forEach(Twin::alone);
+            if (elder) {
+                openPeers();
+            }
+        }
+
+        @Override
+        public void succeeded(boolean now) {
+            life.succeeded(now);
+        }
+    }
+
+    /** Takes the peers' socket, or tries again later while another process has it. */
+    private void openPeers() {
+        boolean before = peersWanted;
+        peersWanted = false;
+        try {
+            peers.open();
+        } catch (IOException e) {
+            peersWanted = true;
+            if (!before) {
+                log.accept("hand-over: the peers' socket is not free yet: " + e.getMessage());
+            }
+        }
+    }
+
     private Acceptor listen() throws IOException {
         try {
-            return new Acceptor(config.listen(), reactor, consumers.room(), log);
+            return new Acceptor(config.listen(), succession != null, reactor, consumers.room(), log);
         } catch (IOException e) {
             throw new IOException("cannot listen on " + config.listen() + ": " + e.getMessage());
         }
@@ -147,18 +281,23 @@
      */
     Thread warmUpAfter(Step first) {
         warm = false;
-        WarmUp warmUp = new WarmUp(config, clock, log, pools.main()::restarted);
+        WarmUp warmUp = new WarmUp(config, clock, log, () -> second || pools.main().restarted());
         Thread thread = new Thread(() -> {
             try {
                 first.run();
-                InetSocketAddress self = (InetSocketAddress) awaitListening();
-                warmUp.run(pools.main().client(), self);
-            } catch (InterruptedException | RuntimeException e) {
+                if (second) {
+                    warmUpAside(warmUp);
+                } else {
+                    warmUp.run(pools.main().client(), (InetSocketAddress) awaitListening());
+                }
+            } catch (InterruptedException | IOException | RuntimeException e) {
                 log.accept("warm-up: " + e); // it then starts cold, which is slower and no worse
             } finally {
                 warm = true;
-                if (serving) {
-                    life.ready(clock.now());
+                if (second) {
+                    takeOver();
+                } else if (serving) {
+                    ready();
                 }
             }
         }, "reedmux-warm-up");
@@ -167,9 +306,43 @@
         return thread;
     }
 
+    /** Warms up at a port of our own: at the consumers' one the other process would answer half of it. */
+    private void warmUpAside(WarmUp warmUp) throws IOException, InterruptedException {
+        try (Acceptor aside = new Acceptor(new InetSocketAddress(config.listen().getAddress(), 0), false,
+                reactor, consumers.room(), log)) {
+            warmUp.run(pools.main().client(), (InetSocketAddress) aside.address());
+        }
+    }
+
+    /** Takes another process's place, or starts beside it from nothing where that fails. */
+    private void takeOver() {
+        try {
+            if (!succession.takeOver()) {
+                pools.run(this::openPeers);
+            }
+            serve();
+        } catch (IOException e) {
+            log.accept(e.getMessage());
+            failed = true;
+            pools.loop().wake();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private long afterTurn(long now) {
+        if (failed) {
+            throw new IllegalStateException("cannot take the place of the process that runs");
+        }
+        if (succession != null && succession.exchanges() && now - exchangedAt >= EXCHANGE) {
+            exchangedAt = now;
+            succession.exchange();
+        }
         if (now - sweptAt >= SWEEP) {
             sweptAt = now;
+            if (peersWanted) {
+                openPeers();
+            }
             pools.sweep(now);
             consumers.sweep();
             if (regions != null) {
@@ -182,7 +355,7 @@
             if (!reactorThreads.stream().allMatch(Thread::isAlive)) {
                 throw new IllegalStateException("the reactor has ended");
             }
-            return sweptAt + SWEEP;
+            return succession != null && succession.exchanges() ? exchangedAt + EXCHANGE : sweptAt + SWEEP;
         }
         if (accepting && !life.accepts(now)) {
             accepting = false;
@@ -190,17 +363,16 @@
             consumers.sweep();
         }
         return life.ends(now, pools.unanswered(), consumers.connected()) ? Loop.END
-                : Math.min(life.next(now), sweptAt + SWEEP);
+                : Math.min(life.next(now), succession != null && succession.exchanges()
+                        ? exchangedAt + EXCHANGE : sweptAt + SWEEP);
     }
 
     private void stopListening() {
-        try {
+        if (listener != null) {
             listener.close();
-            if (regions != null) {
-                regions.stopListening();
-            }
-        } catch (IOException e) {
-            log.accept("the port could not be closed: " + e.getMessage());
+        }
+        if (regions != null) {
+            regions.stopListening();
         }
     }
 
--- a/src/main/java/reedmux/cli/RegionLink.java
+++ b/src/main/java/reedmux/cli/RegionLink.java
@@ -64,12 +64,12 @@
         client = new RegionClient(calls, events, config.settings(), settings.rules().name());
     }
 
-    void listen(DefaultListeningIOReactor reactor) throws IOException {
+    void listen(DefaultListeningIOReactor reactor, boolean shared) throws IOException {
         if (settings.listen() == null) {
             return;
         }
         try {
-            listener = new Acceptor(settings.listen(), reactor, server.room(), log);
+            listener = new Acceptor(settings.listen(), shared, reactor, server.room(), log);
         } catch (IOException e) {
             throw new IOException("cannot listen for regions on " + settings.listen() + ": "
                     + e.getMessage());
@@ -130,13 +130,13 @@
         }
     }
 
-    void stopListening() throws IOException {
+    void stopListening() {
         if (listener != null) {
             listener.close();
         }
     }
 
-    void close() throws IOException {
+    void close() {
         if (listener != null) {
             listener.close();
         }
--- a/src/main/java/reedmux/cli/WarmUp.java
+++ b/src/main/java/reedmux/cli/WarmUp.java
@@ -58,6 +58,7 @@
     private final BooleanSupplier restarted;
     private long begin;
 
+    /** {@code restarted}: whether others bear our load meanwhile, so that time presses. */
     WarmUp(Config config, Clock clock, Consumer<String> log, BooleanSupplier restarted) {
         this.restarted = restarted;
         this.config = config;
--- a/src/main/java/reedmux/config/Config.java
+++ b/src/main/java/reedmux/config/Config.java
@@ -23,8 +23,8 @@
 
 /**
  * All that the gatekeeper is told at its start, read once and checked here, with the defaults that hold where
- * a key is missing. A {@link ConfigException} names the key that is at fault. {@code operator} is null where no
- * place for operators is named.
+ * a key is missing. A {@link ConfigException} names the key that is at fault. {@code operator} is null where
+ * no place for operators is named.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
                      int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
@@ -106,6 +106,11 @@
         return draft.known == null ? NOBODY : lists.resolve(draft.known, Scope.CACHED);
     }
 
+    /** All that must be the same in two processes of this gatekeeper for their counts to mean the same. */
+    public String rules() {
+        return settings.self() + " of " + settings.groupSize() + ' ' + settings.plans();
+    }
+
     /** What differs from another configuration but is only read at the start, by its keys. */
     public List<String> fixedAtStart(Config other) {
         List<String> keys = new ArrayList<>();
--- a/src/main/java/reedmux/http/Acceptor.java
+++ b/src/main/java/reedmux/http/Acceptor.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.net.SocketAddress;
-import java.nio.channels.ClosedChannelException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Semaphore;
@@ -13,29 +15,45 @@
 
 /**
  * Accepts consumers' connections as long as there is room for them; those beyond wait in the system's queue,
- * where they cost no descriptor, until others have been closed.
+ * where they cost no descriptor, until others have been closed. At the end it first accepts what waits there:
+ * a socket that is closed with connections in its queue resets them.
  */
 public final class Acceptor implements AutoCloseable {
     /** Connections that may wait to be accepted. */
     private static final int QUEUE = 512;
     private static final long PAUSE_MILLIS = 50;
 
-    private final ServerSocketChannel server = ServerSocketChannel.open();
+    private final ServerSocketChannel server;
+    private final Selector selector;
     private final DefaultListeningIOReactor reactor;
     private final Semaphore room;
     private final Consumer<String> log;
+    private volatile boolean ending;
 
-    /** {@code room} has a permit for each connection that there is still room for. */
-    public Acceptor(SocketAddress listen, DefaultListeningIOReactor reactor, Semaphore room,
+    /**
+     * Listens at once.
+     *
+     * @param shared whether another process may listen there too, as one that takes our place does
+     * @param room   has a permit for each connection that there is still room for
+     */
+    public Acceptor(SocketAddress listen, boolean shared, DefaultListeningIOReactor reactor, Semaphore room,
                     Consumer<String> log) throws IOException {
         this.reactor = reactor;
         this.room = room;
         this.log = log;
-        server.socket().setReuseAddress(true);
+        selector = Selector.open();
+        server = ServerSocketChannel.open();
         try {
+            server.socket().setReuseAddress(true);
+            if (shared && server.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+                server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
             server.bind(listen, QUEUE);
+            server.configureBlocking(false);
+            server.register(selector, SelectionKey.OP_ACCEPT);
         } catch (IOException e) {
             server.close();
+            selector.close();
             throw e;
         }
         Thread thread = new Thread(this::run, "reedmux-accept");
@@ -48,27 +66,54 @@
     }
 
     private void run() {
-        try {
-            while (server.isOpen()) {
-                room.acquire();
-                try {
-                    SocketChannel accepted = server.accept();
-                    AcceptedChannels.hand(reactor, accepted);
-                } catch (ClosedChannelException e) {
+        try (selector; server) {
+            while (!ending) {
+                selector.select();
+                selector.selectedKeys().clear();
+                acceptAll();
+            }
+            acceptAll();
+        } catch (IOException e) {
+            log.accept("accepting has ended: " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void acceptAll() throws InterruptedException {
+        while (true) {
+            if (!room.tryAcquire(PAUSE_MILLIS, TimeUnit.MILLISECONDS)) {
+                if (ending) {
                     return;
-                } catch (IOException | RuntimeException e) { // no descriptor left, or gone before its turn
+                }
+                continue;
+            }
+            boolean used = false;
+            try {
+                SocketChannel accepted = server.accept();
+                if (accepted == null) {
+                    return;
+                }
+                AcceptedChannels.hand(reactor, accepted);
+                used = true;
+            } catch (IOException | RuntimeException e) { // no descriptor left, or gone before its turn
+                log.accept("cannot accept: " + e.getMessage());
+                TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+                if (ending) {
+                    return;
+                }
+            } finally {
+                if (!used) {
                     room.release();
-                    log.accept("cannot accept: " + e.getMessage());
-                    TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
                 }
             }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         }
     }
 
+    /** Has the thread that accepts take what waits, and then close; returns at once. */
     @Override
-    public void close() throws IOException {
-        server.close();
+    public void close() {
+        ending = true;
+        selector.wakeup();
     }
 }
--- a/src/main/java/reedmux/peer/PeerLink.java
+++ b/src/main/java/reedmux/peer/PeerLink.java
@@ -18,7 +18,8 @@
     private static final int MOST_A_TURN = 64;
 
     private final Selector selector;
-    private final DatagramChannel channel;
+    private final InetSocketAddress listen;
+    private DatagramChannel channel;
     private final List<InetSocketAddress> peers;
     private final InetSocketAddress everyone;
     private final Map<SocketAddress, Integer> numbers = new HashMap<>();
@@ -27,20 +28,45 @@
     private long dropped;
     private long unsent;
 
-    /** Listens on an address, or only waits where that is null and no peers are to be heard. */
+    /**
+     * Hears peers at an address, once told to {@link #open}, or only waits where that is null. All but
+     * {@link #wake} is for the thread that runs the turns.
+     */
     public PeerLink(InetSocketAddress listen, List<InetSocketAddress> peers, InetSocketAddress everyone)
             throws IOException {
+        this.listen = listen;
         this.peers = peers;
         this.everyone = everyone;
         for (int i = 0; i < peers.size(); i++) {
             numbers.put(peers.get(i), i);
         }
         selector = Selector.open();
-        channel = listen == null ? null : DatagramChannel.open();
+    }
+
+    /** Takes the socket, unless it has it; nobody else may have it then. */
+    public void open() throws IOException {
+        if (listen == null || channel != null) {
+            return;
+        }
+        DatagramChannel made = DatagramChannel.open();
+        try {
+            made.configureBlocking(false);
+            made.bind(listen);
+            made.register(selector, SelectionKey.OP_READ);
+        } catch (IOException e) {
+            made.close();
+            throw e;
+        }
+        channel = made;
+    }
+
+    /** Lets the socket go, for another process to take; until it is open again nothing comes and goes. */
+    public void release() throws IOException {
         if (channel != null) {
-            channel.configureBlocking(false);
-            channel.bind(listen);
-            channel.register(selector, SelectionKey.OP_READ);
+            DatagramChannel had = channel;
+            channel = null;
+            had.close();
+            selector.selectNow(); // only now does the selector let go of it
         }
     }
 
@@ -115,9 +141,7 @@
 
     @Override
     public void close() throws IOException {
-        if (channel != null) {
-            channel.close();
-        }
+        release();
         selector.close();
     }
 }
--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -101,14 +101,15 @@
     private static final double VISITOR_WORTH = 0.5, VISITOR_SLOW = 2;
 
     // ---- State -------------------------------------------------------------------------------------
-    private final Settings settings;
+    final Settings settings;
     private final SplittableRandom random;
     private final int incarnation;
     private final int[] status;
     private final Edge[] edgeTo;
     private final double firstTime;
-    private final List<Edge> edges = new ArrayList<>();
+    final List<Edge> edges = new ArrayList<>();
     final Map<Long, Account> accounts = new LinkedHashMap<>();
+    final Part part = new Part();
     private final Account visitors;
     private final Fleet fleet = new Fleet();
     private final List<Box> ready = fleet.ready;
@@ -116,7 +117,8 @@
     private final List<ClassTimes> classes = new ArrayList<>();
     private volatile boolean restarted;
     private Actions act;
-    private long now, startedAt = -1, handledAt, sweptAt, sync, paceAt, warmRateAt, goodAt;
+    long now;
+    private long startedAt = -1, handledAt, sweptAt, sync, paceAt, warmRateAt, goodAt;
     private int view, mail;
     private double patience = SILENT_LEAST, retries = RETRY_MOST, mailPlanned;
     private double attemptTime, meanPace, meanDensity, timeouts, warmRate, sentRate, wanted, good, young;
@@ -133,7 +135,7 @@
         attemptTime = firstTime;
         double cheapest = settings.plans().stream().mapToDouble(Plan::price).min().orElse(1);
         Plan free = new Plan("visitors", 0, 0, 0, 0, 0, 0, cheapest * VISITOR_WORTH, 0, 0);
-        visitors = new Account(VISITOR, free, VISITOR, settings.self(), 1, 0);
+        visitors = new Account(VISITOR, free, VISITOR, settings.self(), 1, part, 0);
         mail(settings.limits().peerMessagesPerS());
         sync = bounded((2 + (32 - Integer.numberOfLeadingZeros(status.length)) / 2) / mailPlanned * SECOND);
         meanPace = sync;
@@ -184,11 +186,12 @@
 
     /** Listed servers that are avoided for their health; none where too many are for that to be believed. */
     public int avoided() {
-        return ignoresOut() ? 0 : fleet.out();
+        return fleet.ignoresOut(KEEP_IN) ? 0 : fleet.out();
     }
 
-    private boolean ignoresOut() {
-        return fleet.out() > ready.size() * (1 - KEEP_IN);
+    /** What another process that takes our place is told, and tells. */
+    public Twin twin() {
+        return new Twin(this);
     }
 
     private void begin() {
@@ -348,10 +351,10 @@
     }
 
     // ---- Plans: the quota, the cap on open attempts, the ceiling -----------------------------------
-    private Account account(long customer, int plan, int first, int spread) {
+    Account account(long customer, int plan, int first, int spread) {
         Account account = accounts.get(customer);
         if (account == null) {
-            account = new Account(customer, settings.plans().get(plan), plan, first, spread, now);
+            account = new Account(customer, settings.plans().get(plan), plan, first, spread, part, now);
             account.member = inSet(first, spread);
             account.ceiling = Math.min(account.share(account.plan.ceilingBurst()),
                     account.share(account.plan.ceilingRate()) * (now - startedAt) / SECOND);
@@ -409,7 +412,7 @@
                 && account.sightUnits + units > account.share(account.plan.burst());
     }
 
-    private void count(Account account, double units, int from) {
+    void count(Account account, double units, int from) {
         account.add(units, from);
         markDirty(account, from);
     }
@@ -432,7 +435,7 @@
      * Drains {@code localCount} at the quota's rate, less the part of members that are cut off, but not below
      * nought, as if nothing unheard of were under way: surges would go through that much longer.
      */
-    private void drain(Account account) {
+    void drain(Account account) {
         double passed = (now - account.drainedAt) / SECOND;
         account.drainedAt = now;
         Plan plan = account.plan;
@@ -470,7 +473,7 @@
 
     // ---- The heap: who is whose neighbour ----------------------------------------------------------
     /** Brings an account's neighbours up to the present view of who is heard. */
-    private void refresh(Account account) {
+    void refresh(Account account) {
         if (account.view == view) {
             return;
         }
@@ -484,7 +487,7 @@
         markDirty(account, -1);
     }
 
-    private void markDirty(Account account, int butFor) {
+    void markDirty(Account account, int butFor) {
         for (int peer : account.near) {
             if (peer >= 0 && peer != butFor) {
                 edge(peer).dirty.add(account);
@@ -727,7 +730,7 @@
         }
     }
 
-    private void takeBack(Edge edge, List<Packet> lost) {
+    void takeBack(Edge edge, List<Packet> lost) {
         for (Packet packet : lost) {
             edge.news.addAll(packet.news());
             packet.carried().stream().filter(c -> c.account().takeBack(edge.peer, c)).forEach(
@@ -805,7 +808,7 @@
      * never at cold servers, whose budgets add up over windows. It harms while several of the few are slow.
      */
     private Box choose(Live taken) {
-        boolean ignoreOut = ignoresOut();
+        boolean ignoreOut = fleet.ignoresOut(KEEP_IN);
         Box best = null;
         double least = Double.MAX_VALUE;
         int window = window();
--- a/src/main/java/reedmux/policy/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -17,6 +17,11 @@
 
     private State() { }
 
+    /** Which part of this gateway's shares is ours: all, but while another process is the gateway too. */
+    static final class Part {
+        double of = 1;
+    }
+
     /** A customer here: the paper's four counters, and what the limits beside the quota need. */
     static final class Account {
         final long customer;
@@ -40,13 +45,17 @@
         double margin;
         double sightUnits;
         double ceiling;
+        /** Counted since the twin was told last. */
+        double toTwin;
         int open;
         int view = -1;
-        final long seenAt;
+        private final Part part;
+        long seenAt;
         long drainedAt;
         long usedAt;
 
-        Account(long customer, Plan plan, int planIndex, int first, int spread, long now) {
+        Account(long customer, Plan plan, int planIndex, int first, int spread, Part part, long now) {
+            this.part = part;
             this.customer = customer;
             this.plan = plan;
             this.planIndex = planIndex;
@@ -68,12 +77,13 @@
 
         /** A member's even part of an amount; whoever is none has no part. */
         double share(double amount) {
-            return member ? amount / sharers : 0;
+            return member ? amount * part.of / sharers : 0;
         }
 
         /** Adds to all counters but the one facing {@code from}. */
         void add(double units, int from) {
             localCount += units;
+            toTwin += from == Twin.FROM ? 0 : units;
             for (int i = 0; i < 3; i++) {
                 to[i] += near[i] >= 0 && near[i] != from ? units : 0;
             }
@@ -295,6 +305,11 @@
             return limit;
         }
 
+        /** Whether so many are out that it is not believed to be their fault. */
+        boolean ignoresOut(double keepIn) {
+            return out() > ready.size() * (1 - keepIn);
+        }
+
         /** How many are out of use. */
         int out() {
             int out = 0;
--- a/src/main/java/reedmux/pool/Pool.java
+++ b/src/main/java/reedmux/pool/Pool.java
@@ -28,6 +28,7 @@
 import reedmux.peer.PeerLink;
 import reedmux.peer.PoolTag;
 import reedmux.policy.Brain;
+import reedmux.policy.Twin;
 import reedmux.region.Departure;
 
 /**
@@ -237,6 +238,11 @@
         return reducer.unanswered();
     }
 
+    /** What another process that takes our place is told of this service; by the turns' thread. */
+    Twin twin() {
+        return module.twin();
+    }
+
     /** Sets the messages of peers that may come in each second. */
     void mail(double perSecond) {
         module.mail(perSecond);
--- a/src/main/java/reedmux/pool/Pools.java
+++ b/src/main/java/reedmux/pool/Pools.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,7 @@
 import reedmux.operator.Figures;
 import reedmux.peer.PeerLink;
 import reedmux.peer.PoolTag;
+import reedmux.policy.Twin;
 import reedmux.routing.RouteTable;
 
 /**
@@ -74,6 +76,8 @@
     private final Admission admission;
     private final FairQueues<Piece> queues = new FairQueues<>();
     private final Queue<Change> changes = new ConcurrentLinkedQueue<>();
+    /** What others have the turns' thread do. */
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     /** Slots whose pools have ended. */
     private final Queue<Integer> free = new ConcurrentLinkedQueue<>();
     /** Guarded by the monitor. */
@@ -223,6 +227,12 @@
         }
     }
 
+    /** Has this run at the next turn, by its thread. */
+    public void run(Runnable task) {
+        tasks.add(task);
+        loop.posted();
+    }
+
     // ---- The turns ---------------------------------------------------------------------------------
     private void takeChanges(long now) {
         for (Change change = changes.poll(); change != null; change = changes.poll()) {
@@ -270,6 +280,9 @@
     @Override
     public void takePosted(long at) {
         now = at;
+        for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+            task.run();
+        }
         if (!changes.isEmpty()) {
             takeChanges(now);
         }
@@ -338,8 +351,8 @@
 
     @Override
     public boolean waits() {
-        return alone != null ? alone.waits() || !changes.isEmpty()
-                : queues.size() > 0 || !changes.isEmpty() || running.stream().anyMatch(Pool::waits);
+        return !tasks.isEmpty() || !changes.isEmpty() || (alone != null ? alone.waits()
+                : queues.size() > 0 || running.stream().anyMatch(Pool::waits));
     }
 
     @Override
@@ -393,6 +406,17 @@
         log.accept("service " + pool.name() + ": has ended");
     }
 
+    /** What the services' modules tell another process that takes our place; by the turns' thread. */
+    public Map<String, Twin> twins() {
+        Map<String, Twin> twins = new TreeMap<>();
+        for (Pool pool : running) {
+            if (pool.leavingSince() == 0) {
+                twins.put(pool.name(), pool.twin());
+            }
+        }
+        return twins;
+    }
+
     /** Datagrams of pools that are not known here. */
     public long strays() {
         return strays;
--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -41,7 +41,8 @@
  * {@code crowd} has so many consumers ask for health and stay, {@code silent} so many say nothing,
  * {@code skip} reads on to the end of a head, {@code node log} compares what was logged.
  * c1, c2 are consumers, p1, p2 providers, d, d2 are discovery, u1 a peer, r1, r2 gateways of another region,
- * o1 an operator at the door, x1 a gateway that calls our listener for regions. {@code settings} adds a line to the operators' own
+ * o1 an operator at the door, x1 a gateway that calls our listener for regions. {@code settings} adds a line
+ * to the operators' own
  * settings, {@code node settle} reads such a line anew.
  */
 @RunWith(Parameterized.class)
--- /dev/null
+++ b/src/test/java/reedmux/cli/HandoverTest.java
@@ -0,0 +1,296 @@
+package reedmux.cli;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+import reedmux.config.Config;
+import reedmux.core.Clock;
+import reedmux.handover.Frame;
+import reedmux.handover.Frames;
+import reedmux.handover.Link;
+
+/** One gatekeeper takes another's place on real sockets, and all that can go wrong with it. */
+public final class HandoverTest {
+    /** No verdict hangs on it: it only ends a test that would otherwise wait for ever. */
+    private static final int HANGS = 10_000;
+    private static final InetAddress HERE = InetAddress.getLoopbackAddress();
+
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+    private final List<Process> processes = new ArrayList<>();
+    private ServerSocket provider;
+    private ServerSocket discovery;
+    private Path place;
+    private int port;
+
+    /** A gatekeeper with its thread and its log. */
+    private final class Process {
+        final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+        final Node node;
+        final Thread thread;
+
+        Process() throws Exception {
+            node = new Node(Loaded.alone(config()), new Clock(), log::add, place);
+            thread = new Thread(() -> {
+                try {
+                    node.run();
+                } catch (IOException | InterruptedException | RuntimeException e) {
+                    log.add("crashed: " + e);
+                }
+            });
+            processes.add(this);
+            thread.start();
+            port = ((InetSocketAddress) node.awaitListening()).getPort();
+            long hangs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HANGS);
+            while (!ask("check").equals("+OK serving\n")) { // from then on others can meet it
+                assertTrue("never served", System.nanoTime() < hangs);
+            }
+        }
+
+        /** Waits for a line of the log; those in front of it are gone then. */
+        void says(String part) throws InterruptedException {
+            String line;
+            do {
+                line = log.poll(HANGS, TimeUnit.MILLISECONDS);
+                assertNotNull("never said: " + part, line);
+            } while (!line.contains(part));
+        }
+
+        String ask(String call) throws IOException {
+            try (Socket socket = new Socket()) {
+                socket.connect(node.operatorAddress(), HANGS);
+                socket.setSoTimeout(HANGS);
+                socket.getOutputStream().write((call + '\n').getBytes(StandardCharsets.US_ASCII));
+                return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            }
+        }
+    }
+
+    private Config config() throws Exception {
+        String text = Files.readString(Path.of("src/test/resources/exchanges/config.json"))
+                .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\",\"operator\":\"127.0.0.1:0\"")
+                .replace("${d}", "127.0.0.1:" + discovery.getLocalPort())
+                .replace("${p1}", "127.0.0.1:" + provider.getLocalPort())
+                .replace("$node", "127.0.0.1:9").replace("$u1", "127.0.0.1:10");
+        return Config.read(text.getBytes(StandardCharsets.UTF_8), Map.of(), new Clock());
+    }
+
+    @Before
+    public void open() throws IOException {
+        place = folder.getRoot().toPath().resolve("s");
+        provider = new ServerSocket(0, 50, HERE);
+        discovery = new ServerSocket(0, 50, HERE); // which never says a word
+        Thread answering = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket socket = provider.accept();
+                    Thread one = new Thread(() -> answer(socket));
+                    one.setDaemon(true);
+                    one.start();
+                }
+            } catch (IOException e) {
+                // the test is over
+            }
+        });
+        answering.setDaemon(true);
+        answering.start();
+    }
+
+    private static void answer(Socket socket) {
+        try (socket) {
+            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                    StandardCharsets.US_ASCII));
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                if (line.isEmpty()) {
+                    socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                            .getBytes(StandardCharsets.US_ASCII));
+                }
+            }
+        } catch (IOException e) {
+            // it was closed
+        }
+    }
+
+    @After
+    public void close() throws Exception {
+        for (Process process : processes) {
+            process.node.leave();
+            process.thread.join(HANGS);
+            process.node.close();
+        }
+        provider.close();
+        discovery.close();
+    }
+
+    private static void send(Socket socket, int number, int units) throws IOException {
+        socket.setSoTimeout(HANGS);
+        socket.getOutputStream().write(("GET /check HTTP/1.1\r\nX-Trace-Id: " + String.format("%016x", number)
+                + "\r\nX-Plan: single-line\r\nX-Customer: 0000000000000007\r\nX-Expires-In-Ms: 3000\r\n"
+                + "X-Quota: units=" + units + ",spread=1,first=0\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static String status(Socket socket) throws IOException {
+        byte[] head = socket.getInputStream().readNBytes("HTTP/1.1 200".length());
+        return new String(head, StandardCharsets.US_ASCII).substring("HTTP/1.1 ".length());
+    }
+
+    private String request(int number, int units) throws IOException {
+        try (Socket socket = new Socket(HERE, port)) {
+            send(socket, number, units);
+            return status(socket);
+        }
+    }
+
+    private static String rest(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
+    @Test
+    public void countsGoAlongAndKeptConnectionsEndWithAnAnswer() throws Exception {
+        Process old = new Process();
+        assertEquals("+OK serving\n", old.ask("check"));
+        assertEquals("200", request(1, 3)); // of the four units that the plan has
+        try (Socket kept = new Socket(HERE, port)) {
+            send(kept, 2, 1);
+            assertEquals("200", status(kept));
+            Process next = new Process();
+            assertEquals("+OK serving\n", next.ask("check"));
+            old.says("another process serves in our place");
+            old.node.leave();
+            send(kept, 3, 1); // one more on a connection that the old one still has
+            String answer = rest(kept);
+            assertTrue(answer, answer.contains("HTTP/1.1 429"));
+            assertTrue(answer, answer.contains("Connection: close"));
+            old.thread.join(HANGS);
+            next.says("the former process has gone");
+            assertEquals("429", request(4, 1));
+            Process third = new Process(); // another upgrade right behind
+            next.says("another process serves in our place");
+            next.node.leave();
+            third.says("the former process has gone");
+            assertEquals("429", request(5, 1));
+        }
+    }
+
+    @Test
+    public void aNewOneThatEndsBeforeOrAfterItsTakingChangesNothing() throws Exception {
+        Process old = new Process();
+        Heard first = new Heard();
+        Link early = Link.to(place, first);
+        early.send(new Frame.Hello(Frames.VERSION, config().rules()));
+        assertTrue(first.frames.poll(HANGS, TimeUnit.MILLISECONDS) instanceof Frame.Hello);
+        early.close();
+        Heard second = new Heard();
+        Link taker = meet(second);
+        taker.send(new Frame.Take());
+        assertTrue(second.frames.poll(HANGS, TimeUnit.MILLISECONDS) instanceof Frame.Counted);
+        taker.send(new Frame.Serving());
+        old.says("another process serves in our place");
+        taker.close();
+        old.says("serving on");
+        assertEquals("200", request(1, 4));
+        Process next = new Process();
+        old.says("told what was counted of 1 customers");
+        old.node.leave();
+        next.says("the former process has gone");
+        assertEquals("429", request(2, 1));
+    }
+
+    /** Connects until the old one has seen that its former partner is gone, and takes this one. */
+    private Link meet(Heard ear) throws Exception {
+        while (true) {
+            Link link = Link.to(place, ear);
+            link.send(new Frame.Hello(Frames.VERSION, config().rules()));
+            if (ear.frames.poll(HANGS, TimeUnit.MILLISECONDS) instanceof Frame.Hello) {
+                return link;
+            }
+        }
+    }
+
+    @Test
+    public void noiseAndOtherVersionsEndTheTalkAndNothingElse() throws Exception {
+        Process old = new Process();
+        for (byte[] noise : List.of(new byte[] {0, 0, 0, 3, 1, 2, 3}, new byte[] {-1, -1, -1, -1},
+                Frames.bytes(new Frame.Hello(Frames.VERSION + 1, config().rules())),
+                Frames.bytes(new Frame.Hello(Frames.VERSION, "other plans")))) {
+            try (SocketChannel channel = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+                channel.connect(UnixDomainSocketAddress.of(place));
+                channel.write(ByteBuffer.wrap(noise));
+                ByteBuffer in = ByteBuffer.allocate(1);
+                assertTrue("closed with nothing said", channel.read(in) < 0);
+            }
+        }
+        assertEquals("200", request(1, 1));
+        assertEquals("+OK serving\n", old.ask("check"));
+    }
+
+    @Test
+    public void besideAProcessThatMakesNoSenseItStartsFromNothing() throws Exception {
+        try (ServerSocketChannel silent = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+            silent.bind(UnixDomainSocketAddress.of(place));
+            Process beside = new Process();
+            beside.says("the other process does not answer; starting from nothing");
+            assertEquals("+OK serving\n", beside.ask("check"));
+            assertEquals("200", request(1, 4));
+        }
+    }
+
+    @Test
+    public void whatAnotherLifeHasLeftBehindIsNobody() throws Exception {
+        Files.writeString(place, "not a socket");
+        Process first = new Process();
+        assertEquals("200", request(1, 4));
+        first.node.leave();
+        first.thread.join(HANGS);
+        assertFalse("its file goes with it", Files.exists(place));
+        try (ServerSocketChannel dead = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+            dead.bind(UnixDomainSocketAddress.of(place));
+        }
+        new Process();
+        assertEquals("200", request(2, 4)); // nothing was counted before this life
+    }
+
+    /** What the other side says. */
+    private static final class Heard implements Link.Ear {
+        final BlockingQueue<Object> frames = new LinkedBlockingQueue<>();
+
+        @Override
+        public void heard(Link from, Frame frame) {
+            frames.add(frame);
+        }
+
+        @Override
+        public void ended(Link link, String why) {
+            frames.add(why);
+        }
+    }
+}
--- a/src/test/java/reedmux/policy/LossTest.java
+++ b/src/test/java/reedmux/policy/LossTest.java
@@ -165,7 +165,7 @@
     /** Two neighbours that go at once leave the same units behind twice; the one who follows got both. */
     @Test
     void whatWaitedForTwoLostNeighboursCountsOnce() {
-        State.Account account = new State.Account(CUSTOMER, Group.quota(1, 9), 0, 0, 5, 0);
+        State.Account account = new State.Account(CUSTOMER, Group.quota(1, 9), 0, 0, 5, new State.Part(), 0);
         account.rewire(new int[] {-1, 1, 2});
         account.add(5, -1);
         account.rewire(new int[] {-1, 3, -1});
