Bodies and answers to 32 MiB pass as they arrive, with back-pressure both ways

At fault: Body.In and Transport.MOST_BODY knew gathered bodies alone; ConsumerServer's 2 s held for whole requests; Heads refused answers that end with their connection; ConsumerExchange.takenAt was the head's time. The change: http.Flow between the two exchanges, through the library's capacity windows; Pace draws the line between slow and bad; AnswerBegun and BodyWhole in the reducer; the module's StreamStarted no longer counts as load.

--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -362,7 +362,7 @@
             stopListening();
             consumers.sweep();
         }
-        return life.ends(now, pools.unanswered(), consumers.connected()) ? Loop.END
+        return life.ends(now, pools.unanswered() + consumers.writing(), consumers.connected()) ? Loop.END
                 : Math.min(life.next(now), succession != null && succession.exchanges()
                         ? exchangedAt + EXCHANGE : sweptAt + SWEEP);
     }
--- a/src/main/java/reedmux/core/CallResult.java
+++ b/src/main/java/reedmux/core/CallResult.java
@@ -8,12 +8,26 @@
     /** How far a call had come when it ended. */
     enum Stage { CONNECTING, WRITING, ON_WIRE, ANSWERING }
 
+    /** The body of an answer that is still coming in; only the protocol that made it looks inside. */
+    interface Rest {
+
+        /** Bytes of the whole body, -1 where that is not told. */
+        long length();
+    }
+
     /**
-     * A whole answer; {@code neverRan} when the provider vouches that it did nothing. Another region also
-     * tells how long it had the request and when to come again, both in microseconds, -1 where not told.
+     * A whole answer, or the beginning of one where {@code rest} is not null; {@code neverRan} when the
+     * provider vouches that it did nothing. Another region also tells how long it had the request and when to
+     * come again, both in microseconds, -1 where not told.
      */
     record Answered(int status, boolean neverRan, String contentType, byte[] body, long took,
-                    long retryAfter) implements CallResult {
+                    long retryAfter, Rest rest) implements CallResult {
+
+        /** A whole answer. */
+        public Answered(int status, boolean neverRan, String contentType, byte[] body, long took,
+                        long retryAfter) {
+            this(status, neverRan, contentType, body, took, retryAfter, null);
+        }
 
         /** A provider's answer. */
         public Answered(int status, boolean neverRan, String contentType, byte[] body) {
--- a/src/main/java/reedmux/core/Event.java
+++ b/src/main/java/reedmux/core/Event.java
@@ -21,6 +21,12 @@
     /** The consumer has closed its connection before the answer. */
     record ConsumerLeft(Invocation invocation) implements Event { }
 
+    /** A body that was still coming in with its request is whole; from now on its time runs, for so long. */
+    record BodyWhole(Invocation invocation, long patience) implements Event { }
+
+    /** An invoker call's answer has begun, and more of it is coming than is waited for. */
+    record AnswerBegun(InvokerCall call, CallResult.Answered head) implements Event { }
+
     /** An invoker call has ended. */
     record CallEnded(InvokerCall call, CallResult result) implements Event { }
 
--- a/src/main/java/reedmux/core/Invocation.java
+++ b/src/main/java/reedmux/core/Invocation.java
@@ -17,6 +17,16 @@
         default int size() {
             return 0;
         }
+
+        /** Whether all of it could be sent now, to another provider than before too. */
+        default boolean sendable() {
+            return true;
+        }
+
+        /** Whether it may still be coming in. */
+        default boolean flows() {
+            return false;
+        }
     }
 
     /** Where the one final answer goes. */
@@ -33,6 +43,9 @@
     /** Whether a decision on it has thrown. */
     boolean faulty;
     Timer deadline;
+    /** When its consumer gives up, and when its body was whole if it came in behind it, else nought. */
+    long deadlineAt;
+    long wholeAt;
     /** When it was taken, in microseconds; whether another region sent it; whether its service is noted. */
     long takenAt;
     boolean visitor;
@@ -43,6 +56,7 @@
     public Invocation(Request request, boolean repeatable, Message message, Reply reply) {
         this.request = request;
         this.repeatable = repeatable;
+        deadlineAt = request.deadline();
         this.message = message;
         this.reply = reply;
     }
--- a/src/main/java/reedmux/core/InvokerCall.java
+++ b/src/main/java/reedmux/core/InvokerCall.java
@@ -22,6 +22,8 @@
     Timer overdue;
     Timer connectOverdue;
     boolean neverRan;
+    /** When its answer began to be passed on, in microseconds; nought before that. */
+    long begunAt;
     /** What the carrier of calls remembers of it; the core never looks at it. */
     private Object transport;
 
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -17,6 +17,7 @@
 import reedmux.policy.Gateway.Server;
 import reedmux.policy.Gateway.ServerList;
 import reedmux.policy.Gateway.Status;
+import reedmux.policy.Gateway.StreamStarted;
 import reedmux.policy.Gateway.TimerDue;
 import reedmux.policy.Gateway.Withdrawn;
 import reedmux.region.Departure;
@@ -47,6 +48,7 @@
     private volatile boolean anyProvider;
     private long timersSet;
     private int unanswered;
+    private int streaming;
     private long now;
 
     public Reducer(Gateway module, int maxAttempts, long connectTimeout, Effects effects) {
@@ -94,6 +96,7 @@
         return event instanceof Event.InvocationTaken e ? e.invocation()
                 : event instanceof Event.VisitorTaken e ? e.invocation()
                 : event instanceof Event.CallEnded e ? e.call().invocation
+                : event instanceof Event.AnswerBegun e ? e.call().invocation
                 : event instanceof Event.SendVoid e ? e.invocation() : null;
     }
 
@@ -133,9 +136,9 @@
         return providers.size();
     }
 
-    /** Invocations that still wait for their answer. */
+    /** Invocations that still wait for their answer, or for the rest of it. */
     public int unanswered() {
-        return unanswered;
+        return unanswered + streaming;
     }
 
     /** Whether nothing is known of any invocation: all are answered and all their calls have ended. */
@@ -153,13 +156,17 @@
             onTaken(e.invocation());
         } else if (event instanceof Event.CallEnded e) {
             onCallEnded(e.call(), e.result());
+        } else if (event instanceof Event.AnswerBegun e) {
+            onAnswerBegun(e.call(), e.head());
+        } else if (event instanceof Event.BodyWhole e) {
+            onBodyWhole(e.invocation(), e.patience());
         } else if (event instanceof Event.ConsumerLeft e) {
-            withdraw(e.invocation());
+            onConsumerLeft(e.invocation());
         } else if (event instanceof Event.TokenDue e) {
             module.handle(now, new TimerDue(e.token()), actions);
         } else if (event instanceof Event.PeerTold e) {
             module.handle(now, new PeerMessage(e.peer(), e.bytes()), actions);
-        } else if (event instanceof Event.CallOverdue e) {
+        } else if (event instanceof Event.CallOverdue e && e.call().begunAt == 0) {
             stop(e.call(), InvokerCall.Stop.TIMED_OUT);
         } else if (event instanceof Event.ConnectOverdue e && !e.call().ended) {
             effects.stopConnecting(e.call());
@@ -217,14 +224,71 @@
         onTaken(invocation);
     }
 
+    /** Until now its consumer was still sending; its time, and that of its calls, runs from here. */
+    private void onBodyWhole(Invocation invocation, long patience) {
+        invocation.wholeAt = now;
+        if (invocation.over) {
+            return;
+        }
+        invocation.deadlineAt = now + patience;
+        invocation.deadline.callOff();
+        invocation.deadline = setTimer(invocation.deadlineAt, new Event.DeadlinePassed(invocation));
+        for (InvokerCall call : invocation.calls) {
+            if (!call.ended && call.overdue != null) {
+                call.overdue.callOff();
+                call.overdue = setTimer(invocation.deadlineAt, new Event.CallOverdue(call));
+            }
+        }
+    }
+
+    /** The answer is final from here on, whatever becomes of its rest. */
+    private void onAnswerBegun(InvokerCall call, CallResult.Answered head) {
+        Invocation invocation = call.invocation;
+        if (call.ended || call.begunAt != 0 || call.stop != InvokerCall.Stop.NONE) {
+            return;
+        }
+        call.overdue.callOff();
+        call.connectOverdue.callOff();
+        call.begunAt = now;
+        streaming++;
+        if (invocation.over) {
+            stop(call, InvokerCall.Stop.CANCELLED); // nobody is left to pass it on to
+            return;
+        }
+        finish(invocation, new Answer.Served(head));
+        module.handle(now, new StreamStarted(invocation.id(), call.provider, call.number, took(call)),
+                actions);
+    }
+
+    /** How long a call took until its answer had come, or had begun to; a body that comes in is no work. */
+    private long took(InvokerCall call) {
+        long until = call.begunAt > 0 ? call.begunAt : now;
+        return Math.max(0, until - Math.max(call.sentAt, call.invocation.wholeAt));
+    }
+
+    private void onConsumerLeft(Invocation invocation) {
+        // Without its consumer, a body that was coming in never will be whole, and an answer goes nowhere.
+        invocation.calls.stream().filter(call -> !call.ended && (call.begunAt > 0
+                || invocation.message.flows() && invocation.wholeAt == 0))
+                .forEach(call -> stop(call, InvokerCall.Stop.CANCELLED));
+        withdraw(invocation);
+    }
+
     private void onCallEnded(InvokerCall call, CallResult result) {
         if (call.ended) {
             return;
         }
+        if (call.begunAt > 0) {
+            streaming--;
+        }
         Outcome outcome = result.outcome();
+        if (outcome == Outcome.CONNECT_FAILED && call.stop == InvokerCall.Stop.CANCELLED
+                && call.invocation.message.flows()) {
+            outcome = Outcome.MOOT; // its consumer broke it off, which says nothing of the provider
+        }
         // One that never was whole on the wire never ran, whatever made us stop; else our stop counts.
         if (result instanceof CallResult.Broken && outcome != Outcome.CONNECT_FAILED
-                && call.stop != InvokerCall.Stop.NONE) {
+                && outcome != Outcome.MOOT && call.stop != InvokerCall.Stop.NONE) {
             outcome = call.stop == InvokerCall.Stop.TIMED_OUT ? Outcome.TIMEOUT : Outcome.CANCELLED;
         }
         call.end();
@@ -238,7 +302,7 @@
             finish(invocation, new Answer.Served((CallResult.Answered) result));
         }
         module.handle(now, new AttemptEnded(invocation.id(), invocation.over, call.provider, call.number, 0,
-                now - call.sentAt, outcome), actions);
+                took(call), outcome), actions);
         if (invocation.faulty) {
             onDecisionFailed(invocation);
         }
@@ -292,7 +356,7 @@
             }
             effects.answer(invocation, harmless
                     ? new Answer.Rejection(ADVICE, !invocation.calls.isEmpty(), invocation.neverRan())
-                    : new Answer.Failed(now >= invocation.request.deadline()));
+                    : new Answer.Failed(now >= invocation.deadlineAt));
             withdraw(invocation);
         }
     }
@@ -377,11 +441,12 @@
                 return;
             }
             int number = invocation.calls.size();
-            long left = invocation.request.deadline() - now;
+            long left = invocation.deadlineAt - now;
             InetSocketAddress address = providers.get(server);
             InvokerCall call = new InvokerCall(invocation, number, server, address, now);
             invocation.calls.add(call);
-            boolean moot = invocation.over || left <= 0 || number >= maxAttempts;
+            boolean moot = invocation.over || left <= 0 || number >= maxAttempts
+                    || !invocation.message.sendable();
             if (moot || address == null) {
                 call.ended = true;
                 call.neverRan = true;
@@ -412,7 +477,7 @@
         @Override
         public boolean sendAway(String request, long retryAfter) {
             Invocation invocation = invocations.get(request);
-            if (desk == null || invocation == null || invocation.over) {
+            if (desk == null || invocation == null || invocation.over || invocation.message.flows()) {
                 return false;
             }
             desk.judge(invocation, now, false);
--- a/src/main/java/reedmux/http/Body.java
+++ b/src/main/java/reedmux/http/Body.java
@@ -33,6 +33,10 @@
             return tooLong;
         }
 
+        int size() {
+            return bytes.size();
+        }
+
         byte[] bytes() {
             return bytes.toByteArray();
         }
--- a/src/main/java/reedmux/http/CallExchange.java
+++ b/src/main/java/reedmux/http/CallExchange.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.EndpointDetails;
@@ -24,6 +25,9 @@
 
 /** One request of ours and what came of it. */
 final class CallExchange implements AsyncClientExchangeHandler {
+    private static final int SERVED = 200;
+    /** How long a provider may neither take nor bring a byte in the middle of a long body. */
+    private static final long HALTED = TimeUnit.SECONDS.toMicros(15);
     private static final double SECOND = 1e6;
     /** Of times that another region tells, in microseconds. */
     private static final double LONGEST = 3.6e9;
@@ -32,6 +36,7 @@
     private final OutgoingRequest request;
     private final Runnable written;
     private final Consumer<CallResult> done;
+    private final Consumer<CallResult.Answered> begun;
     private final AtomicBoolean counted = new AtomicBoolean();
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile boolean stopped;
@@ -45,10 +50,17 @@
     private HttpRequest head;
     private HttpResponse response;
     private Body.In body;
+    /** The rest of an answer that is passed on as it comes, or null. */
+    private volatile Flow rest;
+    private volatile boolean uploaded;
+    private long window = Transport.WINDOW;
+    private long moved;
+    private long movedAt;
     private CallResult result;
 
     CallExchange(Calls calls, Connection.Origin origin, OutgoingRequest request, Runnable written,
-                 Consumer<CallResult> done) {
+                 Consumer<CallResult.Answered> begun, Consumer<CallResult> done) {
+        this.begun = begun;
         this.calls = calls;
         this.written = written;
         this.origin = origin;
@@ -86,6 +98,7 @@
 
     void end(CallResult result) {
         if (ended.compareAndSet(false, true)) {
+            calls.flowsNoMore(this);
             countWritten();
             done.accept(result);
         }
@@ -102,18 +115,27 @@
         sentBefore = details.getSentBytesCount();
         endpoint = details;
         int bytes = request.body().length;
+        if (request.flow() != null) {
+            request.flow().onFailure(this::stop); // what was sent of it is no request, and never runs
+            channel.sendRequest(head, new BasicEntityDetails(request.flow().length(), null), context);
+            return;
+        }
         out = new Body.Out(request.body());
         channel.sendRequest(head, bytes == 0 ? null : new BasicEntityDetails(bytes, null), context);
     }
 
     @Override
     public int available() {
-        return out == null ? 0 : out.available();
+        return request.flow() != null ? request.flow().available() : out == null ? 0 : out.available();
     }
 
     @Override
     public void produce(DataStreamChannel channel) throws IOException {
-        out.write(channel);
+        if (request.flow() == null) {
+            out.write(channel);
+        } else if (request.flow().writeTo(channel)) {
+            uploaded = true;
+        }
     }
 
     // ---- The response ------------------------------------------------------------------------------
@@ -126,29 +148,81 @@
         response = received;
         if (entity == null) {
             answered(Body.NONE);
-        } else if (entity.getContentLength() > Transport.MOST_BODY) {
-            throw new IOException("the answer is over 64 KiB"); // it may go on for 3 GB
+        } else if (entity.getContentLength() > (flows() ? Transport.MOST_FLOWING : Transport.MOST_BODY)) {
+            throw new IOException("the answer is too long"); // it may go on for 3 GB
         } else {
             body = new Body.In(entity);
+            if (entity.getContentLength() > Transport.MOST_BODY) {
+                begin(entity.getContentLength(), Transport.WINDOW);
+            }
         }
     }
 
     @Override
     public void updateCapacity(CapacityChannel capacity) throws IOException {
-        capacity.update(Integer.MAX_VALUE);
+        if (rest != null) {
+            rest.source(capacity);
+        } else {
+            window += Transport.MOST_BODY;
+            capacity.update(Transport.MOST_BODY);
+        }
     }
 
     @Override
     public void consume(ByteBuffer source) throws IOException {
+        if (rest != null) {
+            if (!rest.put(source)) {
+                throw new IOException("the answer is too long");
+            }
+            return;
+        }
+        ByteBuffer same = source.duplicate();
         body.take(source);
-        if (body.tooLong()) {
-            throw new IOException("the answer is over 64 KiB");
+        if (body.tooLong() && flows()) {
+            begin(-1, window);
+            rest.put(same);
+        } else if (body.tooLong()) {
+            throw new IOException("the answer is too long");
         }
     }
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
-        answered(body.bytes());
+        if (rest != null) {
+            rest.finish();
+            answered(Body.NONE);
+        } else {
+            answered(body.bytes());
+        }
+    }
+
+    /** Whether an answer may be passed on before it is whole. */
+    private boolean flows() {
+        return begun != null && response.getCode() == SERVED;
+    }
+
+    /** Passes the answer on from here on, as it comes. */
+    private void begin(long told, long granted) {
+        rest = new Flow(told, Transport.MOST_FLOWING, granted);
+        rest.put(ByteBuffer.wrap(body.bytes()));
+        calls.flows(this);
+        Header type = response.getFirstHeader("Content-Type");
+        begun.accept(new CallResult.Answered(SERVED, false, type == null ? null : type.getValue(), Body.NONE,
+                -1, -1, rest));
+    }
+
+    /** Gives it up where the provider neither takes nor brings anything, though it is waited for. */
+    void stopIfHalted(long now) {
+        Flow up = request.flow();
+        Flow down = rest;
+        long sum = (up == null ? 0 : up.moved()) + (down == null ? 0 : down.moved());
+        boolean waits = down == null ? up != null && !uploaded && up.waits() : down.wants();
+        if (sum != moved || !waits) {
+            moved = sum;
+            movedAt = now;
+        } else if (now - movedAt > HALTED) {
+            stop();
+        }
     }
 
     private void answered(byte[] bytes) {
@@ -192,12 +266,17 @@
 
     private boolean sent() {
         EndpointDetails details = endpoint;
-        return details != null && details.getSentBytesCount() - sentBefore >= length;
+        boolean last = request.flow() == null || uploaded;
+        return last && details != null && details.getSentBytesCount() - sentBefore >= length;
     }
 
     // ---- The end without an answer -----------------------------------------------------------------
     @Override
     public void failed(Exception cause) {
+        Flow broken = rest;
+        if (broken != null) {
+            broken.fail();
+        }
         Stage stage = response != null ? Stage.ANSWERING : sent() ? Stage.ON_WIRE : Stage.WRITING;
         end(new CallResult.Broken(stage, String.valueOf(cause.getMessage())));
     }
--- a/src/main/java/reedmux/http/Calls.java
+++ b/src/main/java/reedmux/http/Calls.java
@@ -4,6 +4,8 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -27,6 +29,8 @@
     private final Room room;
     private final long mostIdle;
     private final Map<Origin, Deque<Connection>> idle = new HashMap<>();
+    /** Calls with bodies that are passed on as they come. */
+    private final Set<CallExchange> flowing = ConcurrentHashMap.newKeySet();
     private boolean ended;
 
     /** Places for connections; called by all threads. */
@@ -63,12 +67,19 @@
 
     /** Starts a call; {@code done} hears of its end exactly once, on whatever thread that happens. */
     CallExchange start(Origin to, OutgoingRequest request, Consumer<CallResult> done) {
-        return start(to, request, () -> { }, done);
+        return start(to, request, () -> { }, null, done);
     }
 
-    /** The same; {@code written} hears once it has been written whole, if it ever is. */
-    CallExchange start(Origin to, OutgoingRequest request, Runnable written, Consumer<CallResult> done) {
-        CallExchange exchange = new CallExchange(this, to, request, written, done);
+    /**
+     * The same; {@code written} hears once it has been written whole, if it ever is, and {@code begun} of an
+     * answer that is passed on before it is whole; where that is null none is.
+     */
+    CallExchange start(Origin to, OutgoingRequest request, Runnable written,
+                       Consumer<CallResult.Answered> begun, Consumer<CallResult> done) {
+        CallExchange exchange = new CallExchange(this, to, request, written, begun, done);
+        if (request.flow() != null) {
+            flowing.add(exchange);
+        }
         go(exchange);
         return exchange;
     }
@@ -224,8 +235,22 @@
         }
     }
 
-    /** Closes what has been idle for too long. */
-    public synchronized void sweep() {
+    void flows(CallExchange exchange) {
+        flowing.add(exchange);
+    }
+
+    void flowsNoMore(CallExchange exchange) {
+        flowing.remove(exchange);
+    }
+
+    /** Closes what has been idle for too long, and gives up long bodies that have come to a halt. */
+    public void sweep() {
+        long now = clock.now();
+        flowing.forEach(exchange -> exchange.stopIfHalted(now));
+        sweepIdle();
+    }
+
+    private synchronized void sweepIdle() {
         long usable = clock.now() - mostIdle;
         for (Deque<Connection> kept : idle.values()) {
             kept.removeIf(connection -> {
--- a/src/main/java/reedmux/http/ConsumerExchange.java
+++ b/src/main/java/reedmux/http/ConsumerExchange.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
@@ -24,7 +25,7 @@
 
 /** One request of a consumer and its one answer. */
 final class ConsumerExchange implements AsyncServerExchangeHandler, Invocation.Reply {
-    private static final String TOO_LONG = "the body is over 64 KiB";
+    private static final String TOO_LONG = "the body is too long";
 
     private final ConsumerServer server;
     private final ConsumerServer.Link link;
@@ -39,7 +40,15 @@
     private volatile Invocation invocation;
     private volatile Figures.OfClass counts;
     private volatile Body.Out out;
-    private long takenAt;
+    /** A long body that comes in, and a long answer that goes out; or null. */
+    private volatile Flow upload;
+    private volatile Flow rest;
+    private volatile boolean written;
+    private CapacityChannel capacity;
+    private long window = Transport.WINDOW;
+    /** From when on, and from which byte, a slow body is judged. */
+    private long paceSince;
+    private long paceFrom;
     private long wholeAt;
 
     /** {@code alone}: no request is open before it on its connection. */
@@ -58,6 +67,32 @@
         return reading && !answered();
     }
 
+    /** Whether it has been passed on, whole or not. */
+    boolean passedOn() {
+        return invocation != null;
+    }
+
+    /** Whether its body comes in too slowly; in {@code headLimit} microseconds a head must be whole. */
+    boolean late(long now, long begunAt, long headLimit) {
+        Flow flow = upload;
+        if (!reading()) {
+            return false;
+        } else if (flow == null) {
+            return Pace.late(now - begunAt, headLimit, body == null ? 0 : body.size());
+        } else if (!flow.wants()) { // it waits for us
+            paceSince = now;
+            paceFrom = flow.taken();
+            return false;
+        }
+        return Pace.late(now - (paceSince == 0 ? begunAt : paceSince), headLimit, flow.taken() - paceFrom);
+    }
+
+    /** Whether something of its answer waits for the consumer to read on. */
+    boolean waitsForReader() {
+        Flow flow = rest;
+        return answered() && (flow == null || written || flow.waits());
+    }
+
     // ---- The request -------------------------------------------------------------------------------
     @Override
     public void handleRequest(HttpRequest request, EntityDetails entity, ResponseChannel channel,
@@ -65,14 +100,13 @@
         this.request = request;
         this.channel = channel;
         this.context = context;
-        takenAt = server.reader().now();
         if (link.problem() != null) {
             last(link.problemStatus(), link.problem());
         } else if (!alone) {
             last(400, "one request at a time on a connection");
         } else if (entity == null) {
-            take(Body.NONE);
-        } else if (entity.getContentLength() > Transport.MOST_BODY) {
+            take(Content.whole(Body.NONE));
+        } else if (entity.getContentLength() > server.reader().mostBody()) {
             last(413, TOO_LONG); // told at once: to read 60 MB first would only cost
         } else {
             body = new Body.In(entity);
@@ -80,30 +114,75 @@
             if (request.containsHeader("Expect")) { // some consumers hold the body back until told to go on
                 channel.sendInformation(new BasicHttpResponse(100), context);
             }
+            if (entity.getContentLength() > Transport.MOST_BODY) {
+                begin(entity.getContentLength());
+            }
         }
     }
 
     @Override
-    public void updateCapacity(CapacityChannel capacity) throws IOException {
-        capacity.update(Integer.MAX_VALUE);
+    public void updateCapacity(CapacityChannel channel) throws IOException {
+        Flow flow = upload;
+        if (answered()) {
+            channel.update(Integer.MAX_VALUE); // thrown away
+        } else if (flow != null) {
+            flow.source(channel);
+        } else {
+            window += Transport.MOST_BODY;
+            channel.update(Transport.MOST_BODY);
+        }
+    }
+
+    /** Its body is read on as it comes, and goes on the same way. */
+    private void begin(long length) throws HttpException, IOException {
+        Flow flow = new Flow(length, server.reader().mostBody(), window);
+        flow.put(ByteBuffer.wrap(body.bytes()));
+        upload = flow;
+        body = null;
+        take(new Content(Body.NONE, flow));
+        if (answered()) {
+            flow.end();
+        }
     }
 
     @Override
     public void consume(ByteBuffer source) throws IOException {
-        if (body == null || answered()) {
+        Flow flow = upload;
+        if (answered()) {
             source.position(source.limit());
-            return;
-        }
-        body.take(source);
-        if (body.tooLong()) {
-            lastOrNone(413, TOO_LONG);
+            link.answering(); // what is thrown away is a sign of life too
+        } else if (flow != null) {
+            if (!flow.put(source)) {
+                lastOrNone(413, TOO_LONG);
+            }
+        } else {
+            ByteBuffer same = source.duplicate();
+            body.take(source);
+            if (body.tooLong() && server.reader().mostBody() <= Transport.MOST_BODY) {
+                lastOrNone(413, TOO_LONG);
+            } else if (body.tooLong()) {
+                try {
+                    begin(-1);
+                } catch (HttpException e) {
+                    throw new IOException(e);
+                }
+                upload.put(same);
+            }
         }
     }
 
     @Override
     public void streamEnd(List<? extends Header> trailers) throws HttpException, IOException {
-        if (!answered()) {
-            take(body.bytes());
+        Flow flow = upload;
+        if (flow != null) {
+            reading = false;
+            link.taken();
+            flow.finish();
+            if (invocation != null && !answered()) {
+                home.accept(new Event.BodyWhole(invocation, RequestReader.patience(request)));
+            }
+        } else if (!answered()) {
+            take(Content.whole(body.bytes()));
         }
     }
 
@@ -131,11 +210,18 @@
     private void last(int status, String why) throws HttpException, IOException {
         link.last();
         respond(Front.Response.text(status, why));
+        if (invocation != null) { // what was passed on of it will never be whole
+            home.accept(new Event.ConsumerLeft(invocation));
+            upload.fail();
+        }
     }
 
-    private void take(byte[] bytes) throws HttpException, IOException {
-        reading = false;
-        link.taken();
+    private void take(Content content) throws HttpException, IOException {
+        if (content.flow() == null) {
+            reading = false;
+            link.taken();
+        }
+        long takenAt = server.reader().now();
         if (!Target.toOriginForm(request)) {
             last(400, "the target is not of this host");
             return;
@@ -146,7 +232,7 @@
             return;
         }
         wholeAt = server.reader().tellsTime() ? server.reader().now() : 0;
-        Front.Read read = server.reader().read(request, bytes, takenAt, this);
+        Front.Read read = server.reader().read(request, content, takenAt, this);
         link.intake = read.intake();
         counts = read.counts();
         if (read.invocation() == null) {
@@ -180,18 +266,25 @@
         if (!answered.compareAndSet(false, true)) {
             return;
         }
-        if (counts != null) {
-            counts.answered(told.status());
-            if (invocation != null) {
-                counts.ended();
-            }
+        Flow flow = told.rest();
+        if (flow == null) {
+            count(told.status());
+        }
+        Flow unread = upload;
+        if (unread != null && !link.deaf()) {
+            unread.end(); // the rest is read and thrown away
         }
         byte[] bytes = told.body();
         HttpResponse response = new BasicHttpResponse(told.status());
         if (told.contentType() != null) {
             response.addHeader("Content-Type", told.contentType());
         }
-        response.addHeader("Content-Length", Integer.toString(bytes.length));
+        boolean old = request.getVersion() != null && request.getVersion().lessEquals(HttpVersion.HTTP_1_0);
+        if (flow == null || flow.length() >= 0) {
+            response.addHeader("Content-Length", Long.toString(flow == null ? bytes.length : flow.length()));
+        } else if (!old) {
+            response.addHeader("Transfer-Encoding", "chunked");
+        }
         if (told.retryAfter() >= 0) {
             response.addHeader("Retry-After", seconds(told.retryAfter()));
         }
@@ -208,11 +301,38 @@
             response.addHeader("Connection", "close");
         }
         link.answering();
+        if (flow != null) {
+            rest = flow;
+            flow.onFailure(this::cutOff);
+            channel.sendResponse(response, new BasicEntityDetails(flow.length(), null), context);
+            return;
+        }
         out = new Body.Out(bytes);
         channel.sendResponse(response, bytes.length == 0 ? null
                 : new BasicEntityDetails(bytes.length, null), context);
     }
 
+    private void count(int status) {
+        if (counts != null) {
+            counts.answered(status);
+            if (invocation != null) {
+                counts.ended();
+            }
+        }
+    }
+
+    /** The rest of the answer will never come: the consumer can tell by the end of its connection. */
+    private void cutOff() {
+        if (!written) {
+            written = true;
+            if (counts != null) {
+                counts.cutOff();
+                counts.ended();
+            }
+        }
+        link.broken();
+    }
+
     /** Seconds with three decimals, rounded up: to come back a little early would be to come in vain. */
     static String seconds(long micros) {
         long millis = (micros + 999) / 1000;
@@ -222,23 +342,50 @@
 
     @Override
     public int available() {
-        return out == null ? 0 : out.available();
+        Flow flow = rest;
+        return flow != null ? flow.available() : out == null ? 0 : out.available();
     }
 
     @Override
     public void produce(DataStreamChannel stream) throws IOException {
-        out.write(stream);
+        Flow flow = rest;
+        if (flow == null) {
+            out.write(stream);
+            link.answering();
+            return;
+        }
+        long before = flow.moved();
+        if (flow.writeTo(stream) && !written) {
+            written = true;
+            count(200);
+        }
+        if (flow.moved() != before) {
+            link.answering();
+        }
     }
 
     // ---- The end -----------------------------------------------------------------------------------
     /** The connection has ended; without an answer that means the consumer went away. */
     void consumerLeft() {
+        Flow going = rest;
+        if (going != null && !written) {
+            written = true;
+            going.end();
+            if (counts != null) {
+                counts.ended();
+            }
+            home.accept(new Event.ConsumerLeft(invocation));
+        }
         if (invocation != null && answered.compareAndSet(false, true)) {
             if (counts != null) {
                 counts.ended();
             }
             home.accept(new Event.ConsumerLeft(invocation));
         }
+        Flow flow = upload;
+        if (flow != null) {
+            flow.fail();
+        }
     }
 
     @Override
--- a/src/main/java/reedmux/http/ConsumerServer.java
+++ b/src/main/java/reedmux/http/ConsumerServer.java
@@ -48,8 +48,8 @@
     private static final long REQUEST_LIMIT = TimeUnit.MILLISECONDS.toMicros(2_000);
     /** How long the last answer may take to be read before the connection is closed all the same. */
     private static final long LINGER = TimeUnit.MILLISECONDS.toMicros(500);
-    /** An answer that its consumer does not read is given up after so long. */
-    private static final long WRITE_LIMIT = TimeUnit.SECONDS.toMicros(5);
+    /** An answer of which its consumer reads nothing is given up after so long. */
+    private static final long WRITE_LIMIT = TimeUnit.SECONDS.toMicros(10);
     /** A connection without a request is closed after so long: some consumers never come back. */
     private static final long IDLE_LIMIT = TimeUnit.SECONDS.toMicros(15);
     /**
@@ -105,6 +105,11 @@
         return reader;
     }
 
+    /** Connections with an answer that is not written yet. */
+    public int writing() {
+        return (int) open().stream().filter(link -> link.unwritten > 0).count();
+    }
+
     /** Whether consumers hold connections. */
     public boolean connected() {
         synchronized (links) {
@@ -272,16 +277,18 @@
 
         private boolean readingBody() {
             ConsumerExchange exchange = current;
-            return exchange != null && exchange.reading();
+            return exchange != null && exchange.reading() && !exchange.passedOn();
         }
 
         private boolean overdue(long now) {
             ConsumerExchange exchange = current;
             return switch (doing(now)) {
                 case CLOSING -> now - since > LINGER;
-                case DAWDLING, STARTING -> now - since > requestLimit;
+                case DAWDLING, STARTING -> readingBody() ? exchange.late(now, since, requestLimit)
+                        : now - since > requestLimit;
                 case IDLE -> now - since > IDLE_LIMIT;
-                case SERVING -> exchange != null && exchange.answered() && now - since > WRITE_LIMIT;
+                case SERVING -> exchange != null && (exchange.late(now, since, REQUEST_LIMIT)
+                        || exchange.waitsForReader() && now - since > WRITE_LIMIT);
             };
         }
 
@@ -333,7 +340,8 @@
                 events.take(ioSession, null); // the next request may have just arrived
             }
             boolean waits = unwritten == 0 && !reading();
-            if ((waits && due || overdue(reader.now())) && !(readingBody() && current.timedOut())) {
+            boolean told = current != null && current.reading();
+            if ((waits && due || overdue(reader.now())) && !(told && current.timedOut())) {
                 close();
             }
         }
--- a/src/main/java/reedmux/http/Front.java
+++ b/src/main/java/reedmux/http/Front.java
@@ -17,8 +17,13 @@
     /** Microseconds of the program's clock. */
     long now();
 
-    /** Reads a whole request, the target of which is in origin form. */
-    Read read(HttpRequest request, byte[] body, long takenAt, Invocation.Reply reply);
+    /** Most bytes of a request's body; what is over {@link Transport#MOST_BODY} is read as it comes. */
+    default long mostBody() {
+        return Transport.MOST_FLOWING;
+    }
+
+    /** Reads a request, the target of which is in origin form, and the body of which may still come in. */
+    Read read(HttpRequest request, Content body, long takenAt, Invocation.Reply reply);
 
     /** The response that an answer becomes. */
     Response response(Answer answer);
@@ -59,12 +64,18 @@
     }
 
     /** A response; {@code retryAfter} in microseconds, below nought for none. */
-    record Response(int status, String contentType, byte[] body, long retryAfter, boolean neverRan) {
+    record Response(int status, String contentType, byte[] body, long retryAfter, boolean neverRan,
+                    Flow rest) {
+
+        public Response(int status, String contentType, byte[] body, long retryAfter, boolean neverRan) {
+            this(status, contentType, body, retryAfter, neverRan, null);
+        }
 
         /** The response to a consumer. */
         public static Response of(Answer answer) {
             if (answer instanceof Answer.Served served) {
-                return new Response(200, served.result().contentType(), served.result().body(), -1, false);
+                return new Response(200, served.result().contentType(), served.result().body(), -1, false,
+                        (Flow) served.result().rest());
             } else if (answer instanceof Answer.Rejection rejection) {
                 return text(rejection.tried() ? 503 : 429, "rejected", rejection.retryAfter(), false);
             }
--- a/src/main/java/reedmux/http/Heads.java
+++ b/src/main/java/reedmux/http/Heads.java
@@ -179,6 +179,18 @@
         }
     }
 
+    /** Whether the provider has said that the connection's end is the answer's, RFC 9112, section 6.3. */
+    private static boolean endsWithConnection(HttpResponse response) {
+        for (Iterator<Header> all = response.headerIterator("Connection"); all.hasNext();) {
+            for (String token : all.next().getValue().split(",")) {
+                if (token.trim().equalsIgnoreCase("close")) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     /** Reads a provider's heads; those that cannot be read, or that nobody asked for, end the connection. */
     static final class Responses implements NHttpMessageParser<HttpResponse> {
         private static final int MOST_STATUS = 599;
@@ -222,7 +234,7 @@
             // Without a length only the connection's end would tell where the body ends, and a break looks
             // just like it: half an answer would be passed on as a whole one.
             if (problem == null && response.getCode() >= 200 && !response.containsHeader("Content-Length")
-                    && !response.containsHeader("Transfer-Encoding")) {
+                    && !response.containsHeader("Transfer-Encoding") && !endsWithConnection(response)) {
                 problem = "the answer does not tell its length";
             }
             if (problem != null) {
--- a/src/main/java/reedmux/http/ProviderClient.java
+++ b/src/main/java/reedmux/http/ProviderClient.java
@@ -25,9 +25,11 @@
     /** Starts a call; the provider is told that we wait for {@code timeout} microseconds. */
     public void call(InvokerCall call, long timeout) {
         Message message = (Message) call.invocation().message();
+        long told = message.flow() == null ? timeout : message.patience(); // it begins with the last byte
         call.transport(calls.start(new Origin(call.provider(), call.address()),
                 new OutgoingRequest(message.method(), message.target(), host(call.address()),
-                message.traceId(), timeout / 1000, message.contentType(), message.body()), written,
+                message.traceId(), told / 1000, message.contentType(), message.body(), message.flow(),
+                null), written, head -> events.accept(new Event.AnswerBegun(call, head)),
                 result -> events.accept(new Event.CallEnded(call, result))));
     }
 
--- a/src/main/java/reedmux/http/RegionClient.java
+++ b/src/main/java/reedmux/http/RegionClient.java
@@ -32,7 +32,7 @@
         call.transport(calls.start(new Origin(call.provider(), call.address()),
                 new OutgoingRequest(message.method(), message.target(), ProviderClient.host(call.address()),
                         message.traceId(), departure.told() / 1000, message.contentType(), message.body(),
-                                hop),
+                                null, hop),
                 result -> events.accept(new Event.CallEnded(call, result))));
     }
 }
--- a/src/main/java/reedmux/http/RegionFront.java
+++ b/src/main/java/reedmux/http/RegionFront.java
@@ -63,7 +63,12 @@
     }
 
     @Override
-    public Read read(HttpRequest request, byte[] body, long takenAt, Invocation.Reply reply) {
+    public long mostBody() {
+        return Transport.MOST_BODY;
+    }
+
+    @Override
+    public Read read(HttpRequest request, Content body, long takenAt, Invocation.Reply reply) {
         try {
             if (!RequestReader.plain(request.getPath())) {
                 throw new BadHeader("the target holds a character that has no place there");
@@ -94,7 +99,7 @@
                     takenAt + left, units, 1, settings.self(), false);
             Invocation invocation = new Invocation(decided, repeat == Repeat.SAFE,
                     new Message(request.getMethod(), request.getPath(), traceId,
-                            RequestReader.contentType(request), body), reply);
+                            RequestReader.contentType(request), body, left), reply);
             return Read.of(invocation, new Event.VisitorTaken(invocation, path), home);
         } catch (BadHeader e) {
             return Read.refused(Response.text(503, e.getMessage(), FAULT_ADVICE, true));
@@ -104,7 +109,8 @@
     @Override
     public Response response(Answer answer) {
         if (answer instanceof Answer.Served served) {
-            return new Response(200, served.result().contentType(), served.result().body(), -1, false);
+            return new Response(200, served.result().contentType(), served.result().body(), -1, false,
+                    (Flow) served.result().rest());
         } else if (answer instanceof Answer.Rejection rejection) {
             return Response.text(503, "rejected", rejection.retryAfter(), rejection.neverRan());
         }
--- a/src/main/java/reedmux/http/RequestReader.java
+++ b/src/main/java/reedmux/http/RequestReader.java
@@ -82,11 +82,11 @@
 
     /** Reads a request that nobody waits for; null where it makes no sense here. */
     public Invocation practise(HttpRequest request, byte[] body, long takenAt) {
-        return read(request, body, takenAt, answer -> { }).invocation();
+        return read(request, Content.whole(body), takenAt, answer -> { }).invocation();
     }
 
     @Override
-    public Read read(HttpRequest request, byte[] body, long takenAt, Invocation.Reply reply) {
+    public Read read(HttpRequest request, Content body, long takenAt, Invocation.Reply reply) {
         if (!plain(request.getPath())) {
             return refused(400, "the target holds a character that has no place there");
         }
@@ -97,7 +97,7 @@
         return read(request, requestClass, body, takenAt, reply).counted(counts.get(requestClass));
     }
 
-    private Read read(HttpRequest request, int requestClass, byte[] body, long takenAt,
+    private Read read(HttpRequest request, int requestClass, Content body, long takenAt,
                       Invocation.Reply reply) {
         Repeat repeat = settings.classes().get(requestClass).repeat();
         if (!request.getMethod().equals(repeat == Repeat.SAFE ? "GET" : "POST")) {
@@ -117,9 +117,12 @@
             Quota quota = quota(text(request, "X-Quota"));
             Header secondTry = request.getFirstHeader("X-Second-Try");
             Invocation invocation = new Invocation(new Request(traceId, requestClass, plan, customer,
-                    takenAt + Math.max(0, wait - ON_THE_WAY), quota.units(), quota.spread(), quota.first(),
+                    takenAt + patience(wait) + (body.flow() == null ? 0
+                            : Pace.longest(body.flow().length())), quota.units(), quota.spread(),
+                    quota.first(),
                     secondTry != null && "1".equals(secondTry.getValue())), repeat == Repeat.SAFE,
-                    new Message(request.getMethod(), request.getPath(), traceId, contentType(request), body),
+                    new Message(request.getMethod(), request.getPath(), traceId, contentType(request), body,
+                            patience(wait)),
                     reply);
             return Read.of(invocation, new Event.InvocationTaken(invocation), home);
         } catch (BadHeader e) {
@@ -127,6 +130,19 @@
         }
     }
 
+    /** How long a request may take after its last byte, in microseconds; 0 where that makes no sense. */
+    static long patience(HttpRequest request) {
+        try {
+            return patience(number(request, "X-Expires-In-Ms", MOST_MILLIS) * 1000);
+        } catch (BadHeader e) {
+            return 0;
+        }
+    }
+
+    private static long patience(long wait) {
+        return Math.max(0, wait - ON_THE_WAY);
+    }
+
     private static Read refused(int status, String problem) {
         return Read.refused(Response.text(status, problem));
     }
--- a/src/main/java/reedmux/http/Transport.java
+++ b/src/main/java/reedmux/http/Transport.java
@@ -12,8 +12,12 @@
 
 /** The one reactor, whose one thread does all reading and writing; its listener is left idle. */
 public final class Transport {
-    /** Most bytes of a body, either way; a consumer that sends more is told so. */
+    /** Most bytes of a body that is gathered; a longer one flows. */
     public static final int MOST_BODY = 64 * 1024;
+    /** Most bytes of a body, either way; a consumer that sends more is told so. */
+    public static final long MOST_FLOWING = 32L * 1024 * 1024;
+    /** Bytes of a body that come before its reader is asked whether it wants more. */
+    static final int WINDOW = 16 * 1024;
     /** Bytes of a connection's buffers: a usual request with its body fits, so that it is one write. */
     private static final int BUFFER = 4096;
     /** With the lines' length these bound what a head without end can take up, some hundred times over. */
@@ -24,7 +28,7 @@
 
     static final Http1Config HTTP = Http1Config.custom().setBufferSize(BUFFER).setChunkSizeHint(BUFFER)
             .setMaxHeaderCount(MOST_HEADERS).setMaxLineLength(LONGEST_LINE)
-            .setInitialWindowSize(MOST_BODY + 1).build();
+            .setInitialWindowSize(WINDOW).build();
 
     private Transport() { }
 
--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -978,7 +978,7 @@
         attempt.ended = true;
         attempt.mayHaveRun = !ended.outcome().neverRan();
         taken.reached |= ended.outcome() != Outcome.CONNECT_FAILED && ended.outcome() != Outcome.MOOT;
-        attempt.box.open--;
+        attempt.box.open -= attempt.streaming ? 0 : 1;
         attemptTime += CLASS_SAMPLE * (ended.took() - attemptTime);
         refresh(taken.account);
         changeOpen(taken.account, -1);
@@ -1067,7 +1067,10 @@
     private void onStream(StreamStarted started) {
         Live taken = live.get(started.request());
         if (taken != null && started.attempt() < taken.attempts.size()) {
-            Box box = taken.attempts.get(started.attempt()).box;
+            Attempt attempt = taken.attempts.get(started.attempt());
+            Box box = attempt.box;
+            box.open -= attempt.streaming ? 0 : 1; // what still comes is no work there
+            attempt.streaming = true;
             box.quietSince = now;
             learn(taken, box, started.took());
             taken.streaming = true;
--- a/src/main/java/reedmux/policy/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -367,6 +367,8 @@
         final long sentAt;
         boolean ended;
         boolean mayHaveRun;
+        /** Its answer has begun; it is no load at the server any more. */
+        boolean streaming;
 
         Attempt(Box box, long sentAt) {
             this.box = box;
--- a/src/main/java/reedmux/pool/RoutedFront.java
+++ b/src/main/java/reedmux/pool/RoutedFront.java
@@ -5,6 +5,7 @@
 import reedmux.core.Answer;
 import reedmux.core.Clock;
 import reedmux.core.Invocation;
+import reedmux.http.Content;
 import reedmux.http.Front;
 import reedmux.routing.RouteTable;
 
@@ -45,7 +46,7 @@
     }
 
     @Override
-    public Read read(HttpRequest request, byte[] body, long takenAt, Invocation.Reply reply) {
+    public Read read(HttpRequest request, Content body, long takenAt, Invocation.Reply reply) {
         Table now = table;
         if (now.routes() == null) {
             return now.main().reader().read(request, body, takenAt, reply);
--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -39,6 +39,7 @@
  * a line's end, {@code answers} sends a whole answer with this body,
  * {@code <} expects a line, in which {@code *} stands for anything, {@code <<} expects just these bytes,
  * {@code crowd} has so many consumers ask for health and stay, {@code silent} so many say nothing,
+ * {@code take} reads so many bytes, {@code cut} fewer than so many and then the end,
  * {@code skip} reads on to the end of a head, {@code node log} compares what was logged.
  * c1, c2 are consumers, p1, p2 providers, d, d2 are discovery, u1 a peer, r1, r2 gateways of another region,
  * o1 an operator at the door, x1 a gateway that calls our listener for regions. {@code settings} adds a line
@@ -226,6 +227,12 @@
                 case "<" -> expect(rest, readLine(socket(party)));
                 case "<<" -> expect(rest, new String(socket(party).getInputStream()
                         .readNBytes(rest.length()), StandardCharsets.UTF_8));
+                case "take" -> assertEquals(Integer.parseInt(rest), socket(party).getInputStream()
+                        .readNBytes(Integer.parseInt(rest)).length);
+                case "cut" -> {
+                    int most = Integer.parseInt(rest);
+                    assertTrue("all of it came", untilCut(socket(party), most) < most);
+                }
                 case "skip" -> {
                     while (!readLine(socket(party)).isEmpty()) { }
                 }
@@ -262,6 +269,19 @@
         return socket;
     }
 
+    /** Reads until the connection ends in any way, or so many bytes; returns how many came. */
+    private static int untilCut(Socket socket, int most) throws IOException {
+        int came = 0;
+        try {
+            while (came < most && socket.getInputStream().read() >= 0) {
+                came++;
+            }
+        } catch (SocketException e) {
+            return came;
+        }
+        return came;
+    }
+
     /** Connects again and again until nobody listens any more. */
     private void untilRefused() throws Exception {
         while (true) {
