--- a/src/main/java/reedmux/core/CallResult.java
+++ b/src/main/java/reedmux/core/CallResult.java
@@ -18,15 +18,16 @@
     /**
      * A whole answer, or the beginning of one where {@code rest} is not null; {@code neverRan} when the
      * provider vouches that it did nothing. Another region also tells how long it had the request and when to
-     * come again, both in microseconds, -1 where not told.
+     * come again, both in microseconds, -1 where not told. {@code bodyTook} is how long after its head the
+     * last byte came, in microseconds: a peer that writes slowly is not one that has much to do.
      */
     record Answered(int status, boolean neverRan, String contentType, byte[] body, long took,
-                    long retryAfter, Rest rest) implements CallResult {
+                    long retryAfter, Rest rest, long bodyTook) implements CallResult {
 
         /** A whole answer. */
         public Answered(int status, boolean neverRan, String contentType, byte[] body, long took,
                         long retryAfter) {
-            this(status, neverRan, contentType, body, took, retryAfter, null);
+            this(status, neverRan, contentType, body, took, retryAfter, null, 0);
         }
 
         /** A provider's answer. */
--- a/src/main/java/reedmux/core/Reducer.java
+++ b/src/main/java/reedmux/core/Reducer.java
@@ -256,13 +256,17 @@
             return;
         }
         finish(invocation, new Answer.Served(head));
-        module.handle(now, new StreamStarted(invocation.id(), call.provider, call.number, took(call)),
+        module.handle(now, new StreamStarted(invocation.id(), call.provider, call.number, took(call, head)),
                 actions);
     }
 
-    /** How long a call took until its answer had come, or had begun to; a body that comes in is no work. */
-    private long took(InvokerCall call) {
-        long until = call.begunAt > 0 ? call.begunAt : now;
+    /**
+     * How long a call took until its answer had begun to come: neither a request's body that comes in slowly
+     * nor an answer's is work at the provider.
+     */
+    private long took(InvokerCall call, CallResult result) {
+        long until = call.begunAt > 0 ? call.begunAt
+                : result instanceof CallResult.Answered answered ? now - answered.bodyTook() : now;
         return Math.max(0, until - Math.max(call.sentAt, call.invocation.wholeAt));
     }
 
@@ -302,7 +306,7 @@
             finish(invocation, new Answer.Served((CallResult.Answered) result));
         }
         module.handle(now, new AttemptEnded(invocation.id(), invocation.over, call.provider, call.number, 0,
-                took(call), outcome), actions);
+                took(call, result), outcome), actions);
         if (invocation.faulty) {
             onDecisionFailed(invocation);
         }
--- a/src/main/java/reedmux/http/CallExchange.java
+++ b/src/main/java/reedmux/http/CallExchange.java
@@ -26,6 +26,12 @@
 /** One request of ours and what came of it. */
 final class CallExchange implements AsyncClientExchangeHandler {
     private static final int SERVED = 200;
+    /**
+     * An answer that does not tell its length is passed on once it has so many bytes and is so slow, in
+     * microseconds: it may be a long one, and its consumer waits for the first of it.
+     */
+    private static final int LITTLE = 4 * 1024;
+    private static final long SLOW = TimeUnit.MILLISECONDS.toMicros(20);
     /** How long a provider may neither take nor bring a byte in the middle of a long body. */
     private static final long HALTED = TimeUnit.SECONDS.toMicros(15);
     private static final double SECOND = 1e6;
@@ -49,6 +55,9 @@
     private Body.Out out;
     private HttpRequest head;
     private HttpResponse response;
+    private long headAt;
+    /** Whether the answer does not tell its length. */
+    private boolean untold;
     private Body.In body;
     /** The rest of an answer that is passed on as it comes, or null. */
     private volatile Flow rest;
@@ -146,12 +155,14 @@
     public void consumeResponse(HttpResponse received, EntityDetails entity, HttpContext context)
             throws HttpException, IOException {
         response = received;
+        headAt = calls.now();
         if (entity == null) {
             answered(Body.NONE);
         } else if (entity.getContentLength() > (flows() ? Transport.MOST_FLOWING : Transport.MOST_BODY)) {
             throw new IOException("the answer is too long"); // it may go on for 3 GB
         } else {
             body = new Body.In(entity);
+            untold = entity.getContentLength() < 0;
             if (entity.getContentLength() > Transport.MOST_BODY) {
                 begin(entity.getContentLength(), Transport.WINDOW);
             }
@@ -178,9 +189,12 @@
         }
         ByteBuffer same = source.duplicate();
         body.take(source);
-        if (body.tooLong() && flows()) {
+        if (flows() && (body.tooLong() || untold && body.size() > LITTLE && calls.now() - headAt > SLOW)) {
+            boolean kept = !body.tooLong();
             begin(-1, window);
-            rest.put(same);
+            if (!kept) {
+                rest.put(same);
+            }
         } else if (body.tooLong()) {
             throw new IOException("the answer is too long");
         }
@@ -208,7 +222,7 @@
         calls.flows(this);
         Header type = response.getFirstHeader("Content-Type");
         begun.accept(new CallResult.Answered(SERVED, false, type == null ? null : type.getValue(), Body.NONE,
-                -1, -1, rest));
+                -1, -1, rest, 0));
     }
 
     /** Gives it up where the provider neither takes nor brings anything, though it is waited for. */
@@ -232,7 +246,7 @@
         result = new CallResult.Answered(response.getCode(),
                 neverRan != null && "1".equals(neverRan.getValue()), type == null ? null : type.getValue(),
                 bytes, region ? number(RegionFront.TOOK, 1) : -1, region ? number("Retry-After", SECOND)
-                        : -1);
+                        : -1, null, Math.max(0, calls.now() - headAt));
         connection.answered();
     }
 
--- a/src/main/java/reedmux/http/Calls.java
+++ b/src/main/java/reedmux/http/Calls.java
@@ -235,6 +235,11 @@
         }
     }
 
+    /** Microseconds of the program's clock. */
+    long now() {
+        return clock.now();
+    }
+
     void flows(CallExchange exchange) {
         flowing.add(exchange);
     }
--- a/src/test/java/reedmux/core/FlowingReducerTest.java
+++ b/src/test/java/reedmux/core/FlowingReducerTest.java
@@ -23,7 +23,7 @@
     private static final long MS = 1_000;
     private static final long SECOND = 1_000 * MS;
     private static final CallResult.Answered BEGUN = new CallResult.Answered(200, false, null,
-            new byte[0], -1, -1, () -> 300_000);
+            new byte[0], -1, -1, () -> 300_000, 0);
     private static final CallResult WHOLE = new CallResult.Answered(200, false, null, new byte[0]);
 
     /** A module that sends whatever comes, and sends it again whenever it may. */
@@ -146,6 +146,16 @@
         settled(1);
     }
 
+    /** The module used to take a provider that writes slowly for one that is full, and turned others away. */
+    @Test
+    void anAnswerThatCameInSlowlyIsJudgedByItsHead() {
+        take(new Invocation.Message() { }, 4 * SECOND);
+        at(2 * SECOND, new Event.CallEnded(effects.calls.get(0), new CallResult.Answered(200, false, null,
+                new byte[9], -1, -1, null, 970 * MS)));
+        assertEquals(List.of("OK 30"), module.heard);
+        settled(1);
+    }
+
     @Test
     void oneThatBreaksAfterItsBeginIsNotTriedAgain() {
         take(new Invocation.Message() { }, 4 * SECOND);
