--- a/src/main/java/reedmux/discovery/Watch.java
+++ b/src/main/java/reedmux/discovery/Watch.java
@@ -24,8 +24,13 @@
      * over, so it bounds how old the list may get; a call with no news costs next to nothing.
      */
     private static final long WAIT_MILLIS = 2_000;
-    /** How much longer than the agreed wait an answer may take before the call is made anew. */
-    private static final long PATIENCE_MILLIS = 1_000;
+    /**
+     * How long the whole list may take, and how much longer than the agreed wait an answer to a watch, before
+     * the call is made anew. One discovery serves all gatekeepers, calls wait there in turn, and after many
+     * have started at once for seconds: whoever gives up and asks again stands last once more.
+     */
+    private static final long WHOLE_MILLIS = 4_000;
+    private static final long PATIENCE_MILLIS = 2_000;
     /** A pause after a failure, so that a broken agent is not asked in a tight circle. */
     private static final long PAUSE_MILLIS = 100;
 
@@ -76,7 +81,7 @@
             onAnswer(asked, result);
         });
         stopCall = stop;
-        timeout.set(timers.schedule(stop, (revision < 0 ? 0 : WAIT_MILLIS) + PATIENCE_MILLIS,
+        timeout.set(timers.schedule(stop, revision < 0 ? WHOLE_MILLIS : WAIT_MILLIS + PATIENCE_MILLIS,
                 TimeUnit.MILLISECONDS));
     }
 
