--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -37,6 +37,7 @@
  * Plays the recorded exchanges in {@code src/test/resources/exchanges} against the program, line by line.
  * A line names a party and what it does: {@code >} sends a line, {@code >>} sends all at one go and without
  * a line's end, {@code answers} sends a whole answer with this body,
+ * {@code bytes} sends each byte by itself,
  * {@code <} expects a line, in which {@code *} stands for anything, {@code <<} expects just these bytes,
  * {@code crowd} has so many consumers ask for health and stay, {@code silent} so many say nothing,
  * {@code take} reads so many bytes, {@code cut} fewer than so many and then the end,
@@ -223,6 +224,11 @@
             switch (parts[1]) {
                 case ">" -> send(party, rest + "\r\n");
                 case ">>" -> send(party, rest.replace("\\r\\n", "\r\n"));
+                case "bytes" -> {
+                    for (char piece : rest.replace("\\r\\n", "\r\n").toCharArray()) {
+                        send(party, String.valueOf(piece));
+                    }
+                }
                 case "fill" -> send(party, "x".repeat(Integer.parseInt(rest)));
                 case "<" -> expect(rest, readLine(socket(party)));
                 case "<<" -> expect(rest, new String(socket(party).getInputStream()
