--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -355,7 +355,7 @@
             if (!reactorThreads.stream().allMatch(Thread::isAlive)) {
                 throw new IllegalStateException("the reactor has ended");
             }
-            return succession != null && succession.exchanges() ? exchangedAt + EXCHANGE : sweptAt + SWEEP;
+            return nextLook();
         }
         if (accepting && !life.accepts(now)) {
             accepting = false;
@@ -363,8 +363,11 @@
             consumers.sweep();
         }
         return life.ends(now, pools.unanswered() + consumers.writing(), consumers.connected()) ? Loop.END
-                : Math.min(life.next(now), succession != null && succession.exchanges()
-                        ? exchangedAt + EXCHANGE : sweptAt + SWEEP);
+                : Math.min(life.next(now), nextLook());
+    }
+
+    private long nextLook() {
+        return succession != null && succession.exchanges() ? exchangedAt + EXCHANGE : sweptAt + SWEEP;
     }
 
     private void stopListening() {
--- a/src/main/java/reedmux/handover/Link.java
+++ b/src/main/java/reedmux/handover/Link.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 
 /**
  * A connection to the other process of the same gatekeeper, over a local socket. Frames are read by a thread
@@ -221,9 +220,4 @@
     public static Path place(Path folder, String name, String listen) {
         return folder.resolve("reedmux-" + (name + '-' + listen).replaceAll("[^A-Za-z0-9.-]", "_") + ".sock");
     }
-
-    /** Says why a start goes on without a hand-over. */
-    public static void tellCold(Consumer<String> log, String why) {
-        log.accept("hand-over: " + why + "; starting from nothing");
-    }
 }
--- a/src/main/java/reedmux/handover/Succession.java
+++ b/src/main/java/reedmux/handover/Succession.java
@@ -117,7 +117,7 @@
         elder = null;
         if (problem == null) {
             problem = why;
-            Link.tellCold(log, why);
+            log.accept("hand-over: " + why + "; starting from nothing");
         }
         if (link != null && !took) {
             link.close();
--- a/src/main/java/reedmux/http/ConsumerExchange.java
+++ b/src/main/java/reedmux/http/ConsumerExchange.java
@@ -44,7 +44,6 @@
     private volatile Flow upload;
     private volatile Flow rest;
     private volatile boolean written;
-    private CapacityChannel capacity;
     private long window = Transport.WINDOW;
     /** From when on, and from which byte, a slow body is judged. */
     private long paceSince;
