HandoverTest sees that another version is told apart, not only that its talk ends

Seen: the case of another version also held where the old process was still seeing the talk before off and closed the new one for that; then the version was never looked at. Ruled out: a fault of the program; the line of the log comes once the talk is heard. The change: it talks until the old process has said that the other is of another version or has other settings.

--- a/src/test/java/reedmux/cli/HandoverTest.java
+++ b/src/test/java/reedmux/cli/HandoverTest.java
@@ -240,19 +240,29 @@
     @Test
     public void noiseAndOtherVersionsEndTheTalkAndNothingElse() throws Exception {
         Process old = new Process();
-        for (byte[] noise : List.of(new byte[] {0, 0, 0, 3, 1, 2, 3}, new byte[] {-1, -1, -1, -1},
-                Frames.bytes(new Frame.Hello(Frames.VERSION + 1, config().rules())),
-                Frames.bytes(new Frame.Hello(Frames.VERSION, "other plans")))) {
-            try (SocketChannel channel = SocketChannel.open(StandardProtocolFamily.UNIX)) {
-                channel.connect(UnixDomainSocketAddress.of(place));
-                channel.write(ByteBuffer.wrap(noise));
-                assertTrue("closed with nothing said", isClosed(channel));
-            }
+        talk(new byte[] {0, 0, 0, 3, 1, 2, 3});
+        talk(new byte[] {-1, -1, -1, -1});
+        long hangs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HANGS);
+        for (Frame other : List.of(new Frame.Hello(Frames.VERSION + 1, config().rules()),
+                new Frame.Hello(Frames.VERSION, "other plans"))) {
+            old.log.clear();
+            do { // it may still be seeing the one before off
+                talk(Frames.bytes(other));
+                assertTrue("never told: " + other, System.nanoTime() < hangs);
+            } while (old.log.stream().noneMatch(line -> line.contains("of another version")));
         }
         assertEquals("200", request(1, 1));
         assertEquals("+OK serving\n", old.ask("check"));
     }
 
+    private void talk(byte[] noise) throws IOException {
+        try (SocketChannel channel = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+            channel.connect(UnixDomainSocketAddress.of(place));
+            channel.write(ByteBuffer.wrap(noise));
+            assertTrue("closed with nothing said", isClosed(channel));
+        }
+    }
+
     /** Whether the other side closes it without a word; with ours unread that is a reset. */
     private static boolean isClosed(SocketChannel channel) throws IOException {
         try {
