No name is looked up for a provider's address: calls stood still for 20 s

A gatekeeper's log had one line, "20.902 reedmux: warmed up with 50 decisions and 1 requests to itself". Its stacks, printed each second by a throwaway thread, showed main from 1.0 s on in InetAddress.getHostFromNameService < HttpHost.<init> < Calls.connect < Watch.ask < Pool.start, before it listens.

Ruled out by the same stacks: the accepting thread, wake-ups between threads, and the I/O thread, which waited with nothing to do; nobody else stood still.

At fault: Calls.connect made the library's HttpHost of an address alone, and that asks name resolution for its name. The platform has no DNS, so the resolver gave up after 20 s; each address paid for it once.

Change: the host is named by its address's own digits. CallsTest.noNameIsLookedUpForAnAddress fails without it (the address had got a name).

--- a/src/main/java/reedmux/http/Calls.java
+++ b/src/main/java/reedmux/http/Calls.java
@@ -1,5 +1,6 @@
 package reedmux.http;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -102,8 +103,8 @@
         Origin to = exchange.origin();
         Connection connection = new Connection(to, this);
         try {
-            Future<IOSession> future = reactor.connect(new HttpHost(to.address().getAddress(),
-                    to.address().getPort()), to.address(), null, Timeout.DISABLED, connection,
+            Future<IOSession> future = reactor.connect(named(to.address()), to.address(), null,
+                    Timeout.DISABLED, connection,
                     new FutureCallback<>() {
                         @Override
                         public void completed(IOSession session) {
@@ -139,6 +140,16 @@
         }
     }
 
+    /**
+     * The library's name for an address, spelt out by us: left to itself it asks name resolution for it on
+     * the calling thread, and where that never answers, as there is no DNS, each first call stands still
+     * for 20 s.
+     */
+    private static HttpHost named(InetSocketAddress address) {
+        return new HttpHost(null, address.getAddress(), address.getAddress().getHostAddress(),
+                address.getPort());
+    }
+
     private synchronized Connection lease(CallExchange exchange) {
         exchange.connection = null; // a kept one that proved spoilt must not hide that a new one is coming up
         Deque<Connection> kept = exchange.stopped() ? null : idle.get(exchange.origin());
--- a/src/test/java/reedmux/http/CallsTest.java
+++ b/src/test/java/reedmux/http/CallsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -45,6 +46,21 @@
         }
     }
 
+    /** There is no DNS: a thread that asks it for the name of an address stands still for 20 s. */
+    @Test
+    void noNameIsLookedUpForAnAddress() throws Exception {
+        InetAddress address = InetAddress.getByAddress(new byte[] {127, 0, 0, 1});
+        Calls calls = new Calls((host, remote, local, timeout, attachment, callback) -> {
+            assertEquals("127.0.0.1", host.getHostName());
+            throw new IllegalStateException("shut down");
+        }, new Clock(), Calls.Room.of(1), 1);
+        List<CallResult> ends = new ArrayList<>();
+        calls.start(new Connection.Origin("s-1", new InetSocketAddress(address, 9)),
+                OutgoingRequest.get("/", "127.0.0.1:9"), ends::add);
+        assertEquals(1, ends.size());
+        assertEquals("/127.0.0.1", address.toString(), "an address keeps the name that was found for it");
+    }
+
     /** At its very first look a sweep took an answer of which only the head had come for one at a halt. */
     @Test
     void aLongAnswerIsGivenUpOnlyWhenNothingOfItHasComeForLong() throws Exception {
