An upgrade waits for the first list while the old process serves, not after

Cause, found by reading the change once more: the wait for discovery's first list stood in Node.serve, which an upgrade reaches after Succession.takeOver. With a silent discovery the new process would hold the counts and the peers' socket for up to 2 s before it listens.

Change: the wait is a step of its own, before serve at an ordinary start (same order as before) and before takeOver at an upgrade.

A silent discovery during an upgrade has no test of its own.

--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -121,6 +121,7 @@
         pools.start();
         try {
             if (!second) {
+                awaitFirstList();
                 serve();
             } else if (warm) { // nobody warms up who would do it after that
                 Thread taking = new Thread(this::takeOver, "reedmux-take-over");
@@ -149,10 +150,13 @@
         }
     }
 
-    private void serve() throws IOException, InterruptedException {
+    private void awaitFirstList() throws InterruptedException {
         if (firstListMillis > 0 && !pools.main().awaitKnown(firstListMillis)) {
             log.accept("discovery: nothing told in " + firstListMillis + " ms; the known list serves");
         }
+    }
+
+    private void serve() throws IOException {
         listener = listen();
         if (regions != null) {
             regions.listen(reactor, succession != null);
@@ -330,6 +334,7 @@
     /** Takes another process's place, or starts beside it from nothing where that fails. */
     private void takeOver() {
         try {
+            awaitFirstList(); // while the other one still serves and has the counts
             if (!succession.takeOver()) {
                 pools.run(this::openPeers);
             }
