The first watch goes on from the known list; the warm-up no longer waits for it

All 14 gatekeepers asked for the whole list at their start (840 lines); every watch after that, 426 of 431, ended with 503, at the start 52 of 52, and after the mass restart no gatekeeper had a list any more (1,026 of 1,026 calls failed, 70 to 135 a second over the fleet). So all went on with the list of the first second through a release that replaced every provider. Each restart also stood still for 2 s for that list, and only then began its warm-up of 1.6 s: 4.0 to 4.2 s.

The known list has come with the configuration.

At fault: Watch.revision = -1 at a start; WarmUp.run, which began when Node listened.

Change: the first call tells the revision of the known list and waits 400 ms, as no news says that the list is current; the warm-up practises decisions, which need no socket, from the start, and its sockets once our address is open.

--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -305,7 +305,8 @@
                 if (second) {
                     warmUpAside(warmUp);
                 } else {
-                    warmUp.run(pools.main().client(), (InetSocketAddress) awaitListening());
+                    warmUp.run(pools.main().client(),
+                            millis -> listening(millis) ? (InetSocketAddress) listenAddress : null);
                 }
             } catch (InterruptedException | IOException | RuntimeException e) {
                 log.accept("warm-up: " + e); // it then starts cold, which is slower and no worse
@@ -327,7 +328,8 @@
     private void warmUpAside(WarmUp warmUp) throws IOException, InterruptedException {
         try (Acceptor aside = new Acceptor(new InetSocketAddress(config.listen().getAddress(), 0), false,
                 reactor, consumers.room(), log)) {
-            warmUp.run(pools.main().client(), (InetSocketAddress) aside.address());
+            InetSocketAddress here = (InetSocketAddress) aside.address();
+            warmUp.run(pools.main().client(), millis -> here);
         }
     }
 
--- a/src/main/java/reedmux/cli/WarmUp.java
+++ b/src/main/java/reedmux/cli/WarmUp.java
@@ -50,6 +50,8 @@
     private static final long FRAME = TimeUnit.MILLISECONDS.toNanos(4_000);
     private static final long FRAME_AT_RESTART = TimeUnit.MILLISECONDS.toNanos(2_000);
     private static final long HANGS_MILLIS = 500;
+    /** Between looks whether our address is open and whether the time is over. */
+    private static final long LOOK_MILLIS = 50;
     private static final byte[] BODY = new byte[200];
     /** A body that is passed on as it comes, and one request in how many has it. */
     private static final byte[] LONG_BODY = new byte[100_000];
@@ -69,15 +71,28 @@
         this.log = log;
     }
 
-    /** Runs all rounds, or as many as there is time for. */
-    void run(ProviderClient client, InetSocketAddress self) throws InterruptedException {
+    /** Our own address. */
+    interface Self {
+        /** Null where nobody can connect there within so many milliseconds. */
+        InetSocketAddress within(long millis) throws InterruptedException;
+    }
+
+    /**
+     * Runs all rounds, or as many as there is time for. Decisions need no socket, so they go first where
+     * discovery's list is still waited for, before which nobody can connect.
+     */
+    void run(ProviderClient client, Self self) throws InterruptedException {
         begin = System.nanoTime();
         Sparring sparring = new Sparring();
         int decided = 0;
         int asked = 0;
-        for (int turn = 0; turn < ROUNDS / TURN && !over(); turn++) {
-            decided += sparring.decisions(decided);
-            asked += sockets(client, self);
+        while ((decided < ROUNDS || asked < ROUNDS) && !over()) {
+            InetSocketAddress here = self.within(decided < ROUNDS ? 0 : LOOK_MILLIS);
+            if (here != null && asked < ROUNDS && (asked < decided || decided == ROUNDS)) {
+                asked += sockets(client, here);
+            } else if (decided < ROUNDS) {
+                decided += sparring.decisions(decided);
+            }
         }
         log.accept("warmed up with " + decided + " decisions and " + asked + " requests to itself");
     }
--- a/src/main/java/reedmux/discovery/Watch.java
+++ b/src/main/java/reedmux/discovery/Watch.java
@@ -12,11 +12,12 @@
 import reedmux.core.Event;
 import reedmux.core.ProviderList;
 import reedmux.http.ProviderClient;
+import reedmux.policy.Gateway.Scope;
 
 /**
- * Watches discovery without a pause: the whole list first, then changes, each call sent as soon as the one
- * before it was answered, since a watch lapses 200 ms later. While discovery is silent or tells nonsense,
- * the list that is known goes on serving.
+ * Watches discovery without a pause: what has changed since the list that the configuration told, or the whole
+ * list where it told none, then further changes, each call sent as soon as the one before it was answered, since
+ * a watch lapses 200 ms later. While discovery is silent or tells nonsense, the list that is known goes on serving.
  */
 public final class Watch implements AutoCloseable {
     /**
@@ -24,6 +25,11 @@
      * over, so it bounds how old the list may get; a call with no news costs next to nothing.
      */
     private static final long WAIT_MILLIS = 2_000;
+    /**
+     * The wait asked for at the start, where an answer without news is news, too: the list that we have is the
+     * present one, and consumers may come.
+     */
+    private static final long FIRST_WAIT_MILLIS = 400;
     /**
      * How long the whole list may take, and how much longer than the agreed wait an answer to a watch, before
      * the call is made anew. One discovery serves all gatekeepers, calls wait there in turn, and after many
@@ -41,12 +47,19 @@
     private final ScheduledExecutorService timers;
     private InetSocketAddress discovery;
     private Runnable stopCall = () -> { };
-    private long revision = -1;
+    private long revision;
+    private boolean heard;
     private boolean failing;
     private boolean closed;
 
-    public Watch(ProviderClient client, InetSocketAddress discovery, ProviderListReader lists,
+    /**
+     * {@code known}: the list that serves at the start. The whole list costs discovery a line for each provider,
+     * for each gatekeeper that starts: fourteen that did at once kept it busy for so long that every later call
+     * failed, and no list came any more for the rest of the day.
+     */
+    public Watch(ProviderClient client, InetSocketAddress discovery, ProviderListReader lists, ProviderList known,
                  Consumer<Event> events, Consumer<String> log, ScheduledExecutorService timers) {
+        revision = known.scope() == Scope.CACHED && !known.providers().isEmpty() ? known.revision() : -1;
         this.timers = timers;
         this.client = client;
         this.discovery = discovery;
@@ -72,8 +85,8 @@
         if (closed) {
             return;
         }
-        String target = "/v1/servers"
-                + (revision < 0 ? "" : "?since=" + revision + "&timeout_ms=" + WAIT_MILLIS);
+        long wait = heard ? WAIT_MILLIS : FIRST_WAIT_MILLIS;
+        String target = "/v1/servers" + (revision < 0 ? "" : "?since=" + revision + "&timeout_ms=" + wait);
         Timeout timeout = new Timeout();
         InetSocketAddress asked = discovery;
         Runnable stop = client.get(asked, target, result -> {
@@ -81,7 +94,7 @@
             onAnswer(asked, result);
         });
         stopCall = stop;
-        timeout.set(timers.schedule(stop, revision < 0 ? WHOLE_MILLIS : WAIT_MILLIS + PATIENCE_MILLIS,
+        timeout.set(timers.schedule(stop, revision < 0 ? WHOLE_MILLIS : wait + PATIENCE_MILLIS,
                 TimeUnit.MILLISECONDS));
     }
 
@@ -135,6 +148,7 @@
         }
         if (problem == null) {
             failing = false;
+            heard = true;
             ask();
             return;
         }
--- a/src/test/java/reedmux/discovery/WatchTest.java
+++ b/src/test/java/reedmux/discovery/WatchTest.java
@@ -13,8 +13,10 @@
 import org.junit.jupiter.api.Test;
 import reedmux.config.ProviderListReader;
 import reedmux.core.Clock;
+import reedmux.core.ProviderList;
 import reedmux.http.Calls;
 import reedmux.http.ProviderClient;
+import reedmux.policy.Gateway.Scope;
 
 /** How long a call to discovery is waited for; no time passes here. */
 final class WatchTest {
@@ -46,7 +48,8 @@
         List<String> log = new ArrayList<>();
         try (Watch watch = new Watch(new ProviderClient(calls, event -> { }, () -> { }),
                 new InetSocketAddress("127.0.0.1", 9),
-                new ProviderListReader(List.of(), List.of(), clock), event -> { }, log::add, timers)) {
+                new ProviderListReader(List.of(), List.of(), clock),
+                new ProviderList(Scope.CACHED, 0, List.of()), event -> { }, log::add, timers)) {
             watch.ask();
         } finally {
             timers.shutdownNow();
