A cold provider's budget counts the warm ones of our window, not the whole window

Ruled out: fill (60 of 113 attempts free), throttle (50), first sights (1), margin (0 with room); cold providers are not slow enough to be avoided by cost.

At fault: noteSent divided the work sent to warm providers by the whole window (9), of which under 3 were warm, so withinFall allowed a third of what its rule says; and after a start the mean of 5 s began at nought.

Change: the divisor is the window times the fleet's warm share, which over all windows adds up to what a warm provider takes; after a start the mean is taken over the time since, a second at least.

--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -865,8 +865,10 @@
     }
 
     /**
-     * Our part of the fall budget goes by our own mean on warm servers, so that the parts add up to the
-     * whole. Nothing is saved up, and a random start keeps hundreds from sending their first at once.
+     * Our part of the fall budget goes by our own mean on warm servers, which are the fleet's share of our
+     * window, so that the parts add up to the whole. Taken as all of the window they left a release's new
+     * servers idle while the few warm ones were jammed. After a start the mean is over the time since.
+     * Nothing is saved up, and a random start keeps hundreds from sending their first at once.
      */
     private boolean withinFall(Box box) {
         double share = coldShare(box);
@@ -874,7 +876,8 @@
             return true;
         }
         double multiple = FALL_USED * settings.rules().fallMultiple() * share;
-        box.credit = Math.min(0, box.credit + multiple * warmRate * (now - box.creditAt) / SECOND);
+        double rate = warmRate / (1 - Math.exp(-Math.max(SECOND, now - startedAt) / RATE_MEMORY));
+        box.credit = Math.min(0, box.credit + multiple * rate * (now - box.creditAt) / SECOND);
         box.creditAt = now;
         return box.credit >= 0;
     }
@@ -887,7 +890,8 @@
         if (coldShare(box) < 1) {
             box.credit -= work;
         } else {
-            warmRate += work / (RATE_MEMORY / SECOND) / Math.max(1, window());
+            double warm = ready.stream().filter(other -> coldShare(other) == 1).count();
+            warmRate += work / (RATE_MEMORY / SECOND) / Math.max(1, window() * warm / ready.size());
         }
     }
 
--- a/src/test/java/reedmux/policy/GuardTest.java
+++ b/src/test/java/reedmux/policy/GuardTest.java
@@ -179,6 +179,52 @@
         assertTrue(cold < 3 * 0.25 * 250 / 4, "first second: " + cold);
     }
 
+    /**
+     * A release left 18 of 60 servers warm. Each gateway took its mean on these for the mean on its whole
+     * window, so the new ones got a fifth of what the old ones did, which were jammed for it.
+     */
+    @Test
+    void newServersBearTheirPartWhereFewAreWarm() {
+        Group group = new Group(Group.servers(60), IntStream.range(0, 14)
+                .mapToObj(i -> Group.settings(i, 14, WIDE)).toArray(Settings[]::new));
+        everyThreeMillis(group, 10);
+        long started = group.now;
+        List<Server> fresh = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            if (i % 10 < 7) {
+                fresh.add(Group.server(i, Status.READY, started));
+            }
+        }
+        for (int gateway = 0; gateway < 14; gateway++) {
+            group.give(gateway, new ServerList(Scope.CHANGES, fresh));
+        }
+        int before = group.sent.size();
+        everyThreeMillis(group, 8);
+        Map<String, List<Long>> times = new HashMap<>();
+        group.sent.subList(before, group.sent.size())
+                .forEach(s -> times.computeIfAbsent(s.server(), id -> new ArrayList<>()).add(s.at()));
+        double[] late = new double[2];
+        for (int i = 0; i < 60; i++) {
+            List<Long> at = times.getOrDefault(Group.server(i, Status.READY, 0).id(), List.of());
+            boolean cold = i % 10 < 7;
+            late[cold ? 1 : 0] += at.stream().filter(t -> t > started + 4 * Group.SECOND).count()
+                    / (cold ? 42.0 : 18.0);
+            for (long from : cold ? at : List.<Long>of()) { // each can do 12 requests a second when warm
+                double able = 12 * (0.25 + 0.75 * (from - started) / (12.0 * Group.SECOND));
+                long window = at.stream().filter(t -> t >= from && t < from + Group.SECOND).count();
+                assertTrue(window <= 3 * able, i + " fell over: " + window + " of " + able);
+            }
+        }
+        assertTrue(late[1] > late[0] / 3, "sent to a new one " + late[1] + ", to an old one " + late[0]);
+    }
+
+    private static void everyThreeMillis(Group group, int seconds) {
+        for (int i = 0; i < seconds * 333; i++) {
+            group.request(i % 14, Group.SAFE, i % 400, i % 14, 1);
+            group.run(3 * Group.MS);
+        }
+    }
+
     @Test
     void theCapCountsAttemptsOfAllGateways() {
         Plan plan = new Plan("plan", 0, 0, 4, 0, 0, 0, 1, 0, 1);
