Discovery is asked before the warm-up begins, which gives way to the sockets

At fault: Node.warmUpAfter, which began beside the start; WarmUp.decisions; Watch.FIRST_WAIT_MILLIS of 400.

Change: the warm-up begins once the call is out and pauses for 50 us after 5 decisions; where discovery is asked the first call waits 4 s at it, so the limit is that of a whole list, and we listen after 1 s without an answer, as nothing counts as told there before one; where it pushes, the whole list comes first as before.

--- a/src/main/java/reedmux/cli/Main.java
+++ b/src/main/java/reedmux/cli/Main.java
@@ -128,6 +128,8 @@
          * restart); a silent discovery must not keep us away for longer than the warm-up does at a restart.
          */
         private static final long FIRST_LIST_MILLIS = 2_000;
+        /** Where discovery is asked nothing counts as told before its answer, so an old list is only worse. */
+        private static final long FIRST_ANSWER_MILLIS = 1_000;
 
         @Option(name = "--settings", metaVar = "FILE", usage = "the operators' own settings, a .star script;"
                 + " SIGHUP reads them anew")
@@ -150,7 +152,8 @@
                     Thread.currentThread().interrupt();
                 }
             }, "reedmux-leave"));
-            node.listenAfterList(FIRST_LIST_MILLIS);
+            node.listenAfterList(loaded.config().settings().askDiscovery() ? FIRST_ANSWER_MILLIS
+                    : FIRST_LIST_MILLIS);
             node.warmUpAfter(() -> { });
             try {
                 node.run();
--- a/src/main/java/reedmux/cli/Node.java
+++ b/src/main/java/reedmux/cli/Node.java
@@ -57,6 +57,8 @@
     private final RegionLink regions;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final CountDownLatch listening = new CountDownLatch(1);
+    /** Open once discovery has been asked for the first time. */
+    private final CountDownLatch asked = new CountDownLatch(1);
     private volatile boolean serving;
     private final LifeCycle life = new LifeCycle();
     private final Figures figures = new Figures();
@@ -119,6 +121,7 @@
     public void run() throws IOException, InterruptedException {
         reactor.start();
         pools.start();
+        asked.countDown();
         try {
             if (!second) {
                 awaitFirstList();
@@ -302,6 +305,7 @@
         Thread thread = new Thread(() -> {
             try {
                 first.run();
+                asked.await(); // what the warm-up takes of the core before that, the first list comes later
                 if (second) {
                     warmUpAside(warmUp);
                 } else {
--- a/src/main/java/reedmux/cli/WarmUp.java
+++ b/src/main/java/reedmux/cli/WarmUp.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
@@ -44,6 +45,12 @@
     /** Of the rounds, how many are made of one kind before it is the other's turn. */
     private static final int TURN = 50;
     private static final int AT_ONCE = 4;
+    /**
+     * Decisions in a row, and the gap after them. On a part of one core the sockets' thread else waits for the
+     * whole of it: discovery's first list was read up to 0.7 s late, and until it is what it says is not kept.
+     */
+    private static final int GIVE_WAY = 5;
+    private static final long GAP = TimeUnit.MICROSECONDS.toNanos(50);
     private static final int PROVIDERS = 8;
     private static final long ROUND = TimeUnit.MILLISECONDS.toMicros(5);
     /** The most time for it; at a restart the others bear our load meanwhile, and every second counts. */
@@ -185,6 +192,9 @@
         int decisions(int from) {
             int i = 0;
             for (; i < TURN && !over(); i++, now += ROUND) {
+                if (i % GIVE_WAY == 0) {
+                    LockSupport.parkNanos(GAP);
+                }
                 Event.InvocationTaken taken = request(reader, from + i, now);
                 if (taken != null) {
                     here.reducer.reduce(now, taken);
--- a/src/main/java/reedmux/discovery/Watch.java
+++ b/src/main/java/reedmux/discovery/Watch.java
@@ -15,9 +15,10 @@
 import reedmux.policy.Gateway.Scope;
 
 /**
- * Watches discovery without a pause: what has changed since the list that the configuration told, or the whole
- * list where it told none, then further changes, each call sent as soon as the one before it was answered, since
- * a watch lapses 200 ms later. While discovery is silent or tells nonsense, the list that is known goes on serving.
+ * Watches discovery without a pause: the whole list first, then changes, each call sent as soon as the one
+ * before it was answered, since a watch lapses 200 ms later. Where discovery has to be asked, the changes since
+ * the list that the configuration told come first. While discovery is silent or tells nonsense, the list that
+ * is known goes on serving.
  */
 public final class Watch implements AutoCloseable {
     /**
@@ -26,10 +27,11 @@
      */
     private static final long WAIT_MILLIS = 2_000;
     /**
-     * The wait asked for at the start, where an answer without news is news, too: the list that we have is the
-     * present one, and consumers may come.
+     * The wait asked for while nothing has been heard yet. What discovery would have told counts as told 2 s
+     * after a wait, and a crowd of calls after a mass restart was seen to take over 2 s: with 400 ms the old
+     * list broke a drain. With this it is as long as for the whole list.
      */
-    private static final long FIRST_WAIT_MILLIS = 400;
+    private static final long FIRST_WAIT_MILLIS = 4_000;
     /**
      * How long the whole list may take, and how much longer than the agreed wait an answer to a watch, before
      * the call is made anew. One discovery serves all gatekeepers, calls wait there in turn, and after many
@@ -53,13 +55,14 @@
     private boolean closed;
 
     /**
-     * {@code known}: the list that serves at the start. The whole list costs discovery a line for each provider,
-     * for each gatekeeper that starts: fourteen that did at once kept it busy for so long that every later call
-     * failed, and no list came any more for the rest of the day.
+     * {@code known}: the list to go on from, or null for the whole list first. The whole list costs a discovery
+     * that is asked a line for each provider, for each gatekeeper that starts: fourteen that did at once kept it
+     * busy for so long that every later call failed, and no list came any more for the rest of the day.
      */
     public Watch(ProviderClient client, InetSocketAddress discovery, ProviderListReader lists, ProviderList known,
                  Consumer<Event> events, Consumer<String> log, ScheduledExecutorService timers) {
-        revision = known.scope() == Scope.CACHED && !known.providers().isEmpty() ? known.revision() : -1;
+        revision = known != null && known.scope() == Scope.CACHED && !known.providers().isEmpty()
+                ? known.revision() : -1;
         this.timers = timers;
         this.client = client;
         this.discovery = discovery;
--- a/src/main/java/reedmux/pool/Pool.java
+++ b/src/main/java/reedmux/pool/Pool.java
@@ -91,8 +91,9 @@
         reader = new RequestReader(service.settings(), shared.clock, this::post, figures);
         calls = new Calls(shared.reactor, shared.clock, room, (long) (service.connIdle() * IDLE_SHARE));
         providers = new ProviderClient(calls, this::post, figures::called);
-        watch = new Watch(providers, service.discovery(), service.lists(), service.known(), this::told,
-                this::log, shared.timers);
+        watch = new Watch(providers, service.discovery(), service.lists(),
+                service.settings().askDiscovery() ? service.known() : null, this::told, this::log,
+                shared.timers);
         module = new Brain(service.settings(), seed ^ tag);
         reducer = new Reducer(module, service.settings().limits().maxAttempts(), service.connectTimeout(),
                 this, away == null ? null : away.desk);
