--- a/src/main/java/reedmux/cli/Main.java
+++ b/src/main/java/reedmux/cli/Main.java
@@ -128,7 +128,7 @@
          * restart); a silent discovery must not keep us away for longer than the warm-up does at a restart.
          */
         private static final long FIRST_LIST_MILLIS = 2_000;
-        /** Where discovery is asked nothing counts as told before its answer, so an old list is only worse. */
+        /** Where discovery is asked nothing counts as told before its answer: an old list is only worse. */
         private static final long FIRST_ANSWER_MILLIS = 1_000;
 
         @Option(name = "--settings", metaVar = "FILE", usage = "the operators' own settings, a .star script;"
--- a/src/main/java/reedmux/cli/WarmUp.java
+++ b/src/main/java/reedmux/cli/WarmUp.java
@@ -46,8 +46,8 @@
     private static final int TURN = 50;
     private static final int AT_ONCE = 4;
     /**
-     * Decisions in a row, and the gap after them. On a part of one core the sockets' thread else waits for the
-     * whole of it: discovery's first list was read up to 0.7 s late, and until it is what it says is not kept.
+     * Decisions in a row, and the gap after them. On a part of one core the sockets' thread else waits for
+     * all of them: discovery's first list was read up to 1.0 s late, and until then nobody heeds what it says.
      */
     private static final int GIVE_WAY = 5;
     private static final long GAP = TimeUnit.MICROSECONDS.toNanos(50);
--- a/src/main/java/reedmux/discovery/Watch.java
+++ b/src/main/java/reedmux/discovery/Watch.java
@@ -16,9 +16,9 @@
 
 /**
  * Watches discovery without a pause: the whole list first, then changes, each call sent as soon as the one
- * before it was answered, since a watch lapses 200 ms later. Where discovery has to be asked, the changes since
- * the list that the configuration told come first. While discovery is silent or tells nonsense, the list that
- * is known goes on serving.
+ * before it was answered, since a watch lapses 200 ms later. Where discovery has to be asked, the changes
+ * since the list that the configuration told come first. While discovery is silent or tells nonsense, the
+ * list that is known goes on serving.
  */
 public final class Watch implements AutoCloseable {
     /**
@@ -55,12 +55,13 @@
     private boolean closed;
 
     /**
-     * {@code known}: the list to go on from, or null for the whole list first. The whole list costs a discovery
-     * that is asked a line for each provider, for each gatekeeper that starts: fourteen that did at once kept it
-     * busy for so long that every later call failed, and no list came any more for the rest of the day.
+     * {@code known}: the list to go on from, or null for the whole list first. The whole list costs a
+     * discovery that is asked a line for each provider, for each gatekeeper that starts: fourteen that did at
+     * once kept it busy for so long that nearly every later call failed, and hardly a list came after that.
      */
-    public Watch(ProviderClient client, InetSocketAddress discovery, ProviderListReader lists, ProviderList known,
-                 Consumer<Event> events, Consumer<String> log, ScheduledExecutorService timers) {
+    public Watch(ProviderClient client, InetSocketAddress discovery, ProviderListReader lists,
+                 ProviderList known, Consumer<Event> events, Consumer<String> log,
+                 ScheduledExecutorService timers) {
         revision = known != null && known.scope() == Scope.CACHED && !known.providers().isEmpty()
                 ? known.revision() : -1;
         this.timers = timers;
--- a/src/main/java/reedmux/lab/Scenes.java
+++ b/src/main/java/reedmux/lab/Scenes.java
@@ -52,7 +52,7 @@
                 progress)));
         ALL.put("upgrade", new Known("new versions take a gatekeeper's place under load, one dies, 40 s",
                 (asked, progress) -> UpgradeScene.run(Files.createTempDirectory("rx"), progress)));
-        ALL.put("sizes", new Known("14 and 100 gatekeepers: mass restart, lost zone, replacement; rules, 1 min",
+        ALL.put("sizes", new Known("14 and 100 gatekeepers: mass restart, lost zone, replacement; 1 min",
                 (asked, progress) -> SizeScenes.sweep(asked.first, asked.last, progress)));
         ALL.put("region-storms", new Known("faults of all kinds against the rules, in virtual time",
                 (asked, progress) -> RegionTables.storms(asked.first, asked.last, progress)));
--- a/src/main/java/reedmux/lab/sim/SizeScenes.java
+++ b/src/main/java/reedmux/lab/sim/SizeScenes.java
@@ -15,8 +15,9 @@
 import reedmux.policy.Gateway.Plan;
 
 /**
- * Groups of many gatekeepers before many providers, at four fifths of what these can do and with one customer that
- * asks far too much: what each does alone has to keep the rules in sum. The production reducer and module decide.
+ * Groups of many gatekeepers before many providers, at four fifths of what these can do and with one customer
+ * that asks far too much: what each does alone has to keep the rules in sum. The production reducer and module
+ * decide.
  */
 public final class SizeScenes {
     /** What happens, from the sixth second on. */
@@ -62,7 +63,8 @@
         world.customers = (int) (1.2 * perSecond); // at 1.7 units a second each
         world.spread = SPREAD;
         world.hot = HOT;
-        world.ledger.rules.allow(new Tolerance(SPREAD, CROSSING)); // each lets a burst through, if started anew
+        // Each but one lets a burst through before it hears of the others, and one that started anew another.
+        world.ledger.rules.allow(new Tolerance(SPREAD, CROSSING));
         UniformRandomProvider random = World.stream(seed, 98);
         switch (day) {
             case HERD -> {
--- a/src/main/java/reedmux/lab/sim/World.java
+++ b/src/main/java/reedmux/lab/sim/World.java
@@ -88,7 +88,7 @@
             perSecond = setup.perSecond();
         }
 
-        /** Of those that may have new work the one that has started last, or {@code chosen} if all are old. */
+        /** Of those that may have new work the one that started last, or {@code chosen} if all are old. */
         SimProvider newest(SimProvider chosen) {
             SimProvider newest = chosen;
             for (SimProvider provider : providers.values()) {
--- a/src/test/java/reedmux/lab/sim/SizeScenesTest.java
+++ b/src/test/java/reedmux/lab/sim/SizeScenesTest.java
@@ -13,7 +13,7 @@
 import reedmux.lab.sim.SizeScenes.Result;
 import reedmux.lab.sim.World.Planted;
 
-/** Groups of fourteen and of a hundred gatekeepers keep the rules in sum; faults put in show that they are seen. */
+/** Fourteen and a hundred gatekeepers keep the rules in sum; faults put in show that they are seen. */
 final class SizeScenesTest {
 
     @ParameterizedTest
@@ -38,13 +38,14 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"SENDS_TO_NEWEST,JOIN,COLD", "TELLS_DRAINS_LATE,JOIN,DRAIN", "WHOLE_CEILING_EACH,HERD,CEILING"})
+    @CsvSource({"SENDS_TO_NEWEST,JOIN,COLD", "TELLS_DRAINS_LATE,JOIN,DRAIN",
+            "WHOLE_CEILING_EACH,HERD,CEILING"})
     void aFaultPutInIsSeenAtThatSize(Planted planted, Day day, Rule rule) {
         breaks(rule, SizeScenes.play(day, 14, 60, 3, planted));
         breaks(rule, SizeScenes.play(day, 100, 200, 3, planted));
     }
 
-    /** At fourteen the bounds on attempts alone are enough; a hundred push a provider over that they think warm. */
+    /** At fourteen the bounds on attempts are enough; a hundred push a provider over that they think warm. */
     @Test
     void aHundredNeedToKnowWhoIsCold() {
         breaks(Rule.COLD, SizeScenes.play(Day.JOIN, 100, 200, 3, Planted.TELLS_NO_START));
