--- a/src/main/java/reedmux/cli/WarmUp.java
+++ b/src/main/java/reedmux/cli/WarmUp.java
@@ -47,7 +47,7 @@
     private static final int AT_ONCE = 4;
     /**
      * Decisions in a row, and the gap after them. On a part of one core the sockets' thread else waits for
-     * all of them: discovery's first list was read up to 1.0 s late, and until then nobody heeds what it says.
+     * all of them: discovery's first list was read up to 1.0 s late, and until then nobody heeds it.
      */
     private static final int GIVE_WAY = 5;
     private static final long GAP = TimeUnit.MICROSECONDS.toNanos(50);
--- a/src/main/java/reedmux/lab/sim/SizeScenes.java
+++ b/src/main/java/reedmux/lab/sim/SizeScenes.java
@@ -16,8 +16,8 @@
 
 /**
  * Groups of many gatekeepers before many providers, at four fifths of what these can do and with one customer
- * that asks far too much: what each does alone has to keep the rules in sum. The production reducer and module
- * decide.
+ * that asks far too much: what each does alone has to keep the rules in sum. The production reducer and
+ * module decide.
  */
 public final class SizeScenes {
     /** What happens, from the sixth second on. */
