--- a/src/main/java/reedmux/lab/sim/RuleScenes.java
+++ b/src/main/java/reedmux/lab/sim/RuleScenes.java
@@ -21,8 +21,8 @@
     private static final String GROUP = "ennis";
     /** The longest time for a count to cross the heap of three, lost packets included. */
     private static final long CROSSING = 2 * World.SECOND;
-    private static final Plan SINGLE = new Plan("single-line", 2, 16, 0, 0, 0, 0, 1.2, 0, 1.2);
-    private static final Plan FULL = new Plan("full-plant", 9.7, 32, 0, 17, 55, 8, 1.6, 0, 1.2);
+    static final Plan SINGLE = new Plan("single-line", 2, 16, 0, 0, 0, 0, 1.2, 0, 1.2);
+    static final Plan FULL = new Plan("full-plant", 9.7, 32, 0, 17, 55, 8, 1.6, 0, 1.2);
 
     private RuleScenes() { }
 
--- a/src/main/java/reedmux/lab/sim/SimNode.java
+++ b/src/main/java/reedmux/lab/sim/SimNode.java
@@ -136,11 +136,12 @@
     /** Takes a consumer's request; {@code then} is run when it has its answer. */
     Invocation take(String id, int kind, long customer, long deadline, double units, Runnable then) {
         Life at = life;
+        int spread = world.spread == 0 ? region.nodes.size() : world.spread;
+        int first = world.spread == 0 ? 0 : (int) (customer % region.nodes.size());
+        boolean alone = world.planted == Planted.WHOLE_CEILING_EACH;
         Request request = new Request(id, kind,
                 region.settings[number].plans().indexOf(region.setup.plan(customer)), customer, deadline,
-                units, world.planted == Planted.WHOLE_CEILING_EACH ? 1 : world.spread == 0
-                ? region.nodes.size() : world.spread, world.planted == Planted.WHOLE_CEILING_EACH ? number
-                : world.spread == 0 ? 0 : (int) (customer % region.nodes.size()), false);
+                units, alone ? 1 : spread, alone ? number : first, false);
         Invocation invocation = new Invocation(request, kind == 0, NOTHING, answer -> {
             at.owed.remove(id);
             if (world.planted == Planted.FORGETS_ANSWERS && answer instanceof Answer.Failed) {
--- a/src/main/java/reedmux/lab/sim/SizeScenes.java
+++ b/src/main/java/reedmux/lab/sim/SizeScenes.java
@@ -12,7 +12,6 @@
 import reedmux.lab.rules.RuleChecker.Tolerance;
 import reedmux.lab.sim.World.Planted;
 import reedmux.lab.sim.World.Setup;
-import reedmux.policy.Gateway.Plan;
 
 /**
  * Groups of many gatekeepers before many providers, at four fifths of what these can do and with one customer
@@ -32,8 +31,6 @@
 
     private static final int[][] SIZES = {{14, 60}, {100, 200}};
     private static final String GROUP = "ennis";
-    private static final Plan SINGLE = new Plan("single-line", 2, 16, 0, 0, 0, 0, 1.2, 0, 1.2);
-    private static final Plan FULL = new Plan("full-plant", 9.7, 32, 0, 17, 55, 8, 1.6, 0, 1.2);
     private static final long WORK = 100 * World.MS;
     private static final int CORES = 2;
     private static final double LOAD = 0.8;
@@ -59,7 +56,7 @@
     static Result play(Day day, int gatekeepers, int providers, long seed, Planted planted) {
         double perSecond = LOAD * providers * CORES * World.SECOND / WORK;
         World world = new World(seed, List.of(new Setup(GROUP, null, gatekeepers, providers, perSecond, WORK,
-                CORES, List.of(SINGLE, FULL))), planted);
+                CORES, List.of(RuleScenes.SINGLE, RuleScenes.FULL))), planted);
         world.customers = (int) (1.2 * perSecond); // at 1.7 units a second each
         world.spread = SPREAD;
         world.hot = HOT;
