--- a/src/main/java/reedmux/cli/Main.java
+++ b/src/main/java/reedmux/cli/Main.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.StringWriter;
-import java.lang.reflect.Proxy;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -14,6 +13,7 @@
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
+import reedmux.boot.Signals;
 import reedmux.config.Config;
 import reedmux.config.ConfigException;
 import reedmux.core.Clock;
@@ -64,6 +64,9 @@
     private Main() { }
 
     public static void main(String[] args) throws IOException, InterruptedException {
+        if (args.length > 0 && Programs.has(args[0])) {
+            System.exit(Programs.run(args));
+        }
         Main main = new Main();
         CmdLineParser parser = new CmdLineParser(main);
         try {
@@ -98,6 +101,7 @@
     private static String usage() {
         StringBuilder text = new StringBuilder("usage: reedmux COMMAND [OPTION ...]\n");
         COMMANDS.forEach((name, what) -> text.append(String.format("  %-13s %s%n", name, what)));
+        text.append("  proxy, registry, store, check\n                the programs of the whole system\n");
         return text.append("reedmux COMMAND --help tells a command's options").toString();
     }
 
@@ -173,36 +177,9 @@
                 + '-' + config.listen().getPort());
     }
 
-    /**
-     * Runs this at each SIGHUP, on a thread of its own. The JDK's class for signals is no part of its
-     * documented interface, and a use of it in the text is a warning that nothing can silence; so it is
-     * looked up, and where there is none the program starts all the same and says so.
-     */
+    /** Runs this at each SIGHUP, on a thread of its own. */
     static void onHangUp(Runnable task) {
-        try {
-            Class<?> signal = Class.forName("sun.misc.Signal");
-            Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object proxy = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
-                    (self, method, arguments) -> {
-                        switch (method.getName()) {
-                            case "handle" -> task.run();
-                            case "equals" -> {
-                                return self == arguments[0];
-                            }
-                            case "hashCode" -> {
-                                return System.identityHashCode(self);
-                            }
-                            default -> {
-                                return "reload at SIGHUP";
-                            }
-                        }
-                        return null;
-                    });
-            signal.getMethod("handle", signal, handler)
-                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
-        } catch (ReflectiveOperationException | RuntimeException e) {
-            System.err.println("reedmux: SIGHUP is not handled here: " + e);
-        }
+        Signals.on("HUP", task, line -> System.err.println("reedmux: " + line));
     }
 
     /** Speaks the simulator's wire on standard input and output. */
--- /dev/null
+++ b/src/main/java/reedmux/cli/Programs.java
@@ -0,0 +1,136 @@
+package reedmux.cli;
+
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.HelpOption;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.builder.CliBuilder;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import reedmux.boot.Boot;
+import reedmux.boot.BootException;
+import reedmux.boot.Signals;
+import reedmux.net.Reactor;
+import reedmux.proxy.Proxy;
+import reedmux.registry.Registry;
+import reedmux.store.Store;
+
+/** The programs of the whole system, one sub-command each. */
+final class Programs {
+    private static final int FAILED = 1;
+    private static final int BAD_USAGE = 2;
+    private static final int BAD_SETTINGS = 3;
+    private static final Set<String> NAMES = Set.of("proxy", "registry", "store", "check");
+
+    private Programs() { }
+
+    static boolean has(String name) {
+        return NAMES.contains(name);
+    }
+
+    /** Runs one and returns its exit code. */
+    static int run(String[] args) {
+        CliBuilder<Callable<Integer>> builder = Cli.builder("reedmux");
+        builder.withDescription("the programs of the gateway");
+        builder.withCommand(RunProxy.class);
+        builder.withCommand(RunRegistry.class);
+        builder.withCommand(RunStore.class);
+        builder.withCommand(Check.class);
+        try {
+            return builder.build().parse(args).call();
+        } catch (ParseException e) {
+            System.err.println("reedmux: " + e.getMessage());
+            System.err.println("try: reedmux " + args[0] + " --help");
+            return BAD_USAGE;
+        } catch (BootException e) {
+            System.err.println("reedmux: settings: " + e.getMessage());
+            return BAD_SETTINGS;
+        } catch (Exception e) {
+            System.err.println("reedmux: " + e);
+            return FAILED;
+        }
+    }
+
+    /** What the three programs have in common. */
+    abstract static class Program implements Callable<Integer> {
+        @AirlineModule
+        private HelpOption<Program> help;
+
+        /** Begins; what is given back is run at SIGTERM. */
+        abstract Runnable begin(Boot boot, Reactor reactor) throws BootException, IOException;
+
+        @Override
+        public Integer call() throws BootException, IOException {
+            if (help != null && help.showHelpIfRequested()) {
+                return 0;
+            }
+            Boot boot = Boot.ofEnvironment();
+            Reactor reactor = new Reactor(line -> System.err.println(boot.node() + ' ' + line));
+            Runnable leave = begin(boot, reactor);
+            Signals.on("TERM", leave, reactor::log);
+            Signals.on("HUP", () -> { }, reactor::log);
+            reactor.run();
+            return 0;
+        }
+    }
+
+    /** Carries the traffic. */
+    @Command(name = "proxy",
+            description = "carries clients' requests to checkers; REEDMUX_BOOT names its settings")
+    public static final class RunProxy extends Program {
+        @Override
+        Runnable begin(Boot boot, Reactor reactor) throws BootException, IOException {
+            return new Proxy(boot, reactor)::leave;
+        }
+    }
+
+    /** Takes the calls of checkers and of the operator. */
+    @Command(name = "registry", description = "knows checkers and proxies, and takes the calls from outside")
+    public static final class RunRegistry extends Program {
+        @Override
+        Runnable begin(Boot boot, Reactor reactor) throws BootException, IOException {
+            new Registry(boot, reactor);
+            return reactor::end;
+        }
+    }
+
+    /** Keeps the configuration. */
+    @Command(name = "store", description = "keeps the configuration on disk and tells it to the proxies")
+    public static final class RunStore extends Program {
+        @Override
+        Runnable begin(Boot boot, Reactor reactor) throws BootException, IOException {
+            new Store(boot, reactor);
+            return reactor::end;
+        }
+    }
+
+    /** Reads a settings file and says whether it can be used. */
+    @Command(
+            name = "check", description = "says whether a settings file can be used, or what is wrong")
+    public static final class Check implements Callable<Integer> {
+        @AirlineModule
+        private HelpOption<Check> help;
+
+        @Arguments(title = "FILE", description = "the settings file; without it REEDMUX_BOOT names it")
+        private String file;
+
+        @Override
+        public Integer call() throws BootException {
+            if (help != null && help.showHelpIfRequested()) {
+                return 0;
+            }
+            Boot boot = file == null ? Boot.ofEnvironment() : Boot.of(Path.of(file));
+            for (String socket : new String[] {"front", "ready", "control"}) {
+                if (boot.all().containsKey("sockets." + socket)) {
+                    boot.socket(socket);
+                }
+            }
+            System.out.println("ok: " + boot.node() + " in " + boot.zone());
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/fleet/Fleet.java
@@ -0,0 +1,147 @@
+package reedmux.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The lives of all checkers, as one process knows them. The phase of a life is a ratchet: ready, draining,
+ * gone, whoever tells of it and in whatever order. Pure; times are microseconds that the caller tells.
+ */
+public final class Fleet {
+    private static final long MILLI = 1000;
+    /** Lives that have ended are remembered for so long, so that nothing late brings them back. */
+    private static final long REMEMBERED = 600_000_000;
+
+    /** One life here. */
+    private static final class Entry {
+        private Life life;
+        private long heardAt;
+        private long coldUntil;
+        private long change;
+    }
+
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, String> byAddress = new HashMap<>();
+    private long changes;
+
+    /** Takes in what somebody tells; returns whether there was any news in it for others. */
+    public boolean merge(Life told, long now) {
+        Entry entry = entries.get(told.id());
+        if (entry == null) {
+            entry = new Entry();
+            entries.put(told.id(), entry);
+            entry.life = told;
+            entry.heardAt = now;
+            entry.coldUntil = now + told.coldMs() * MILLI;
+            entry.change = ++changes;
+            takeAddress(told, now);
+            return true;
+        }
+        Life had = entry.life;
+        boolean newer = told.seq() > had.seq();
+        Life base = newer ? told : had;
+        if (newer) {
+            entry.heardAt = now;
+            entry.coldUntil = now + told.coldMs() * MILLI;
+        }
+        int phase = Math.max(had.phase(), told.phase());
+        boolean silent = told.seq() >= had.seq() ? told.silent() : had.silent();
+        entry.life = base.with(phase, silent, 0);
+        boolean news = phase != had.phase() || silent != had.silent() || !base.address().equals(had.address())
+                || base.capacity() != had.capacity();
+        if (news) {
+            entry.change = ++changes;
+        }
+        return news;
+    }
+
+    /** An address has one life at a time: who had it before is gone. */
+    private void takeAddress(Life told, long now) {
+        if (told.phase() == Life.GONE) {
+            return;
+        }
+        String before = byAddress.put(told.address(), told.id());
+        Entry old = before == null || before.equals(told.id()) ? null : entries.get(before);
+        if (old != null && old.life.phase() != Life.GONE && now - old.heardAt > MILLI * MILLI) {
+            old.life = old.life.with(Life.GONE, old.life.silent(), 0);
+            old.change = ++changes;
+        }
+    }
+
+    /** It has been heard of at that time by somebody. */
+    public void heard(String id, long seq, long at) {
+        Entry entry = entries.get(id);
+        if (entry != null) {
+            entry.heardAt = Math.max(entry.heardAt, at);
+            if (seq > entry.life.seq()) {
+                Life life = entry.life;
+                entry.life = new Life(id, life.plant(), life.address(), life.zone(), life.capacity(),
+                        life.phase(), seq, 0, life.silent());
+            }
+            if (entry.life.silent()) {
+                entry.life = entry.life.with(entry.life.phase(), false, 0);
+                entry.change = ++changes;
+            }
+        }
+    }
+
+    /** Notes who has not been heard of for {@code silence}, and forgets whose end is long ago. */
+    public void sweep(long now, long silence) {
+        entries.values().removeIf(entry -> entry.life.phase() == Life.GONE
+                && now - entry.heardAt > REMEMBERED);
+        for (Entry entry : entries.values()) {
+            if (!entry.life.silent() && entry.life.phase() != Life.GONE && now - entry.heardAt > silence) {
+                entry.life = entry.life.with(entry.life.phase(), true, 0);
+                entry.change = ++changes;
+            }
+        }
+    }
+
+    public Life get(String id, long now) {
+        Entry entry = entries.get(id);
+        return entry == null ? null : told(entry, now);
+    }
+
+    private static Life told(Entry entry, long now) {
+        return entry.life.with(entry.life.phase(), entry.life.silent(),
+                Math.max(0, (entry.coldUntil - now) / MILLI));
+    }
+
+    /** The number of the last change. */
+    public long changes() {
+        return changes;
+    }
+
+    /** What has changed since. */
+    public List<Life> since(long change, long now) {
+        List<Life> news = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            if (entry.change > change) {
+                news.add(told(entry, now));
+            }
+        }
+        return news;
+    }
+
+    public Collection<Life> all(long now) {
+        return since(0, now);
+    }
+
+    /** Who was heard of in the last while, with the number of the call and how long ago, in milliseconds. */
+    public List<Heard> heardWithin(long while_, long now) {
+        List<Heard> all = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            if (now - entry.heardAt <= while_ && entry.life.phase() != Life.GONE) {
+                all.add(new Heard(entry.life.id(), entry.life.seq(), (now - entry.heardAt) / MILLI));
+            }
+        }
+        return all;
+    }
+
+    /** When a life was heard of last. */
+    public record Heard(String id, long seq, long agoMs) { }
+}
--- a/src/main/java/reedmux/http/Grammar.java
+++ b/src/main/java/reedmux/http/Grammar.java
@@ -5,7 +5,7 @@
  * sections 2 to 5 and 7.1: whatever else a lenient reader lets through, the next one may read otherwise.
  * Each function returns what is wrong, or null. A line comes without its end, one character a byte.
  */
-final class Grammar {
+public final class Grammar {
     /** More digits than any body that is taken has in its length. */
     private static final int LONGEST_SIZE = 8;
 
@@ -21,7 +21,7 @@
     private Grammar() { }
 
     /** {@code method SP request-target SP HTTP-version}, with single spaces and nothing round them. */
-    static String requestLine(CharSequence line) {
+    public static String requestLine(CharSequence line) {
         int first = indexOf(line, ' ', 0);
         int second = first < 0 ? -1 : indexOf(line, ' ', first + 1);
         if (first <= 0 || !isToken(line, 0, first)) {
@@ -46,7 +46,7 @@
     }
 
     /** {@code field-name ":" OWS field-value OWS}, no space before the colon, no line that goes on. */
-    static String fieldLine(CharSequence line) {
+    public static String fieldLine(CharSequence line) {
         int colon = indexOf(line, ':', 0);
         if (line.length() > 0 && (line.charAt(0) == ' ' || line.charAt(0) == '\t')) {
             return "a header goes on in the next line, which is obsolete";
@@ -63,7 +63,7 @@
     }
 
     /** {@code 1*HEXDIG *( BWS ";" BWS token [ BWS "=" BWS ( token / quoted-string ) ] )}. */
-    static String chunkLine(CharSequence line) {
+    public static String chunkLine(CharSequence line) {
         int at = 0;
         while (at < line.length() && isHex(line.charAt(at))) {
             at++;
@@ -95,7 +95,7 @@
     }
 
     /** The size that a chunk's line, found good, tells. */
-    static long chunkSize(CharSequence line) {
+    public static long chunkSize(CharSequence line) {
         long size = 0;
         for (int i = 0; i < line.length() && isHex(line.charAt(i)); i++) {
             size = size << 4 | Character.digit(line.charAt(i), 16);
--- /dev/null
+++ b/src/main/java/reedmux/item/Item.java
@@ -0,0 +1,31 @@
+package reedmux.item;
+
+/**
+ * One named part of the configuration, or the mark that it was dropped. For one name the highest revision
+ * holds, and of two with the same revision the one that comes last by {@link #compareTo}.
+ *
+ * @param kind {@code routes}, {@code plants}, {@code tenants} or {@code saturation}
+ * @param body what the operator sent, as JSON; empty where it was dropped
+ */
+public record Item(String kind, String name, long revision, String body) implements Comparable<Item> {
+
+    public boolean dropped() {
+        return body.isEmpty();
+    }
+
+    public String key() {
+        return kind + '/' + name;
+    }
+
+    /** Which of two of one name holds. */
+    @Override
+    public int compareTo(Item other) {
+        return revision != other.revision ? Long.compare(revision, other.revision)
+                : body.compareTo(other.body);
+    }
+
+    /** Whether this one would take the place of another of its name, or of none. */
+    public boolean over(Item other) {
+        return other == null || revision > other.revision;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/item/Poll.java
@@ -0,0 +1,66 @@
+package reedmux.item;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What a process that pulls knows: the items, merged from several sources, and how far it has come with
+ * each of these. Within its life an item never goes back. Pure.
+ */
+public final class Poll {
+    private final Map<String, Item> items = new TreeMap<>();
+    private final Map<String, long[]> vector = new HashMap<>();
+    private Table table;
+    private String problem;
+
+    /** Takes in what a source tells; returns whether the table has changed. */
+    public boolean take(String source, long life, long upTo, Collection<Item> told) {
+        vector.put(source, new long[] {life, upTo});
+        boolean news = false;
+        for (Item item : told) {
+            Item had = items.get(item.key());
+            if (had == null || item.compareTo(had) > 0) {
+                items.put(item.key(), item);
+                news = true;
+            }
+        }
+        if (!news && problem == null && table != null) {
+            return false;
+        }
+        try {
+            table = Table.of(items.values());
+            problem = null;
+            return true;
+        } catch (Invalid e) {
+            problem = e.getMessage(); // half of what belongs together has come; the rest is on its way
+            return false;
+        }
+    }
+
+    /** The life of a source that is known, and the last change of it: two numbers. */
+    public long[] from(String source) {
+        return vector.getOrDefault(source, new long[] {0, 0});
+    }
+
+    /** Sources that were heard. */
+    public int sources() {
+        return vector.size();
+    }
+
+    /** The last that could be used, or null. */
+    public Table table() {
+        return table;
+    }
+
+    /** Why the newest items cannot be used together, or null. */
+    public String problem() {
+        return problem;
+    }
+
+    /** Whether nothing has ever been told. */
+    public boolean empty() {
+        return items.isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/link/Dialer.java
@@ -0,0 +1,91 @@
+package reedmux.link;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import reedmux.link.Messages.Hello;
+import reedmux.net.Reactor;
+
+/** Keeps a link to one address up, as far as that can be had. */
+public final class Dialer implements Link.Owner {
+    private static final long PAUSE = 150_000;
+    private static final long MOST_PAUSE = 600_000;
+    private final Reactor reactor;
+    private final Codec codec;
+    private final Hello self;
+    private final InetSocketAddress to;
+    private final Link.Owner owner;
+    private Link link;
+    private long pause = PAUSE;
+    private boolean tried;
+    private boolean ended;
+
+    public Dialer(Reactor reactor, Codec codec, Hello self, InetSocketAddress to, Link.Owner owner) {
+        this.reactor = reactor;
+        this.codec = codec;
+        this.self = self;
+        this.to = to;
+        this.owner = owner;
+        dial();
+    }
+
+    public InetSocketAddress to() {
+        return to;
+    }
+
+    /** The link if it is up, else null. */
+    public Link link() {
+        return link != null && link.isUp() ? link : null;
+    }
+
+    /** Whether at least one try has come to an end. */
+    public boolean tried() {
+        return tried;
+    }
+
+    /** Ends the link for good. */
+    public void end() {
+        ended = true;
+        if (link != null) {
+            link.close();
+        }
+    }
+
+    private void dial() {
+        if (ended) {
+            return;
+        }
+        try {
+            link = Link.open(reactor, codec, self, to, this);
+        } catch (IOException e) {
+            again();
+        }
+    }
+
+    private void again() {
+        link = null;
+        tried = true;
+        reactor.after(pause, this::dial);
+        pause = Math.min(MOST_PAUSE, 2 * pause);
+    }
+
+    @Override
+    public void up(Link up) {
+        pause = PAUSE;
+        tried = true;
+        owner.up(up);
+    }
+
+    @Override
+    public void told(Link from, Object message) {
+        owner.told(from, message);
+    }
+
+    @Override
+    public void down(Link gone) {
+        boolean was = gone.other() != null;
+        again();
+        if (was) {
+            owner.down(gone);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/link/Link.java
@@ -0,0 +1,170 @@
+package reedmux.link;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import reedmux.link.Messages.Hello;
+import reedmux.link.Messages.Ping;
+import reedmux.net.Reactor;
+import reedmux.net.Wire;
+
+/**
+ * A connection between two of the system's own processes: frames of a length and a message. Each side says
+ * something at least each {@link #PACE}, and one that is silent for {@link #SILENCE} is given up.
+ */
+public final class Link implements Wire.Owner {
+    static final int MOST = 16 * 1024 * 1024;
+    private static final int LENGTH = 4;
+    private static final long PACE = 700_000;
+    private static final long SILENCE = 2_200_000;
+    /** More than this that waits to go out means that the other side does not read. */
+    private static final long MOST_WAITING = 32L * 1024 * 1024;
+
+    /** Whom a link's events are told. */
+    public interface Owner {
+
+        /** The other side has said who it is. */
+        void up(Link link);
+
+        void told(Link link, Object message);
+
+        /** It is gone; told once, also of one that was never up. */
+        void down(Link link);
+    }
+
+    private final Reactor reactor;
+    private final Codec codec;
+    private final Hello self;
+    private final Owner owner;
+    private Wire wire;
+    private Hello other;
+    private boolean over;
+    private long heardAt;
+    private long saidAt;
+    /** What the owner keeps with it. */
+    private Object note;
+
+    private Link(Reactor reactor, Codec codec, Hello self, Owner owner) {
+        this.reactor = reactor;
+        this.codec = codec;
+        this.self = self;
+        this.owner = owner;
+        heardAt = reactor.now();
+        watch();
+    }
+
+    /** One that somebody else has opened. */
+    public static Link of(Reactor reactor, Codec codec, Hello self, Wire wire, Owner owner) {
+        Link link = new Link(reactor, codec, self, owner);
+        link.wire = wire;
+        wire.owner(link);
+        link.connected();
+        return link;
+    }
+
+    public static Link open(Reactor reactor, Codec codec, Hello self, InetSocketAddress to, Owner owner)
+            throws IOException {
+        Link link = new Link(reactor, codec, self, owner);
+        link.wire = Wire.open(reactor, to, null, link);
+        return link;
+    }
+
+    private void watch() {
+        reactor.after(PACE, () -> {
+            if (over) {
+                return;
+            }
+            if (reactor.now() - heardAt > SILENCE) {
+                close();
+                return;
+            }
+            if (wire != null && wire.isUp() && reactor.now() - saidAt >= PACE) {
+                say(new Ping());
+            }
+            watch();
+        });
+    }
+
+    /** Who is at the other end; null before it is up. */
+    public Hello other() {
+        return other;
+    }
+
+    public boolean isUp() {
+        return other != null && !over;
+    }
+
+    @SuppressWarnings("unchecked")
+    public <T> T note() {
+        return (T) note;
+    }
+
+    public void note(Object kept) {
+        note = kept;
+    }
+
+    @Override
+    public void connected() {
+        say(self);
+    }
+
+    public void say(Object message) {
+        if (over) {
+            return;
+        }
+        byte[] bytes = codec.write(message);
+        saidAt = reactor.now();
+        wire.write(ByteBuffer.allocate(LENGTH + bytes.length).putInt(bytes.length).put(bytes).flip());
+        if (wire.queued() > MOST_WAITING) {
+            reactor.execute(this::close);
+        }
+    }
+
+    @Override
+    public void input() {
+        heardAt = reactor.now();
+        while (!over && wire.available() >= LENGTH) {
+            int length = (wire.peek(0) & 0xff) << 24 | (wire.peek(1) & 0xff) << 16 | (wire.peek(
+                    2) & 0xff) << 8
+                    | wire.peek(3) & 0xff;
+            if (length <= 0 || length > MOST) {
+                close();
+                return;
+            } else if (wire.available() < LENGTH + length) {
+                break;
+            }
+            wire.skip(LENGTH);
+            take(codec.read(wire.take(length)));
+        }
+        if (!over && wire.ended()) {
+            close();
+        }
+    }
+
+    private void take(Object message) {
+        if (message instanceof Hello hello && other == null && hello.form() == Messages.FORM) {
+            other = hello;
+            owner.up(this);
+        } else if (message == null || other == null || message instanceof Hello) {
+            close();
+        } else if (!(message instanceof Ping)) {
+            owner.told(this, message);
+        }
+    }
+
+    @Override
+    public void closed(String why) {
+        close();
+    }
+
+    /** Ends it; its owner is told. */
+    public void close() {
+        if (!over) {
+            over = true;
+            if (wire != null) {
+                wire.close();
+            }
+            owner.down(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/link/Messages.java
@@ -0,0 +1,95 @@
+package reedmux.link;
+
+import java.util.ArrayList;
+import java.util.List;
+import reedmux.fleet.Fleet;
+import reedmux.fleet.Life;
+import reedmux.item.Item;
+import reedmux.member.Session;
+import reedmux.quota.Quotas;
+
+/** What the system's own processes tell each other. */
+public final class Messages {
+    /** The form of the messages; who speaks another one is turned away. */
+    public static final int FORM = 1;
+
+    private Messages() { }
+
+    /** The first message each way: who speaks. */
+    public record Hello(int form, String program, String node, String ip, String zone, long life) { }
+
+    /** Nothing but that the sender lives. */
+    public record Ping() { }
+
+    /**
+     * Asks for what has changed in that life of the asked one since that change; answered once there is any.
+     */
+    public record Pull(long life, long since) { }
+
+    /** Items that are in force at a store; {@code whole}: it has all that was ever acknowledged. */
+    public record Items(long life, long upTo, boolean whole, List<Item> items) {
+        public Items {
+            items = new ArrayList<>(items);
+        }
+    }
+
+    /** What a registry knows: lives of checkers, its own sessions and all that it knows of. */
+    public record News(long life, long upTo, List<Life> lives, List<Session> own, List<Session> all) {
+        public News {
+            lives = new ArrayList<>(lives);
+            own = new ArrayList<>(own);
+            all = new ArrayList<>(all);
+        }
+    }
+
+    /** A call of the operator that changes items, handed to a store. */
+    public record Adjust(long id, String body) { }
+
+    /** The operator asks for all items. */
+    public record Read(long id) { }
+
+    /** What the operator is to be answered. */
+    public record Outcome(long id, int status, String body) { }
+
+    /** Asks another store to hold a call's items. */
+    public record Propose(String call, List<Item> items) {
+        public Propose {
+            items = new ArrayList<>(items);
+        }
+    }
+
+    /** What became of that at one store. */
+    public record Voted(String call, Vote vote) { }
+
+    public enum Vote { HELD, INVALID, BUSY, UNABLE }
+
+    /** A call's items are in force, or are to be dropped. */
+    public record Decided(String call, boolean inForce, List<Item> items) {
+        public Decided {
+            items = new ArrayList<>(items);
+        }
+    }
+
+    /** Lives that another process is to know of; it says when it does. */
+    public record Tell(long id, List<Life> lives) {
+        public Tell {
+            lives = new ArrayList<>(lives);
+        }
+    }
+
+    public record Known(long id) { }
+
+    /** Which checkers a registry has heard of lately. */
+    public record Beats(List<Fleet.Heard> heard) {
+        public Beats {
+            heard = new ArrayList<>(heard);
+        }
+    }
+
+    /** All kinds of messages and what they hold, in the order of their numbers on the wire. */
+    static final List<Class<?>> KINDS = List.of(ArrayList.class, Hello.class, Ping.class, Pull.class,
+            Items.class,
+            News.class, Adjust.class, Read.class, Outcome.class, Propose.class, Voted.class, Vote.class,
+            Decided.class, Tell.class, Known.class, Beats.class, Item.class, Life.class, Session.class,
+            Fleet.Heard.class, Quotas.Packet.class, Quotas.Entry.class);
+}
--- /dev/null
+++ b/src/main/java/reedmux/net/Wire.java
@@ -0,0 +1,322 @@
+package reedmux.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import jdk.net.ExtendedSocketOptions;
+
+/**
+ * A TCP connection of a {@link Reactor}: what has come in and is not used yet, and what waits to go out.
+ * For the reactor's thread alone.
+ */
+public final class Wire implements Reactor.Handler {
+    private static final byte[] EMPTY = {};
+    private static final int LEAST = 1024;
+
+    /** Whom a connection's events are told. */
+    public interface Owner {
+
+        /** It is up. */
+        default void connected() { }
+
+        /** More has come in, or the other side has ended it. */
+        void input() throws IOException;
+
+        /** All that waited has gone out. */
+        default void flushed() throws IOException { }
+
+        /** It is gone, and not by our {@link #close()}; told once. */
+        void closed(String why);
+    }
+
+    private final Reactor reactor;
+    private final SocketChannel channel;
+    private SelectionKey key;
+    private Owner owner;
+    private byte[] in = EMPTY;
+    private int from;
+    private int to;
+    private boolean ended;
+    private boolean paused;
+    private boolean closed;
+    private boolean up;
+    private final Deque<ByteBuffer> out = new ArrayDeque<>();
+    private long queued;
+    private long sent;
+    private long received;
+
+    private Wire(Reactor reactor, SocketChannel channel) {
+        this.reactor = reactor;
+        this.channel = channel;
+    }
+
+    /** One that has been accepted. */
+    static Wire accepted(Reactor reactor, SocketChannel channel) throws IOException {
+        Wire wire = new Wire(reactor, channel);
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        wire.up = true;
+        wire.key = reactor.register(channel, SelectionKey.OP_READ, wire);
+        return wire;
+    }
+
+    /** Opens one; {@code owner} hears when it is up, or that it has not come up. */
+    public static Wire open(Reactor reactor, InetSocketAddress to, InetSocketAddress local, Owner owner)
+            throws IOException {
+        SocketChannel channel = SocketChannel.open();
+        try {
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            channel.setOption(StandardSocketOptions.SO_KEEPALIVE, true);
+            channel.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, 2);
+            channel.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, 1);
+            channel.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, 3);
+            if (local != null) {
+                channel.bind(local);
+            }
+            Wire wire = new Wire(reactor, channel);
+            wire.owner = owner;
+            channel.configureBlocking(false);
+            boolean now = channel.connect(to);
+            wire.key = reactor.register(channel, SelectionKey.OP_CONNECT, wire);
+            if (now) {
+                reactor.execute(wire::finish);
+            }
+            return wire;
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e instanceof IOException io ? io : new IOException(e);
+        }
+    }
+
+    private void finish() {
+        if (!closed && !up) {
+            up = true;
+            interest();
+            owner.connected();
+        }
+    }
+
+    public void owner(Owner told) {
+        owner = told;
+    }
+
+    public boolean isOpen() {
+        return !closed;
+    }
+
+    public boolean isUp() {
+        return up && !closed;
+    }
+
+    @Override
+    public void ready(SelectionKey ignored) throws IOException {
+        if (!up) {
+            if (!channel.finishConnect()) {
+                return;
+            }
+            finish();
+            return;
+        }
+        if (key.isReadable()) {
+            read();
+        }
+        if (!closed && key.isValid() && key.isWritable()) {
+            flush();
+            if (!closed && queued == 0) {
+                owner.flushed();
+            }
+        }
+    }
+
+    private void read() throws IOException {
+        ByteBuffer chunk = reactor.chunk.clear();
+        int some = channel.read(chunk);
+        if (some < 0) {
+            ended = true;
+            interest();
+        } else if (some > 0) {
+            received += some;
+            room(some);
+            chunk.flip().get(in, to, some);
+            to += some;
+        }
+        if (some != 0) {
+            owner.input();
+            trim();
+        }
+    }
+
+    /**
+     * Whether nothing has come in that nobody asked for, and it has not been ended: looked up at the
+     * socket, as the reactor may not have been round yet.
+     */
+    public boolean quiet() {
+        if (closed || ended || available() > 0) {
+            return false;
+        }
+        try {
+            ByteBuffer chunk = reactor.chunk.clear();
+            return channel.read(chunk) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void room(int some) {
+        if (in.length - to >= some) {
+            return;
+        }
+        int held = to - from;
+        byte[] next = held + some <= in.length ? in : new byte[Math.max(LEAST, Math.max(held + some,
+                Math.min(2 * in.length, in.length + 65_536)))];
+        System.arraycopy(in, from, next, 0, held);
+        in = next;
+        from = 0;
+        to = held;
+    }
+
+    private void trim() {
+        if (from == to) {
+            from = to = 0;
+            if (in.length > 4 * LEAST) {
+                in = EMPTY;
+            }
+        }
+    }
+
+    // ---- What has come in --------------------------------------------------------------------------
+    public int available() {
+        return to - from;
+    }
+
+    /** A byte that has come in, counted from the first that is not used yet. */
+    public byte peek(int offset) {
+        return in[from + offset];
+    }
+
+    public void skip(int many) {
+        from += many;
+        trim();
+    }
+
+    /** Takes bytes away from what has come in. */
+    public byte[] take(int many) {
+        byte[] taken = Arrays.copyOfRange(in, from, from + many);
+        skip(many);
+        return taken;
+    }
+
+    /** A part of what has come in, one character a byte. */
+    public String text(int offset, int length) {
+        return new String(in, from + offset, length, java.nio.charset.StandardCharsets.ISO_8859_1);
+    }
+
+    /** Whether the other side will send no more than {@link #available()}. */
+    public boolean ended() {
+        return ended;
+    }
+
+    /** Bytes that have ever come in. */
+    public long received() {
+        return received;
+    }
+
+    // ---- What goes out -----------------------------------------------------------------------------
+    public void write(byte[] bytes) {
+        write(ByteBuffer.wrap(bytes));
+    }
+
+    /** Sends, now or as soon as the other side takes it; a failure is told to the owner in a later turn. */
+    public void write(ByteBuffer bytes) {
+        if (closed) {
+            return;
+        }
+        queued += bytes.remaining();
+        out.add(bytes);
+        if (up && out.size() == 1) {
+            try {
+                flush();
+            } catch (IOException e) {
+                reactor.execute(() -> failed(e));
+            }
+        }
+    }
+
+    private void flush() throws IOException {
+        while (!out.isEmpty()) {
+            ByteBuffer first = out.peek();
+            int some = channel.write(first);
+            sent += some;
+            queued -= some;
+            if (first.hasRemaining()) {
+                break;
+            }
+            out.poll();
+        }
+        interest();
+    }
+
+    /** Bytes that the kernel has taken. */
+    public long sent() {
+        return sent;
+    }
+
+    /** Bytes that it has not taken yet. */
+    public long queued() {
+        return queued;
+    }
+
+    /** Stops reading, so that the other side is held up, or goes on. */
+    public void pause(boolean pause) {
+        paused = pause;
+        interest();
+    }
+
+    private void interest() {
+        if (key != null && key.isValid() && up) {
+            int wanted = (ended || paused ? 0 : SelectionKey.OP_READ) | (queued > 0
+                    ? SelectionKey.OP_WRITE : 0);
+            if (key.interestOps() != wanted) {
+                key.interestOps(wanted);
+            }
+        }
+    }
+
+    // ---- The end -----------------------------------------------------------------------------------
+    /** Ends it from here; its owner hears nothing. */
+    public void close() {
+        if (!closed) {
+            closed = true;
+            out.clear();
+            in = EMPTY;
+            from = to = 0;
+            try {
+                channel.close();
+            } catch (IOException e) {
+                // it is gone either way
+            }
+        }
+    }
+
+    /** No more goes out from here, and what comes in is still read; the other side sees the end. */
+    public void endOutput() {
+        try {
+            channel.shutdownOutput();
+        } catch (IOException | RuntimeException e) {
+            close();
+        }
+    }
+
+    @Override
+    public void failed(Exception cause) {
+        if (!closed) {
+            close();
+            owner.closed(String.valueOf(cause.getMessage()));
+        }
+    }
+}
--- a/src/main/java/reedmux/policy/Brain.java
+++ b/src/main/java/reedmux/policy/Brain.java
@@ -442,7 +442,7 @@
         account.drainedAt = now;
         Plan plan = account.plan;
         double drained = plan.rate() * (1 - account.silentShare) * passed;
-        account.localCount = Math.max(0, account.localCount - drained);
+        account.drain(drained);
         account.ceiling = Math.min(account.share(plan.ceilingBurst()),
                 account.ceiling + account.share(plan.ceilingRate()) * passed);
         account.fadeBranches(Math.exp(-passed * SECOND / BRANCH_MEMORY));
--- a/src/main/java/reedmux/policy/State.java
+++ b/src/main/java/reedmux/policy/State.java
@@ -23,7 +23,7 @@
     }
 
     /** A customer here: the paper's four counters, and what the limits beside the quota need. */
-    static final class Account {
+    static final class Account extends HeapCount {
         final long customer;
         Plan plan;
         int planIndex;
@@ -33,15 +33,12 @@
         int sharers;
         /** Whether we are one of its gateways. */
         boolean member;
-        int[] near = {-1, -1, -1};
-        double[] to = new double[3];
         double[] branch = new double[3];
         int[] branchOpen = new int[3];
         int[] toldOpen = new int[3];
         double[] grant = new double[3];
         boolean[] tellCount = new boolean[3];
         double silentShare;
-        double localCount;
         double margin;
         double sightUnits;
         double ceiling;
@@ -80,13 +77,10 @@
             return member ? amount * part.of / sharers : 0;
         }
 
-        /** Adds to all counters but the one facing {@code from}. */
-        void add(double units, int from) {
-            localCount += units;
+        @Override
+        public void add(double units, int from) {
+            super.add(units, from);
             toTwin += from == Twin.FROM ? 0 : units;
-            for (int i = 0; i < 3; i++) {
-                to[i] += near[i] >= 0 && near[i] != from ? units : 0;
-            }
         }
 
         void spend(double units, long now) {
@@ -101,32 +95,19 @@
                     || sharesOpen && openBut(slot) != toldOpen[slot];
         }
 
-        /** Carries the counters over to new neighbours; what waited for former ones waits for the new. */
-        void rewire(int[] next) {
+        @Override
+        public void rewire(int[] next) {
             int[] old = near;
-            double[] oldTo = to;
             double[] oldBranch = branch;
-            near = next;
-            to = new double[3];
+            super.rewire(next);
             branch = new double[3];
             branchOpen = new int[3];
             toldOpen = new int[3];
             grant = new double[3];
             tellCount = new boolean[3];
-            // What waited for two that went at once is mostly the same units, and counts once.
-            double stranded = 0;
-            for (int i = 0; i < 3; i++) {
-                if (old[i] >= 0 && slot(old[i]) < 0 && Math.abs(oldTo[i]) > Math.abs(stranded)) {
-                    stranded = oldTo[i];
-                }
-            }
             for (int i = 0; i < 3; i++) {
-                int peer = near[i];
-                int before = peer == old[0] ? 0 : peer == old[1] ? 1 : peer == old[2] ? 2 : -1;
-                if (peer >= 0) {
-                    to[i] = before >= 0 ? oldTo[before] : stranded;
-                    branch[i] = before >= 0 ? oldBranch[before] : 0;
-                }
+                int before = before(old, near[i]);
+                branch[i] = before >= 0 ? oldBranch[before] : 0;
             }
         }
 
@@ -159,10 +140,6 @@
             }
             return (double) count / spread;
         }
-
-        int slot(int peer) {
-            return near[0] == peer ? 0 : near[1] == peer ? 1 : near[2] == peer ? 2 : -1;
-        }
     }
 
     /** What a packet carried for one customer, kept until it is acknowledged. */
--- /dev/null
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -0,0 +1,419 @@
+package reedmux.proxy;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import reedmux.attempt.Answer;
+import reedmux.attempt.Event;
+import reedmux.attempt.Exchange;
+import reedmux.attempt.Requests;
+import reedmux.attempt.Try;
+import reedmux.attempt.Verdict;
+import reedmux.boot.Boot;
+import reedmux.boot.BootException;
+import reedmux.budget.RetryBudget;
+import reedmux.choice.Checker;
+import reedmux.choice.Roster;
+import reedmux.config.Addresses;
+import reedmux.fleet.Fleet;
+import reedmux.fleet.Life;
+import reedmux.item.Bounds;
+import reedmux.item.Poll;
+import reedmux.item.Route;
+import reedmux.item.Table;
+import reedmux.item.Tenant;
+import reedmux.link.Codec;
+import reedmux.link.Dialer;
+import reedmux.link.Link;
+import reedmux.link.Messages;
+import reedmux.link.Messages.Hello;
+import reedmux.link.Messages.Items;
+import reedmux.link.Messages.News;
+import reedmux.link.Messages.Pull;
+import reedmux.link.Messages.Tell;
+import reedmux.member.Sessions;
+import reedmux.member.View;
+import reedmux.message.Calls;
+import reedmux.message.Head;
+import reedmux.net.Datagrams;
+import reedmux.net.Listener;
+import reedmux.net.Reactor;
+import reedmux.net.Wire;
+import reedmux.quota.Quotas;
+import reedmux.store.Core;
+
+/**
+ * Carries the traffic: clients on one side, checkers on the other, and what it has to know pulled from the
+ * core.
+ */
+public final class Proxy implements Link.Owner, Requests.Effects, CheckerWire.Owner {
+    private static final String PROGRAM = "proxy";
+    private static final long SECOND = 1_000_000;
+    private static final long LINGER = 2 * SECOND;
+    private static final long LOOK = SECOND / 4;
+    /** Bodies that are held for all clients together; beyond that no further one is begun. */
+    private static final int MOST_HELD = 48 * 1024 * 1024;
+    /** A client is told to come back after so long where it is not its own quota that is in the way. */
+    private static final long BACK = SECOND / 4;
+    /** Entries in one datagram. */
+    private static final int MOST_ENTRIES = 24;
+    /** After SIGTERM new connections still come for about two seconds. */
+    private static final long STAYS = 3 * SECOND;
+    private static final int DESCRIPTORS_KEPT = 400;
+
+    private final Boot boot;
+    private final Reactor reactor;
+    private final Codec codec = new Codec();
+    private final Hello self;
+    private final Poll poll = new Poll();
+    private final Fleet fleet = new Fleet();
+    private final Sessions sessions = new Sessions(LINGER);
+    private final Roster roster;
+    private final Quotas quotas;
+    private final RetryBudget budget;
+    private final Requests requests;
+    private final List<Dialer> stores = new ArrayList<>();
+    private final List<Dialer> registries = new ArrayList<>();
+    private final Map<String, long[]> vector = new HashMap<>();
+    private final Datagrams peers;
+    private final Set<ClientWire> clients = new LinkedHashSet<>();
+    private final Map<Checker, Deque<CheckerWire>> idle = new HashMap<>();
+    private final int mostClients;
+    private final long grace;
+    private View view = View.of(List.of());
+    private boolean ready;
+    private long bornAt;
+    private long leavingAt = -1;
+    private Listener front;
+
+    /** A request as it was read, or why it is refused at once. */
+    record Reading(ClientRequest request, Answer refusal) { }
+
+    public Proxy(Boot boot, Reactor reactor) throws BootException, IOException {
+        this.boot = boot;
+        this.reactor = reactor;
+        bornAt = reactor.now();
+        long life = System.nanoTime() ^ (long) boot.node().hashCode() << 32;
+        self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(), life);
+        roster = new Roster(boot.node(), boot.zone(), life);
+        quotas = new Quotas(boot.node(), !boot.coldStart(), reactor.now());
+        budget = new RetryBudget(boot.figure("envelope.retryRatio", 0.1),
+                boot.figure("envelope.retrySlack", 10),
+                !boot.coldStart());
+        requests = new Requests(this, roster, budget, life);
+        mostClients = Math.max(64, (int) boot.figure("saturation.fdLimit", 1024) - DESCRIPTORS_KEPT);
+        grace = (long) (boot.figure("envelope.graceS", 6) * SECOND);
+        for (InetSocketAddress at : Core.others(boot, boot.storePort())) {
+            stores.add(new Dialer(reactor, codec, self, at, this));
+        }
+        for (InetSocketAddress at : Core.others(boot, boot.registryPort())) {
+            registries.add(new Dialer(reactor, codec, self, at, this));
+        }
+        peers = new Datagrams(reactor, Addresses.parse(boot.ip() + ':' + boot.peerPort()), this::peer);
+        new Listener(reactor, boot.socket("ready"), wire -> new Calls(reactor, wire, this::readiness));
+        front = new Listener(reactor, boot.socket("front"), this::client);
+        reactor.every(LOOK, this::look);
+        tell();
+    }
+
+    long now() {
+        return reactor.now();
+    }
+
+    void soon(Runnable task) {
+        reactor.execute(task);
+    }
+
+    Bounds bounds() {
+        return poll.table() == null ? Bounds.USUAL : poll.table().bounds();
+    }
+
+    boolean leaving() {
+        return leavingAt >= 0;
+    }
+
+    // ---- The core ----------------------------------------------------------------------------------
+    @Override
+    public void up(Link link) {
+        pull(link);
+        if (link.other().program().equals("registry")) {
+            link.say(new Tell(0, List.copyOf(fleet.all(now())))); // it may have lost what we know
+        }
+    }
+
+    private void pull(Link link) {
+        String source = link.other().node();
+        long[] from = link.other().program().equals("store") ? poll.from(source)
+                : vector.getOrDefault(source, new long[] {0, 0});
+        link.say(new Pull(from[0], from[1]));
+    }
+
+    @Override
+    public void told(Link link, Object message) {
+        if (message instanceof Items items) {
+            if (items.whole() || !poll.empty()) {
+                poll.take(link.other().node(), items.life(), items.upTo(), items.items());
+            }
+            pull(link);
+        } else if (message instanceof News news) {
+            vector.put(link.other().node(), new long[] {news.life(), news.upTo()});
+            for (Life life : news.lives()) {
+                if (fleet.merge(life, now())) {
+                    roster.told(fleet.get(life.id(), now()), now());
+                }
+            }
+            sessions.told(link.other().node(), news.all(), now());
+            members();
+            requests.on(now(), new Event.Room());
+            pull(link);
+        }
+    }
+
+    @Override
+    public void down(Link link) {
+        if (link.other().program().equals("registry")) {
+            sessions.lost(link.other().node(), now());
+        }
+    }
+
+    private void members() {
+        View next = sessions.view(now());
+        quotas.alone(sessions.alone(), now());
+        if (next.tag() != view.tag()) {
+            view = next;
+            quotas.view(view, now());
+            roster.view(view);
+            budget.members(view.size());
+        }
+    }
+
+    // ---- Peers -------------------------------------------------------------------------------------
+    private void tell() {
+        for (Quotas.Letter letter : quotas.send(now())) {
+            InetSocketAddress to = Addresses.parse(view.member(letter.place()).ip() + ':' + boot.peerPort());
+            List<Quotas.Entry> all = letter.packet().entries();
+            for (int i = 0; i < all.size(); i += MOST_ENTRIES) {
+                peers.send(to, codec.write(new Quotas.Packet(letter.packet().from(), letter.packet().view(),
+                        new ArrayList<>(all.subList(i, Math.min(all.size(), i + MOST_ENTRIES))))));
+            }
+        }
+        reactor.after(quotas.pace(), this::tell);
+    }
+
+    private void peer(InetSocketAddress from, byte[] bytes) {
+        if (codec.read(bytes) instanceof Quotas.Packet packet && poll.table() != null) {
+            quotas.take(packet, name -> poll.table().tenant(name), now());
+        }
+    }
+
+    // ---- Clients -----------------------------------------------------------------------------------
+    private void client(Wire wire) {
+        if (clients.size() >= mostClients) {
+            clients.stream().filter(ClientWire::idle).findFirst().ifPresent(
+                    oldest -> oldest.look(Long.MAX_VALUE / 2, true));
+        }
+        if (clients.size() >= mostClients) {
+            wire.close();
+        } else {
+            clients.add(new ClientWire(this, wire));
+        }
+    }
+
+    void gone(ClientWire client) {
+        clients.remove(client);
+    }
+
+    private void readiness(Calls.Call call, Calls from) {
+        boolean asked = call.head().path().equals("/v1/readiness");
+        from.answer(!asked ? 404 : ready() ? 200 : 503, ready() ? "ready" : "not ready");
+    }
+
+    private boolean ready() {
+        if (leaving()) {
+            return false;
+        }
+        if (!ready) {
+            long heard = registries.stream().filter(other -> other.link() != null).count();
+            boolean enough = poll.sources() >= Math.min(2, stores.size())
+                    || poll.sources() > 0 && now() - bornAt > 4 * SECOND;
+            ready = enough && heard > 0 && poll.table() != null && !poll.empty() && !roster.empty()
+                    && view.place(boot.node()) >= 0;
+        }
+        return ready;
+    }
+
+    /** Judges a request by its head. */
+    Reading read(ClientWire client, Head head, Upload upload) {
+        Table table = poll.table();
+        if (table == null) {
+            return refused(503, "not ready yet", BACK);
+        }
+        Route route = table.route(head.get("Host"), head.path());
+        if (route == null) {
+            return refused(404, "no route leads there", -1);
+        }
+        Tenant tenant = null;
+        if (table.keyed() && !route.unkeyed()) {
+            String told = head.count("Authorization") == 1 ? head.get("Authorization") : null;
+            tenant = told == null || !told.regionMatches(true, 0, "Bearer ", 0, 7) ? null
+                    : table.byKey(told.substring(7).trim());
+            if (tenant == null) {
+                return refused(401, "the key is not known", -1);
+            }
+        }
+        String attempt = head.get("Reedmux-Attempt-Id");
+        long left = wait(head.get("Reedmux-Time-Left-Ms"));
+        if (attempt == null || attempt.isEmpty() || head.count("Reedmux-Attempt-Id") > 1 || left < 0) {
+            return refused(
+                    400, "Reedmux-Attempt-Id is missing, or Reedmux-Time-Left-Ms is no whole number", -1);
+        }
+        if (upload != null && upload.length() > bounds().bodyBytes()) {
+            return refused(413, "the body is larger than " + bounds().bodyBytes() + " bytes", -1);
+        }
+        if (upload != null && clients.stream().mapToLong(ClientWire::held).sum() > MOST_HELD) {
+            return refused(503, "too many bodies are coming in", BACK);
+        }
+        if (tenant != null && !quotas.admit(tenant, now())) {
+            return refused(429, "the quota is used up", Math.max(BACK / 4, quotas.roomIn(tenant, now())));
+        }
+        ClientRequest request = new ClientRequest(client, head, attempt, tenant == null ? null
+                : tenant.name(),
+                upload);
+        request.exchange(new Exchange(route, tenant, request, now(),
+                now() + Math.min(left * 1000, route.cutoff())));
+        return new Reading(request, null);
+    }
+
+    private static Reading refused(int status, String text, long retryAfter) {
+        return new Reading(null, new Answer.Own(status, text, retryAfter));
+    }
+
+    private static long wait(String told) {
+        if (told == null) {
+            return 3_600_000;
+        }
+        return told.isEmpty() || told.length() > 9 || !told.chars().allMatch(c -> c >= '0' && c <= '9') ? -1
+                : Long.parseLong(told);
+    }
+
+    void launch(ClientRequest request) {
+        requests.on(now(), new Event.Taken(request.exchange()));
+    }
+
+    /** Nobody waits for a request any more; {@code launched}: it was sent on, perhaps. */
+    void left(ClientRequest request, boolean launched) {
+        if (!launched) {
+            neverRan(request.exchange());
+            return;
+        }
+        requests.on(now(), new Event.ClientLeft(request.exchange()));
+    }
+
+    // ---- What requests call for --------------------------------------------------------------------
+    @Override
+    public void send(Try what) {
+        ClientRequest request = (ClientRequest) what.exchange().source();
+        Deque<CheckerWire> kept = idle.get(what.checker());
+        while (kept != null && !kept.isEmpty()) {
+            CheckerWire wire = kept.pollLast();
+            if (wire.usable(now())) {
+                wire.carry(what, request);
+                return;
+            }
+            wire.shut();
+        }
+        try {
+            new CheckerWire(reactor, what.checker(), this).carry(what, request);
+        } catch (IOException e) {
+            soon(() -> requests.on(now(), new Event.Ended(what, Verdict.NOT_RUN, null)));
+        }
+    }
+
+    @Override
+    public void giveUpConnecting(Try what) {
+        ((CheckerWire) what.carrier()).giveUp();
+    }
+
+    @Override
+    public void answer(Exchange exchange, Answer answer) {
+        ((ClientRequest) exchange.source()).client().answer(sound(exchange, answer));
+    }
+
+    /** A promise that is not the checker's to break: what is said to be not run but may have is a failure. */
+    private static Answer sound(Exchange exchange, Answer answer) {
+        if (answer instanceof Answer.OfChecker told && !told.notRun()) {
+            int status = told.head().status();
+            if (status == 429 || status == 503 || status == 408 || status == 421) {
+                return new Answer.Own(502, "a checker failed", -1);
+            }
+        }
+        return answer;
+    }
+
+    @Override
+    public void neverRan(Exchange exchange) {
+        if (exchange.tenant() != null) {
+            quotas.giveBack(exchange.tenant(), now());
+        }
+    }
+
+    @Override
+    public void later(long at, Event event) {
+        reactor.at(at, () -> requests.on(now(), event));
+    }
+
+    @Override
+    public void ended(CheckerWire wire, Try what, Verdict verdict, Answer.OfChecker answer) {
+        requests.on(now(), new Event.Ended(what, verdict, answer));
+    }
+
+    @Override
+    public void free(CheckerWire wire) {
+        idle.computeIfAbsent(wire.checker(), checker -> new ArrayDeque<>()).add(wire);
+    }
+
+    @Override
+    public void gone(CheckerWire wire) {
+        Deque<CheckerWire> kept = idle.get(wire.checker());
+        if (kept != null) {
+            kept.remove(wire);
+        }
+    }
+
+    // ---- Now and then ------------------------------------------------------------------------------
+    private void look() {
+        members();
+        roster.look();
+        for (Deque<CheckerWire> kept : List.copyOf(idle.values())) {
+            for (CheckerWire wire : List.copyOf(kept)) {
+                if (wire.stale(now()) || wire.checker().life().phase() != Life.READY) {
+                    wire.shut();
+                }
+            }
+        }
+        idle.values().removeIf(Deque::isEmpty);
+        boolean closesIdle = leaving() && now() - leavingAt > STAYS;
+        for (ClientWire client : List.copyOf(clients)) {
+            client.look(now(), closesIdle);
+        }
+        if (closesIdle && clients.isEmpty() || leaving() && now() - leavingAt > grace - SECOND / 3) {
+            reactor.end();
+        }
+    }
+
+    /** From now on no client is to come here; those that do are served, and the end follows. */
+    public void leave() {
+        reactor.execute(() -> {
+            if (leavingAt < 0) {
+                leavingAt = now();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/registry/ControlCall.java
@@ -0,0 +1,62 @@
+package reedmux.registry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import reedmux.fleet.Life;
+import reedmux.item.Invalid;
+import reedmux.item.Json;
+import reedmux.message.BadMessage;
+import reedmux.message.Head;
+
+/** A call from outside, decoded; what it asks for is done elsewhere. */
+sealed interface ControlCall {
+    String HEARTBEAT = "/v1/Instances.Heartbeat/";
+    String LEAVE = "/v1/Instances.Leave/";
+
+    /** A checker tells of itself. */
+    record Heartbeat(Life life) implements ControlCall { }
+
+    /** A checker ends. */
+    record Leave(String id) implements ControlCall { }
+
+    /** The operator changes items. */
+    record Adjust(String body) implements ControlCall { }
+
+    /** The operator asks for all items. */
+    record Read() implements ControlCall { }
+
+    static ControlCall of(Head head, byte[] body) throws BadMessage {
+        String path = head.path();
+        boolean post = head.method().equals("POST");
+        if (path.equals("/v1/Config.Read") && head.method().equals("GET")) {
+            return new Read();
+        } else if (path.equals("/v1/Config.Adjust") && post) {
+            return new Adjust(new String(body, StandardCharsets.UTF_8));
+        } else if (path.startsWith(LEAVE) && post) {
+            return new Leave(path.substring(LEAVE.length()));
+        } else if (path.startsWith(HEARTBEAT) && post) {
+            try {
+                return heartbeat(path.substring(HEARTBEAT.length()), new String(body,
+                        StandardCharsets.UTF_8));
+            } catch (Invalid e) {
+                throw new BadMessage(400, e.getMessage());
+            }
+        }
+        throw new BadMessage(404, "there is no such call");
+    }
+
+    private static ControlCall heartbeat(String id, String body) throws Invalid, BadMessage {
+        Map<String, Object> map = Json.map(Json.read(body), "the call");
+        String address = Json.text(map.get("address"), "address");
+        if (id.isEmpty() || reedmux.config.Addresses.parse(address) == null) {
+            throw new BadMessage(400, id.isEmpty() ? "the id is missing" : "address is no address:port");
+        }
+        String phase = Json.text(map.get("phase"), "phase");
+        return new Heartbeat(new Life(id, Json.text(map.get("plant"), "plant"), address,
+                Json.text(map.get("zone"), "zone"),
+                (int) Math.max(1, Json.number(map.get("capacity"), 1, "capacity")),
+                phase.equals("draining") ? Life.DRAINING : Life.READY,
+                (long) Json.number(map.get("seq"), 0, "seq"),
+                (long) Json.number(map.get("coldLeftMs"), 0, "coldLeftMs"), false));
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/registry/Registry.java
@@ -0,0 +1,278 @@
+package reedmux.registry;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import reedmux.boot.Boot;
+import reedmux.boot.BootException;
+import reedmux.config.Addresses;
+import reedmux.fleet.Fleet;
+import reedmux.fleet.Life;
+import reedmux.link.Codec;
+import reedmux.link.Dialer;
+import reedmux.link.Link;
+import reedmux.link.Messages;
+import reedmux.link.Messages.Beats;
+import reedmux.link.Messages.Hello;
+import reedmux.link.Messages.Known;
+import reedmux.link.Messages.News;
+import reedmux.link.Messages.Outcome;
+import reedmux.link.Messages.Pull;
+import reedmux.link.Messages.Tell;
+import reedmux.member.Session;
+import reedmux.member.Sessions;
+import reedmux.message.BadMessage;
+import reedmux.message.Calls;
+import reedmux.net.Listener;
+import reedmux.net.Reactor;
+import reedmux.store.Core;
+
+/**
+ * Takes the calls from outside, of checkers and of the operator, knows the lives of checkers and who of the
+ * proxies holds a session, and tells both to whoever pulls. It keeps nothing on disk: after a loss of all
+ * registries checkers and proxies tell again. The operator's calls go to a store, this machine's first.
+ */
+public final class Registry implements Link.Owner {
+    private static final String PROGRAM = "registry";
+    private static final String PROXY = "proxy";
+    private static final long SECOND = 1_000_000;
+    /** How long the sessions of a registry that is gone still count. */
+    private static final long LINGER = 2 * SECOND;
+    /** Callers wait for a second, those with large bodies longer. */
+    private static final long PATIENCE = 900_000;
+    private static final long STORE_PATIENCE = 850_000;
+    /** Checkers call about each {@code periodMs}; so many that are missing make one silent. */
+    private static final int MISSED = 4;
+    private static final int GOOD = 200;
+    private static final int LATER = 503;
+
+    private final Boot boot;
+    private final Reactor reactor;
+    private final Codec codec = new Codec();
+    private final Hello self;
+    private final Fleet fleet = new Fleet();
+    private final Sessions sessions = new Sessions(LINGER);
+    private final List<Dialer> others = new ArrayList<>();
+    private final List<Dialer> stores = new ArrayList<>();
+    private final Map<String, long[]> vector = new HashMap<>();
+    private final Set<Link> pulling = new HashSet<>();
+    private final Map<Long, Consumer<Outcome>> asked = new HashMap<>();
+    private final Map<Long, Runnable> telling = new HashMap<>();
+    private long ids;
+    /** Rises with each change of lives or sessions. */
+    private long changes;
+    private long fleetSeen;
+    private long sessionsSeen;
+    private final List<long[]> log = new ArrayList<>();
+
+    private record Waiting(long since) { }
+
+    public Registry(Boot boot, Reactor reactor) throws BootException, IOException {
+        this.boot = boot;
+        this.reactor = reactor;
+        self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(),
+                System.nanoTime() ^ (long) boot.node().hashCode() << 32);
+        for (InetSocketAddress other : Core.others(boot, boot.registryPort())) {
+            others.add(new Dialer(reactor, codec, self, other, this));
+        }
+        stores.add(new Dialer(reactor, codec, self, Addresses.parse(boot.ip() + ':' + boot.storePort()),
+                this));
+        for (InetSocketAddress other : Core.others(boot, boot.storePort())) {
+            stores.add(new Dialer(reactor, codec, self, other, this));
+        }
+        new Listener(reactor, Addresses.parse(boot.ip() + ':' + boot.registryPort()),
+                wire -> Link.of(reactor, codec, self, wire, this));
+        new Listener(reactor, boot.socket("control"), wire -> new Calls(reactor, wire, this::call));
+        long silence = MISSED * boot.millis("periodMs", 1500);
+        reactor.every(SECOND, () -> beats(silence));
+    }
+
+    private void beats(long silence) {
+        fleet.sweep(reactor.now(), silence);
+        Beats beats = new Beats(fleet.heardWithin(2 * SECOND, reactor.now()));
+        others.stream().filter(other -> other.link() != null).forEach(other -> other.link().say(beats));
+        changed();
+    }
+
+    // ---- Calls from outside ------------------------------------------------------------------------
+    private void call(Calls.Call call, Calls from) {
+        ControlCall command;
+        try {
+            command = ControlCall.of(call.head(), call.body());
+        } catch (BadMessage e) {
+            from.answer(e.status(), e.getMessage());
+            return;
+        }
+        if (command instanceof ControlCall.Heartbeat heartbeat) {
+            fleet.merge(heartbeat.life(), reactor.now());
+            known(heartbeat.life().id(), from);
+        } else if (command instanceof ControlCall.Leave leave) {
+            Life before = fleet.get(leave.id(), reactor.now());
+            if (before == null) { // all that can be known of it: that it is over
+                before = new Life(leave.id(), "", "0.0.0.0:0", "", 1, Life.READY, 0, 0, false);
+            }
+            fleet.merge(new Life(leave.id(), before.plant(), before.address(), before.zone(),
+                    before.capacity(),
+                    Life.GONE, before.seq(), 0, false), reactor.now());
+            known(leave.id(), from);
+        } else if (command instanceof ControlCall.Adjust adjust) {
+            ask(0, id -> new Messages.Adjust(id, adjust.body()), from);
+        } else {
+            ask(0, Messages.Read::new, from);
+        }
+    }
+
+    /** A checker that leaves is acknowledged only once another machine knows, too. */
+    private void known(String id, Calls from) {
+        Life now = fleet.get(id, reactor.now());
+        changed();
+        if (now.phase() == Life.READY || others.isEmpty()) {
+            from.answer(GOOD, "{}");
+            return;
+        }
+        List<Link> up = others.stream().map(Dialer::link).filter(link -> link != null).toList();
+        long number = ++ids;
+        telling.put(number, () -> from.answer(GOOD, "{}"));
+        up.forEach(link -> link.say(new Tell(number, List.of(now))));
+        reactor.after(PATIENCE, () -> {
+            if (telling.remove(number) != null) {
+                from.answer(LATER, "no other machine could be told");
+            }
+        });
+    }
+
+    /** Asks a store, and where it cannot say, the next one. */
+    private void ask(int store, java.util.function.LongFunction<Object> message, Calls from) {
+        if (store >= stores.size()) {
+            from.answer(LATER, "no store can be reached");
+            return;
+        }
+        Link link = stores.get(store).link();
+        if (link == null) {
+            ask(store + 1, message, from);
+            return;
+        }
+        long number = ++ids;
+        asked.put(number, outcome -> {
+            boolean next = outcome.status() == LATER && message.apply(0) instanceof Messages.Read
+                    && store + 1 < stores.size();
+            if (next) {
+                ask(store + 1, message, from);
+            } else {
+                from.answer(outcome.status(), outcome.body());
+            }
+        });
+        link.say(message.apply(number));
+        reactor.after(STORE_PATIENCE, () -> {
+            Consumer<Outcome> waits = asked.remove(number);
+            if (waits != null) {
+                waits.accept(new Outcome(number, LATER, "the store does not answer"));
+            }
+        });
+    }
+
+    // ---- Links -------------------------------------------------------------------------------------
+    @Override
+    public void up(Link link) {
+        String program = link.other().program();
+        if (program.equals(PROGRAM) && others.stream().anyMatch(other -> other.link() == link)) {
+            long[] from = vector.getOrDefault(link.other().node(), new long[] {0, 0});
+            link.say(new Pull(from[0], from[1]));
+        } else if (program.equals(PROXY)) {
+            sessions.begin(session(link));
+            changed();
+        }
+    }
+
+    private static Session session(Link link) {
+        Hello other = link.other();
+        return new Session(other.node(), other.ip(), other.zone(), other.life());
+    }
+
+    @Override
+    public void down(Link link) {
+        pulling.remove(link);
+        if (link.other() != null && link.other().program().equals(PROXY)) {
+            sessions.end(session(link));
+            changed();
+        } else if (link.other() != null && others.stream().noneMatch(other -> other.link() != null
+                && other.link().other().node().equals(link.other().node()))) {
+            sessions.lost(link.other().node(), reactor.now());
+        }
+    }
+
+    @Override
+    public void told(Link link, Object message) {
+        if (message instanceof Pull pull) {
+            link.note(new Waiting(pull.life() == self.life() ? pull.since() : -1));
+            pulling.add(link);
+            answer(link);
+        } else if (message instanceof News news) {
+            vector.put(link.other().node(), new long[] {news.life(), news.upTo()});
+            news.lives().forEach(life -> fleet.merge(life, reactor.now()));
+            sessions.told(link.other().node(), news.own(), reactor.now());
+            link.say(new Pull(news.life(), news.upTo()));
+            changed();
+        } else if (message instanceof Tell tell) {
+            tell.lives().forEach(life -> fleet.merge(life, reactor.now()));
+            link.say(new Known(tell.id()));
+            changed();
+        } else if (message instanceof Known known) {
+            Runnable told = telling.remove(known.id());
+            if (told != null) {
+                told.run();
+            }
+        } else if (message instanceof Beats beats) {
+            beats.heard().forEach(heard -> fleet.heard(heard.id(), heard.seq(),
+                    reactor.now() - heard.agoMs() * 1000));
+            changed();
+        } else if (message instanceof Outcome outcome) {
+            Consumer<Outcome> waits = asked.remove(outcome.id());
+            if (waits != null) {
+                waits.accept(outcome);
+            }
+        }
+    }
+
+    /** What has changed is numbered in one row, whether it is of lives or of sessions. */
+    private void changed() {
+        if (fleet.changes() != fleetSeen || sessions.changes() != sessionsSeen) {
+            fleetSeen = fleet.changes();
+            sessionsSeen = sessions.changes();
+            changes = fleetSeen + sessionsSeen;
+            List.copyOf(pulling).forEach(this::answer);
+        }
+    }
+
+    private void answer(Link link) {
+        Waiting waiting = link.note();
+        if (waiting == null || waiting.since() >= 0 && changes <= waiting.since()) {
+            return;
+        }
+        link.note(null);
+        pulling.remove(link);
+        long fleetSince = since(waiting.since());
+        link.say(new News(self.life(), changes, fleet.since(fleetSince, reactor.now()), List.copyOf(
+                sessions.own()), sessions.view(reactor.now()).members()));
+        log.add(new long[] {changes, fleetSeen});
+        if (log.size() > 512) {
+            log.subList(0, 256).clear();
+        }
+    }
+
+    /** How far the lives were told to one who knows that change; all of them where we do not remember. */
+    private long since(long change) {
+        for (int i = log.size() - 1; i >= 0 && change >= 0; i--) {
+            if (log.get(i)[0] == change) {
+                return log.get(i)[1];
+            }
+        }
+        return 0;
+    }
+}
