--- a/src/main/java/reedmux/cli/Programs.java
+++ b/src/main/java/reedmux/cli/Programs.java
@@ -14,6 +14,7 @@
 import reedmux.boot.Boot;
 import reedmux.boot.BootException;
 import reedmux.boot.Signals;
+import reedmux.lab.stage.Stage;
 import reedmux.net.Reactor;
 import reedmux.proxy.Proxy;
 import reedmux.registry.Registry;
@@ -24,7 +25,7 @@
     private static final int FAILED = 1;
     private static final int BAD_USAGE = 2;
     private static final int BAD_SETTINGS = 3;
-    private static final Set<String> NAMES = Set.of("proxy", "registry", "store", "check");
+    private static final Set<String> NAMES = Set.of("proxy", "registry", "store", "check", "rehearse");
 
     private Programs() { }
 
@@ -40,6 +41,7 @@
         builder.withCommand(RunRegistry.class);
         builder.withCommand(RunStore.class);
         builder.withCommand(Check.class);
+        builder.withCommand(Rehearse.class);
         try {
             return builder.build().parse(args).call();
         } catch (ParseException e) {
@@ -133,4 +135,35 @@
             return 0;
         }
     }
+
+    /** Plays a whole gateway on loopback for a few seconds. */
+    @Command(name = "rehearse", description = "plays a whole gateway on loopback for some seconds, and ends")
+    public static final class Rehearse implements Callable<Integer> {
+        private static final int REQUESTS = 60;
+        private static final int NET = 77;
+
+        @AirlineModule
+        private HelpOption<Rehearse> help;
+
+        @Override
+        public Integer call() throws BootException, IOException {
+            if (help != null && help.showHelpIfRequested()) {
+                return 0;
+            }
+            try (Stage stage = new Stage(NET, 2, 3)) {
+                Stage.Told first = stage.adjust(Stage.FIRST);
+                boolean ready = stage.ready(10_000);
+                int served = 0;
+                for (int i = 0; i < REQUESTS; i++) {
+                    boolean look = i % 2 == 0;
+                    served += stage.request(i / 2 % 2, look ? "GET" : "POST", look ? "/look/1" : "/order/1",
+                            "rehearsed-" + i, look ? "" : "one").status() == 200 ? 1 : 0;
+                }
+                int read = stage.read().status();
+                System.out.println("first items " + first.status() + ", proxies " + (ready ? "" : "not ")
+                        + "ready, " + served + " of " + REQUESTS + " requests served, items read " + read);
+                return first.status() == 200 && ready && served == REQUESTS && read == 200 ? 0 : FAILED;
+            }
+        }
+    }
 }
--- a/src/main/java/reedmux/message/Calls.java
+++ b/src/main/java/reedmux/message/Calls.java
@@ -14,7 +14,6 @@
     private static final int MOST_HEAD = 16 * 1024;
     private static final int MOST_BODY = 8 * 1024 * 1024;
     private static final long IDLE = 30_000_000;
-    private static final int MADE = 200;
     private final Reactor reactor;
     private final Wire wire;
     private final BiConsumer<Call, Calls> taken;
@@ -90,14 +89,17 @@
         }
     }
 
-    /** The answer to the call that was handed on last. */
+    /** An answer of a type. */
     public void answer(int status, String type, String text) {
+        answer(Head.answer(status).add("Content-Type", type), text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** The answer to the call that was handed on last. */
+    public void answer(Head answer, byte[] content) {
         if (!wire.isOpen()) {
             return;
         }
-        byte[] content = text.getBytes(StandardCharsets.UTF_8);
-        Head answer = Head.answer(status);
-        answer.add("Content-Type", type).add("Content-Length", Integer.toString(content.length));
+        answer.add("Content-Length", Integer.toString(content.length));
         if (last) {
             answer.add("Connection", "close");
         }
@@ -119,9 +121,10 @@
         }
     }
 
+    /** An answer in JSON, or in plain text. */
     public void answer(int status, String json) {
-        answer(status, status == MADE || json.startsWith("{") ? "application/json" : "text/plain",
-                status == MADE || json.startsWith("{") ? json : json + '\n');
+        boolean told = json.startsWith("{");
+        answer(status, told ? "application/json" : "text/plain", told ? json : json + '\n');
     }
 
     @Override
--- a/src/main/java/reedmux/net/Reactor.java
+++ b/src/main/java/reedmux/net/Reactor.java
@@ -131,6 +131,10 @@
                 }
             }
         }
+        for (SelectionKey key : selector.keys()) {
+            key.channel().close();
+        }
+        selector.close();
     }
 
     private void ready(SelectionKey key) {
--- a/src/main/java/reedmux/quota/Quotas.java
+++ b/src/main/java/reedmux/quota/Quotas.java
@@ -18,9 +18,9 @@
  */
 public final class Quotas {
     /** How often the counters are sent while nobody is near its burst, and while somebody is. */
-    private static final long PACE = 100_000;
-    private static final long QUICK_PACE = 40_000;
-    private static final double NEAR = 0.35;
+    private static final long PACE = 50_000;
+    private static final long QUICK_PACE = 20_000;
+    private static final double NEAR = 0.1;
     /** What a message takes from one member to the next at the most, but for its waiting to be sent. */
     private static final long UNDER_WAY = 20_000;
     private static final double SECOND = 1e6;
--- a/src/main/java/reedmux/registry/Registry.java
+++ b/src/main/java/reedmux/registry/Registry.java
@@ -78,6 +78,9 @@
         this.reactor = reactor;
         self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(),
                 System.nanoTime() ^ (long) boot.node().hashCode() << 32);
+        if (boot.dataDir() != null) {
+            new Memory(boot.dataDir().resolve("lives"), reactor, codec, fleet);
+        }
         for (InetSocketAddress other : Core.others(boot, boot.registryPort())) {
             others.add(new Dialer(reactor, codec, self, other, this));
         }
