--- a/src/main/java/reedmux/cli/Programs.java
+++ b/src/main/java/reedmux/cli/Programs.java
@@ -72,7 +72,9 @@
             }
             Boot boot = Boot.ofEnvironment();
             Reactor reactor = new Reactor(line -> System.err.println(boot.node() + ' ' + line));
+            reactor.log("begins");
             Runnable leave = begin(boot, reactor);
+            reactor.log("listens");
             Signals.on("TERM", leave, reactor::log);
             Signals.on("HUP", () -> { }, reactor::log);
             reactor.run();
--- a/src/main/java/reedmux/lab/stage/Stage.java
+++ b/src/main/java/reedmux/lab/stage/Stage.java
@@ -36,19 +36,17 @@
             {"apply":{"signals":[
             {"signalKind":"plants","heading":{"name":"desk","revision":1},
              "reference":{"probe":"/health","connCeiling":100,"protocol":"h1","tls":false}},
-            {"signalKind":"routes","heading":{"name":"look-up","revision":1},"reference":{"host":"desk.example"
-                    ,
-             "prefix":"/look/","kind":"idempotent","cutoffMs":2000,"setpointMs":300,"priority":2,"plant":"desk"
-                     ,
-             "attempts":2,"unkeyed":false}},
-            {"signalKind":"routes","heading":{"name":"order","revision":1},"reference":{"host":"desk.example",
-             "prefix":"/order/","kind":"effectful","cutoffMs":2000,"setpointMs":400,"priority":1,"plant":"desk"
-                     ,
-             "attempts":2,"unkeyed":false}},
+            {"signalKind":"routes","heading":{"name":"look-up","revision":1},
+             "reference":{"host":"desk.example","prefix":"/look/","kind":"idempotent","cutoffMs":2000,
+              "setpointMs":300,"priority":2,"plant":"desk","attempts":2,"unkeyed":false}},
+            {"signalKind":"routes","heading":{"name":"order","revision":1},
+             "reference":{"host":"desk.example","prefix":"/order/","kind":"effectful","cutoffMs":2000,
+              "setpointMs":400,"priority":1,"plant":"desk","attempts":2,"unkeyed":false}},
             {"signalKind":"tenants","heading":{"name":"first","revision":1},
              "reference":{"keys":["key-of-first"],"priority":1,"flowPerS":200,"burst":200}},
-            {"signalKind":"saturation","heading":{"revision":1},"reference":{"headerBytes":16384,
-             "bodyBytes":67108864,"headerMs":3000,"idleMs":15000}}]},"remove":{}}""";
+            {"signalKind":"saturation","heading":{"revision":1},
+             "reference":{"headerBytes":16384,"bodyBytes":67108864,"headerMs":3000,"idleMs":15000}}]},
+            "remove":{}}""";
 
     private final int net;
     private final int base;
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -245,6 +245,10 @@
                     || poll.sources() > 0 && now() - bornAt > 4 * SECOND;
             ready = enough && heard > 0 && poll.table() != null && !poll.empty() && !roster.empty()
                     && view.place(boot.node()) >= 0;
+            if (ready) {
+                reactor.log("ready after " + (now() - bornAt) / 1000 + " ms, with " + roster.size()
+                        + " checkers and " + view.size() + " members");
+            }
         }
         return ready;
     }
