--- a/src/main/java/reedmux/link/Dialer.java
+++ b/src/main/java/reedmux/link/Dialer.java
@@ -9,6 +9,8 @@
 public final class Dialer implements Link.Owner {
     private static final long PAUSE = 60_000;
     private static final long MOST_PAUSE = 200_000;
+    /** A connection that is not up by then has met a machine without power: its first packet is lost. */
+    private static final long CONNECT = 300_000;
     private final Reactor reactor;
     private final Codec codec;
     private final Hello self;
@@ -55,7 +57,13 @@
             return;
         }
         try {
-            link = Link.open(reactor, codec, self, to, this);
+            Link made = Link.open(reactor, codec, self, to, this);
+            link = made;
+            reactor.after(CONNECT, () -> {
+                if (made.connecting()) {
+                    made.close();
+                }
+            });
         } catch (IOException e) {
             again();
         }
--- a/src/main/java/reedmux/link/Link.java
+++ b/src/main/java/reedmux/link/Link.java
@@ -90,6 +90,11 @@
         return other;
     }
 
+    /** Whether the connection itself has not come up yet. */
+    public boolean connecting() {
+        return !over && !wire.isUp();
+    }
+
     public boolean isUp() {
         return other != null && !over;
     }
