--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -185,7 +185,7 @@
 
     private void members() {
         View next = sessions.view(now());
-        quotas.alone(sessions.alone(), now());
+        quotas.alone(sessions.alone());
         if (next.tag() != view.tag()) {
             view = next;
             quotas.view(view, now());
--- a/src/main/java/reedmux/quota/Quotas.java
+++ b/src/main/java/reedmux/quota/Quotas.java
@@ -28,8 +28,8 @@
     private static final int TIMES = 3;
     /** How long a member that went away may still go on by itself with its part. */
     private static final long AWAY = 10_000_000;
-    /** How long we go on as a member after the last registry was heard. */
-    private static final long ALONE = 2_000_000;
+    /** Without a registry we go on as a member only as long as others tell us as one. */
+    private static final long UNTOLD = 300_000;
     /** Of the burst, what a tenant has used as far as a restarted process can know. */
     private static final double FORGOTTEN = 0.5;
 
@@ -68,7 +68,9 @@
     private View view = View.of(List.of());
     private int place = -1;
     private long newNeighbourAt;
-    private long aloneSince = -1;
+    private boolean alone;
+    /** When somebody with our view told us something last. */
+    private long toldAt;
     private final Map<String, Long> away = new HashMap<>();
 
     /** {@code restarted}: others may remember what we no longer do. */
@@ -106,14 +108,18 @@
         java.util.Arrays.fill(count.times, 0);
     }
 
-    /** Whether any registry can be heard. */
-    public void alone(boolean alone, long now) {
-        aloneSince = !alone ? -1 : aloneSince < 0 ? now : aloneSince;
+    /** Whether no registry can be heard. */
+    public void alone(boolean isAlone) {
+        alone = isAlone;
     }
 
-    /** Whether we have to do with our own part, as the others spend theirs without telling us. */
+    /**
+     * Whether we have to do with our own part: nobody tells us anything as a member of our view, so that
+     * the others have gone on without us and do with theirs. Where it is the registries that are gone, the
+     * heap goes on.
+     */
     private boolean apart(long now) {
-        return aloneSince >= 0 && now - aloneSince > ALONE;
+        return alone && now - toldAt > UNTOLD;
     }
 
     private int members() {
@@ -230,6 +236,7 @@
      */
     public void take(Packet packet, Function<String, Tenant> tenants, long now) {
         int from = view.place(packet.from());
+        toldAt = packet.view() == view.tag() ? now : toldAt;
         Map<String, Double> totals = heard.computeIfAbsent(packet.from() + '/' + packet.view(),
                 name -> new HashMap<>());
         for (Entry entry : packet.entries()) {
