--- a/src/main/java/reedmux/link/Messages.java
+++ b/src/main/java/reedmux/link/Messages.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import reedmux.fleet.Fleet;
 import reedmux.fleet.Life;
+import reedmux.item.Council.Vote;
 import reedmux.item.Item;
 import reedmux.member.Session;
 
@@ -60,8 +61,6 @@
     /** What became of that at one store. */
     public record Voted(String call, Vote vote) { }
 
-    public enum Vote { HELD, INVALID, BUSY, UNABLE }
-
     /** A call's items are in force, or are to be dropped. */
     public record Decided(String call, boolean inForce, List<Item> items) {
         public Decided {
--- /dev/null
+++ b/src/test/java/reedmux/disk/JournalTest.java
@@ -0,0 +1,92 @@
+package reedmux.disk;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What is found again of a journal whose last writes are missing, cut or torn. */
+public class JournalTest {
+    private Path dir;
+
+    @BeforeMethod
+    public void make() throws IOException {
+        dir = Files.createTempDirectory("reedmux-journal");
+    }
+
+    @AfterMethod
+    public void remove() throws IOException {
+        try (Stream<Path> all = Files.walk(dir)) {
+            all.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+        }
+    }
+
+    private static byte[] record(int number) {
+        byte[] bytes = new byte[5 + number];
+        Arrays.fill(bytes, (byte) (number + 1));
+        return bytes;
+    }
+
+    @Test
+    public void anEmptyFolderIsNothingFound() throws IOException {
+        Journal journal = new Journal(dir);
+        assertTrue(journal.read().isEmpty());
+        assertFalse(journal.found());
+    }
+
+    /** The file ends at every byte, or has one that is wrong there: what comes before is found, no more. */
+    @Test
+    public void whatWasSyncedIsFoundWhateverBecameOfTheRest() throws IOException {
+        try (Journal journal = new Journal(dir)) {
+            journal.read();
+            journal.begin(List.of(record(0), record(1)));
+            long synced = journal.length();
+            journal.append(record(2));
+            journal.append(record(3));
+            journal.sync();
+            Path file = dir.resolve("items-1");
+            byte[] whole = Files.readAllBytes(file);
+            for (int end = (int) synced; end < whole.length; end++) {
+                for (boolean cut : new boolean[] {true, false}) {
+                    byte[] image = cut ? Arrays.copyOf(whole, end) : whole.clone();
+                    if (!cut) {
+                        image[end] ^= 0x55;
+                    }
+                    Files.write(file, image);
+                    List<byte[]> found = new Journal(dir).read();
+                    assertTrue(found.size() >= 2 && found.size() < 4, "at " + end);
+                    for (int i = 0; i < found.size(); i++) {
+                        assertEquals(found.get(i), record(i));
+                    }
+                }
+            }
+        }
+    }
+
+    /** A generation that did not get whole gives way to the one before. */
+    @Test
+    public void theGenerationBeforeStandsUntilTheNextIsWhole() throws IOException {
+        try (Journal journal = new Journal(dir)) {
+            journal.read();
+            journal.begin(List.of(record(0)));
+            journal.begin(List.of(record(0), record(1)));
+            Files.write(dir.resolve("items-3"), Arrays.copyOf(Files.readAllBytes(dir.resolve("items-2")), 9));
+            Files.write(dir.resolve("fresh"), new byte[] {1, 2, 3});
+            Journal next = new Journal(dir);
+            assertEquals(next.read().size(), 2);
+            next.begin(List.of(record(2)));
+            next.close();
+            assertEquals(new Journal(dir).read().get(0), record(2));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/reedmux/item/CouncilTest.java
@@ -0,0 +1,347 @@
+package reedmux.item;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import org.testng.annotations.Test;
+
+/** Three stores, and every order in which their messages may come in. */
+public class CouncilTest {
+    private static final long SECOND = 1_000_000;
+    private static final String PLANT = item("plants", "desk", 1,
+            "{\"probe\":\"/health\",\"connCeiling\":9}");
+
+    private static String item(String kind, String name, int revision, String body) {
+        return "{\"signalKind\":\"" + kind + "\",\"heading\":{\"name\":\"" + name + "\",\"revision\":"
+                + revision
+                + "},\"reference\":" + body + '}';
+    }
+
+    private static String route(String name, int revision, String host) {
+        String body = """
+                {"host":"%s","prefix":"/a/","kind":"effectful","cutoffMs":1000,"setpointMs":100,"priority":1,
+                 "plant":"desk","attempts":1}""";
+        return item("routes", name, revision, String.format(body, host));
+    }
+
+    private static String call(String... items) {
+        return "{\"apply\":{\"signals\":[" + String.join(",", items) + "]},\"remove\":{}}";
+    }
+
+    /** Three councils, the messages between them, and what the operator was told. */
+    private static final class World {
+        final Council[] councils = new Council[3];
+        final Shelf[] shelves = new Shelf[3];
+        final List<Runnable> mail = new ArrayList<>();
+        final List<Integer> mailTo = new ArrayList<>();
+        final int[] answers = {0, 0, 0, 0};
+        final Set<Integer> dead = new HashSet<>();
+        final Set<Integer> noDisk = new HashSet<>();
+        long now = SECOND;
+
+        World() {
+            for (int i = 0; i < 3; i++) {
+                start(i, true, new Shelf());
+            }
+            meet();
+            adjust(0, 3, call(PLANT));
+            drain();
+            assertEquals(answers[3], Council.GOOD);
+        }
+
+        void start(int i, boolean whole, Shelf shelf) {
+            shelves[i] = shelf;
+            councils[i] = new Council("s" + i, now + i, 3, 2, shelf, whole, new Effects(i));
+        }
+
+        void adjust(int at, int number, String body) {
+            councils[at].adjust(now, body, (status, line) -> answers[number] = status);
+        }
+
+        /** Each tells each other all that is in force. */
+        void meet() {
+            for (int round = 0; round < 2; round++) {
+                for (int i = 0; i < 3; i++) {
+                    for (int j = 0; j < 3; j++) {
+                        if (i != j && !dead.contains(i) && !dead.contains(j)) {
+                            councils[i].met("s" + j, councils[j].whole(), List.copyOf(shelves[j].inForce()));
+                        }
+                    }
+                }
+            }
+        }
+
+        void drain() {
+            deliver(n -> 0);
+        }
+
+        void deliver(java.util.function.IntUnaryOperator pick) {
+            while (!mail.isEmpty()) {
+                int next = pick.applyAsInt(mail.size());
+                int to = mailTo.remove(next);
+                Runnable message = mail.remove(next);
+                if (!dead.contains(to)) {
+                    message.run();
+                }
+            }
+        }
+
+        /** Time passes, all that live meet, and what is left undecided is brought to its end. */
+        void settle() {
+            for (int i = 0; i < 6; i++) {
+                now += SECOND;
+                meet();
+                for (int j = 0; j < 3; j++) {
+                    if (!dead.contains(j)) {
+                        councils[j].look(now);
+                    }
+                }
+                drain();
+            }
+            meet();
+        }
+
+        TreeMap<String, Long> inForce(int at) {
+            TreeMap<String, Long> all = new TreeMap<>();
+            shelves[at].inForce().forEach(item -> all.put(item.key() + ' ' + item.body().hashCode(),
+                    item.revision()));
+            return all;
+        }
+
+        private final class Effects implements Council.Effects {
+            private final int self;
+
+            Effects(int self) {
+                this.self = self;
+            }
+
+            private void send(int to, Runnable message) {
+                if (!dead.contains(self) && to != self) {
+                    mail.add(message);
+                    mailTo.add(to);
+                }
+            }
+
+            @Override
+            public void propose(String call, List<Item> items) {
+                for (int i = 0; i < 3; i++) {
+                    int to = i;
+                    send(to, () -> councils[to].asked(now, "s" + self, call, items));
+                }
+            }
+
+            @Override
+            public void vote(String to, String call, Council.Vote vote) {
+                int other = to.charAt(1) - '0';
+                send(other, () -> councils[other].counted(now, "s" + self, call, vote));
+            }
+
+            @Override
+            public void tell(String call, boolean inForce, List<Item> items) {
+                for (int i = 0; i < 3; i++) {
+                    int to = i;
+                    send(to, () -> councils[to].decided(call, inForce, items));
+                }
+            }
+
+            @Override
+            public void keepHeld(String call, List<Item> items) {
+                if (!noDisk.contains(self)) {
+                    councils[self].kept(now, call, true);
+                }
+            }
+
+            @Override
+            public void keepDecided(String call, boolean inForce, List<Item> items) { }
+
+            @Override
+            public void changed() { }
+
+            @Override
+            public void log(String line) { }
+        }
+    }
+
+    private static void assertAgreed(World world) {
+        assertEquals(world.inForce(1), world.inForce(0));
+        assertEquals(world.inForce(2), world.inForce(0));
+        try {
+            Table.of(world.shelves[0].inForce());
+        } catch (Invalid e) {
+            throw new AssertionError("in force and invalid: " + e.getMessage());
+        }
+        for (int i = 0; i < 3; i++) {
+            assertTrue(world.shelves[i].held().isEmpty());
+        }
+    }
+
+    private static boolean has(World world, int at, String key, long revision) {
+        return world.shelves[at].inForce().stream().anyMatch(item -> item.key().equals(key)
+                && item.revision() == revision);
+    }
+
+    @Test
+    public void twoCallsForOneHostAndPrefixNeverBothComeIntoForce() {
+        int[] both = {0};
+        int plays = Orders.all(20_000, orders -> {
+            World world = new World();
+            world.adjust(0, 0, call(route("one", 2, "h.example")));
+            world.adjust(1, 1, call(route("two", 2, "h.example")));
+            world.deliver(orders::pick);
+            world.settle();
+            assertAgreed(world);
+            assertFalse(world.answers[0] == Council.GOOD && world.answers[1] == Council.GOOD);
+            both[0] += world.answers[0] == Council.GOOD || world.answers[1] == Council.GOOD ? 1 : 0;
+            for (int i = 0; i < 2; i++) {
+                if (world.answers[i] == Council.GOOD) {
+                    assertTrue(has(world, 2, i == 0 ? "routes/one" : "routes/two", 2));
+                }
+            }
+        });
+        assertTrue(plays > 100 && both[0] > 0, plays + " orders, " + both[0] + " with one in force");
+    }
+
+    @Test
+    public void ofTwoContentsWithOneRevisionOneHoldsEverywhere() {
+        Orders.all(20_000, orders -> {
+            World world = new World();
+            world.adjust(0, 0, call(route("one", 2, "h.example")));
+            world.adjust(1, 1, call(route("one", 2, "other.example")));
+            world.deliver(orders::pick);
+            world.settle();
+            assertAgreed(world);
+            assertFalse(world.answers[0] == Council.GOOD && world.answers[1] == Council.GOOD);
+        });
+    }
+
+    @Test
+    public void whatWasAcknowledgedOutlivesTheStoreThatAcknowledgedIt() {
+        for (boolean wiped : new boolean[] {false, true}) {
+            Orders.all(20_000, orders -> {
+                World world = new World();
+                world.adjust(0, 0, call(route("one", 2, "h.example")));
+                world.deliver(many -> {
+                    // The store that was asked may die before any message comes in, and takes those it has
+                    // sent along.
+                    if (world.answers[0] == Council.GOOD && world.dead.isEmpty()) {
+                        world.dead.add(0);
+                        if (orders.pick(2) == 0) {
+                            world.mail.clear();
+                            world.mailTo.clear();
+                            world.mail.add(() -> { });
+                            world.mailTo.add(0);
+                            return 0;
+                        }
+                    }
+                    return orders.pick(many);
+                });
+                boolean acknowledged = world.answers[0] == Council.GOOD;
+                world.dead.add(0);
+                world.now += SECOND;
+                world.councils[1].lost("s0");
+                world.councils[2].lost("s0");
+                world.settle();
+                if (acknowledged) {
+                    assertTrue(has(world, 1, "routes/one", 2) && has(world, 2, "routes/one", 2));
+                }
+                world.dead.clear();
+                world.start(0, !wiped, wiped ? new Shelf() : world.shelves[0]);
+                assertFalse(world.councils[0].current());
+                world.settle();
+                assertAgreed(world);
+                assertTrue(world.councils[0].whole());
+            });
+        }
+    }
+
+    @Test
+    public void aWipedStoreDoesNotVouchBeforeItHasMetTheOthers() {
+        World world = new World();
+        world.start(0, false, new Shelf());
+        world.adjust(1, 0, call(route("one", 2, "h.example")));
+        world.dead.add(2); // so that only the wiped one could make up the number
+        world.drain();
+        assertNotEquals(world.answers[0], Council.GOOD);
+        world.dead.clear();
+        world.settle();
+        assertAgreed(world);
+    }
+
+    @Test
+    public void nothingIsAcknowledgedFromMemory() {
+        World world = new World();
+        world.noDisk.add(1);
+        world.noDisk.add(2);
+        world.adjust(0, 0, call(route("one", 2, "h.example")));
+        world.drain();
+        assertEquals(world.answers[0], 0);
+        world.now += SECOND;
+        world.councils[0].look(world.now);
+        assertEquals(world.answers[0], Council.LATER);
+    }
+
+    @Test
+    public void invalidCallsChangeNothingAndSayWhy() {
+        String[] invalid = {
+            "{\"apply\":{\"signals\":[" + route("x", 3, "h.example"),
+            call(route("x", 3, "")),
+            call(route("x", 3, "h.example").replace("/a/", "a/")),
+            call(route("x", 3, "h.example").replace("\"desk\"", "\"nowhere\"")),
+            call(route("x", 3, "h.example"), route("y", 3, "H.example")),
+            call(route("x", 3, "h.example").replace("\"plant\":\"desk\"",
+                    "\"split\":[{\"plant\":\"desk\",\"gain\":-1}]")),
+            call(item("tenants", "t", 3, "{\"keys\":[\"k\"]}"), item("tenants", "u", 3,
+                    "{\"keys\":[\"k\"]}")),
+            "{\"apply\":{},\"remove\":{\"plants\":[{\"name\":\"desk\",\"revision\":3}]},\"x\":" };
+        for (String body : invalid) {
+            World world = new World();
+            TreeMap<String, Long> before = world.inForce(0);
+            StringBuilder why = new StringBuilder();
+            world.councils[0].adjust(world.now, body, (status, line) -> {
+                world.answers[0] = status;
+                why.append(line);
+            });
+            assertEquals(world.answers[0], Council.WRONG, body);
+            assertTrue(why.length() > 10, body);
+            world.settle();
+            assertEquals(world.inForce(2), before);
+        }
+    }
+
+    @Test
+    public void lowerAndEqualRevisionsAreAcknowledgedAndChangeNothing() {
+        World world = new World();
+        world.adjust(0, 0, call(route("one", 5, "h.example")));
+        world.drain();
+        TreeMap<String, Long> before = world.inForce(0);
+        world.adjust(1, 1, call(route("one", 5, "other.example")));
+        world.adjust(2, 2, call(route("one", 4, "third.example")));
+        world.drain();
+        assertEquals(world.answers[1], Council.GOOD);
+        assertEquals(world.answers[2], Council.GOOD);
+        world.settle();
+        assertEquals(world.inForce(1), before);
+    }
+
+    @Test
+    public void whatWasDroppedStaysDropped() {
+        World world = new World();
+        world.adjust(0, 0, call(route("one", 5, "h.example")));
+        world.drain();
+        world.adjust(1, 1, "{\"remove\":{\"routes\":[{\"name\":\"one\",\"revision\":7}]}}");
+        world.drain();
+        world.adjust(2, 2, call(route("one", 6, "h.example")));
+        world.drain();
+        StringBuilder read = new StringBuilder();
+        world.councils[2].read((status, text) -> read.append(status).append(text));
+        assertTrue(read.toString().startsWith("200"));
+        assertFalse(read.toString().contains("h.example"));
+    }
+}
--- /dev/null
+++ b/src/test/java/reedmux/item/Orders.java
@@ -0,0 +1,41 @@
+package reedmux.item;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Plays something once for each order of its choices, one by one, until there is none left. */
+public final class Orders {
+    private final List<int[]> taken = new ArrayList<>();
+    private int at;
+
+    private Orders() { }
+
+    /** Picks one of {@code many}, another one in each play. */
+    public int pick(int many) {
+        if (many == 1) {
+            return 0;
+        }
+        if (at == taken.size()) {
+            taken.add(new int[] {0, many});
+        }
+        return taken.get(at++)[0];
+    }
+
+    /** Plays all orders, {@code most} at the most, and returns how many there were. */
+    public static int all(int most, Consumer<Orders> play) {
+        Orders orders = new Orders();
+        for (int plays = 1; ; plays++) {
+            orders.at = 0;
+            play.accept(orders);
+            int last = orders.taken.size() - 1;
+            while (last >= 0 && orders.taken.get(last)[0] + 1 == orders.taken.get(last)[1]) {
+                orders.taken.remove(last--);
+            }
+            if (last < 0 || plays == most) {
+                return plays;
+            }
+            orders.taken.get(last)[0]++;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/reedmux/lab/stage/StageTest.java
@@ -0,0 +1,92 @@
+package reedmux.lab.stage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+import reedmux.boot.BootException;
+
+/** The whole path on real sockets: what clients, checkers and the operator are answered. */
+public class StageTest {
+    private static final String IDS = "Reedmux-Attempt-Id: %s\r\nReedmux-Time-Left-Ms: 2000\r\n";
+    private static final String KEY = "Authorization: Bearer key-of-first\r\n";
+    private Stage stage;
+
+    @BeforeClass
+    public void start() throws IOException, BootException {
+        stage = new Stage(78, 2, 3);
+        assertEquals(stage.adjust(Stage.FIRST).status(), 200);
+        assertTrue(stage.ready(20_000));
+    }
+
+    @AfterClass
+    public void end() throws IOException {
+        stage.close();
+    }
+
+    private int raw(String text) throws IOException {
+        return stage.ask(stage.front(0), text.getBytes(StandardCharsets.ISO_8859_1)).status();
+    }
+
+    private static String get(String path, String host, String more) {
+        return "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n" + more + "\r\n";
+    }
+
+    @Test
+    public void eachRequestRunsOnce() throws IOException {
+        for (int i = 0; i < 40; i++) {
+            assertEquals(stage.request(i % 2, "POST", "/order/x", "once-" + i, "body").status(), 200);
+        }
+        for (int i = 0; i < 40; i++) {
+            assertEquals(Collections.frequency(stage.ran(), "once-" + i), 1);
+        }
+    }
+
+    @Test
+    public void whatIsWrongIsToldAtOnceAndNeverRuns() throws IOException {
+        String ids = String.format(IDS, "wrong");
+        assertEquals(raw(get("/nowhere/", "desk.example", ids + KEY)), 404);
+        assertEquals(raw(get("/look/", "other.example", ids + KEY)), 404);
+        assertEquals(raw(get("/look/", "desk.example", ids)), 401);
+        assertEquals(raw(get("/look/", "desk.example", ids + "Authorization: Bearer none\r\n")), 401);
+        assertEquals(raw(get("/look/", "desk.example", KEY)), 400);
+        assertEquals(raw(get("/look/", "desk.example", ids + KEY + "Host: two.example\r\n")), 400);
+        assertEquals(raw(get("/look/", "desk.example", ids + KEY + "Bad Name: x\r\n")), 400);
+        assertEquals(raw(get("/look/", "desk.example", ids + KEY + "Long: " + "x".repeat(20_000)
+                + "\r\n")), 431);
+        String post = "POST /order/ HTTP/1.1\r\nHost: desk.example\r\n" + ids + KEY;
+        assertEquals(raw(post + "Content-Length: 99999999999\r\n\r\n"), 413);
+        assertEquals(raw(post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"), 400);
+        assertEquals(raw(post + "Transfer-Encoding: chunked\r\n\r\n3;a=\"\n\"\r\nabc\r\n0\r\n\r\n"), 400);
+        assertEquals(raw(post + "Transfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n"), 400);
+        assertEquals(raw(post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"), 400);
+        assertTrue(!stage.ran().contains("wrong"));
+    }
+
+    @Test
+    public void bodiesPassWholeWithLengthAndInChunks() throws IOException {
+        int large = 3_000_000;
+        Stage.Told told = stage.request(0, "POST", "/order/x", "large", "y".repeat(large));
+        assertEquals(told.status(), 200);
+        assertTrue(told.text().contains(large + " bytes"), told.text());
+        String chunked = "POST /order/ HTTP/1.1\r\nHost: desk.example\r\n" + String.format(IDS,
+                "chunks") + KEY
+                + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6;x=y\r\n world\r\n0\r\n\r\n";
+        Stage.Told chunks = stage.ask(stage.front(0), chunked.getBytes(StandardCharsets.ISO_8859_1));
+        assertTrue(chunks.text().contains("11 bytes"), chunks.text());
+    }
+
+    @Test
+    public void theOperatorReadsWhatStands() throws IOException {
+        Stage.Told read = stage.read();
+        assertEquals(read.status(), 200);
+        assertTrue(read.text().startsWith("{\"signals\":[") && read.text().contains("\"look-up\""));
+        assertEquals(stage.adjust("{\"apply\":{\"signals\":[{").status(), 400);
+        assertEquals(stage.read().text(), read.text());
+    }
+}
--- /dev/null
+++ b/src/test/java/reedmux/quota/QuotasTest.java
@@ -0,0 +1,202 @@
+package reedmux.quota;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.testng.annotations.Test;
+import reedmux.item.Tenant;
+import reedmux.member.Session;
+import reedmux.member.View;
+
+/** Members of the heap in virtual time: what they let through together, and what they count. */
+public class QuotasTest {
+    private static final long SECOND = 1_000_000;
+    private static final Tenant TENANT = new Tenant("t", List.of("k"), 0, 65, 65);
+
+    private record Mail(long at, long number, int to, Quotas.Packet packet) { }
+
+    /** Some members, a network that delays and loses, and one tenant. */
+    private static final class World {
+        final List<Quotas> members = new ArrayList<>();
+        final List<Session> sessions = new ArrayList<>();
+        final PriorityQueue<Mail> mail = new PriorityQueue<>((one, other) -> one.at() != other.at()
+                ? Long.compare(one.at(), other.at()) : Long.compare(one.number(), other.number()));
+        final long[] next;
+        final Random random;
+        final double loss;
+        final List<Long> admitted = new ArrayList<>();
+        final boolean[] cut;
+        View view;
+        long now = SECOND;
+        long number;
+
+        World(int count, double loss, long seed) {
+            random = new Random(seed);
+            this.loss = loss;
+            next = new long[count];
+            cut = new boolean[count];
+            for (int i = 0; i < count; i++) {
+                members.add(new Quotas("n" + i, false, now));
+                sessions.add(new Session("n" + i, "10.0.0." + i, "z", i + 1));
+                next[i] = now + random.nextInt(50_000);
+            }
+            agree(View.of(sessions));
+        }
+
+        void agree(View told) {
+            view = told;
+            for (int i = 0; i < members.size(); i++) {
+                if (!cut[i]) {
+                    members.get(i).view(told, now);
+                }
+            }
+        }
+
+        /** Lets time pass with requests at a rate, evenly drawn over the members. */
+        void run(double seconds, double rate) {
+            long end = now + (long) (seconds * SECOND);
+            double due = now;
+            while (now < end) {
+                now += 1000;
+                while (due < now) {
+                    due += SECOND / rate * 2 * random.nextDouble();
+                    int at = random.nextInt(members.size());
+                    if (members.get(at).admit(TENANT, now)) {
+                        admitted.add(now);
+                    }
+                }
+                while (!mail.isEmpty() && mail.peek().at() <= now) {
+                    Mail first = mail.poll();
+                    members.get(first.to()).take(first.packet(), name -> TENANT, now);
+                }
+                for (int i = 0; i < members.size(); i++) {
+                    if (now >= next[i]) {
+                        send(i);
+                        next[i] = now + members.get(i).pace();
+                    }
+                }
+            }
+        }
+
+        private void send(int from) {
+            for (Quotas.Letter letter : members.get(from).send(now)) {
+                // Places are those of the sender's view, in which a cut-off member still stands.
+                int to = cut[from] ? letter.place() : indexOf(view.member(letter.place()).node());
+                if (random.nextDouble() >= loss) {
+                    mail.add(new Mail(now + 1_400 + random.nextInt(3_000), number++, to, letter.packet()));
+                }
+            }
+        }
+
+        private int indexOf(String node) {
+            return Integer.parseInt(node.substring(1));
+        }
+
+        /** The most that was let through in any five seconds. */
+        long most() {
+            int from = 0;
+            long most = 0;
+            for (int to = 0; to < admitted.size(); to++) {
+                while (admitted.get(to) - admitted.get(from) > 5 * SECOND) {
+                    from++;
+                }
+                most = Math.max(most, to - from + 1);
+            }
+            return most;
+        }
+    }
+
+    private static final double ALLOWED = (65 * 5 + 65) * 1.1 + 20;
+
+    @Test
+    public void aSurgeStaysWithinTheQuotaWithLossAndWithout() {
+        for (double loss : new double[] {0, 0.01, 0.05}) {
+            for (int seed = 0; seed < 6; seed++) {
+                World world = new World(10, loss, seed);
+                world.run(3, 40);
+                world.run(8, 276);
+                world.run(3, 40);
+                assertTrue(world.most() <= ALLOWED, "loss " + loss + ", seed " + seed + ": " + world.most());
+                assertTrue(world.most() >= 0.9 * (65 * 5 + 65), "too little was let through: "
+                        + world.most());
+            }
+        }
+    }
+
+    @Test
+    public void whoKeepsToTheQuotaIsNotRefused() {
+        for (int seed = 0; seed < 6; seed++) {
+            World world = new World(8, 0.01, seed);
+            world.run(2, 40);
+            int before = world.admitted.size();
+            world.run(10, 40);
+            assertTrue(world.admitted.size() - before > 10 * 40 * 0.85);
+        }
+    }
+
+    /**
+     * One is cut off from the registries, so that the others go on without it while it serves its clients.
+     */
+    @Test
+    public void whoIsCutOffSpendsItsOwnPartAndTheOthersTheirs() {
+        for (int seed = 0; seed < 6; seed++) {
+            World world = new World(10, 0, seed);
+            world.run(2, 40);
+            world.cut[4] = true;
+            world.members.get(4).alone(true);
+            List<Session> rest = new ArrayList<>(world.sessions);
+            rest.remove(4);
+            world.agree(View.of(rest));
+            world.run(6, 276);
+            assertTrue(world.most() <= ALLOWED, "seed " + seed + ": " + world.most());
+        }
+    }
+
+    /** As in hsinhe-ccd trouble-2: the registries are gone for all, and the heap goes on. */
+    @Test
+    public void withoutRegistriesTheHeapGoesOn() {
+        World world = new World(8, 0, 1);
+        world.run(2, 40);
+        world.members.forEach(member -> member.alone(true));
+        int before = world.admitted.size();
+        world.run(6, 40);
+        assertTrue(world.admitted.size() - before > 6 * 40 * 0.8);
+    }
+
+    /** Every order of a total, its repeat and the next one: what is counted is the last total. */
+    @Test
+    public void nothingIsCountedTwiceAndNothingLostInAnyOrder() {
+        double[] totals = {3, 3, 5};
+        for (int[] order : new int[][] {{0, 1, 2}, {0, 2}, {2}, {1, 2}, {0, 1, 2, 2}}) {
+            World world = new World(3, 0, 0);
+            Quotas parent = world.members.get(0);
+            for (int i : order) {
+                ArrayList<Quotas.Entry> entries = new ArrayList<>(List.of(new Quotas.Entry("t",
+                        totals[i], -1)));
+                parent.take(new Quotas.Packet("n1", world.view.tag(), entries), name -> TENANT, world.now);
+            }
+            assertEquals(parent.counted(TENANT, world.now), 5.0);
+            // It goes on to the other child, and not back.
+            List<Quotas.Letter> letters = parent.send(world.now);
+            assertEquals(letters.stream().filter(letter -> letter.place() == 2).count(), 1);
+            assertTrue(letters.stream().noneMatch(letter -> letter.place() == 1
+                    && letter.packet().entries().get(0).total() != 0));
+        }
+    }
+
+    /** Where two have different views, units are counted and go no further: no circle can form. */
+    @Test
+    public void underAnotherViewUnitsGoNoFurther() {
+        World world = new World(3, 0, 0);
+        Quotas parent = world.members.get(0);
+        parent.take(new Quotas.Packet("n1", 12345, new ArrayList<>(List.of(new Quotas.Entry("t", 4, -1)))),
+                name -> TENANT, world.now);
+        assertEquals(parent.counted(TENANT, world.now), 4.0);
+        assertTrue(parent.send(world.now).stream().allMatch(letter -> letter.packet().entries().stream()
+                .allMatch(entry -> entry.total() == 0)));
+    }
+}
