--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -187,6 +187,7 @@
         View next = sessions.view(now());
         quotas.alone(sessions.alone());
         if (next.tag() != view.tag()) {
+            reactor.log(next.size() + " members, before " + view.size());
             view = next;
             quotas.view(view, now());
             roster.view(view);
