Totals on the heap's links carry a generation: a view that comes back begins them anew

A view that comes back has the same tag, the sender's totals began at nought again, the receiver took that for less than before, told it on, and took its own reset for more. Ruled out: proxies that could not reach a registry (the log shows none), the own part of who is cut off. Change: packets carry the sender's life and a generation that rises with each view; what is counted is at most 1.6 of the burst.

--- a/src/main/java/reedmux/link/Codec.java
+++ b/src/main/java/reedmux/link/Codec.java
@@ -128,13 +128,15 @@
                 from.readVarLong(true)))));
         form(Quotas.Packet.class, (o, m) -> {
             o.writeString(m.from());
+            o.writeLong(m.life());
+            o.writeVarLong(m.generation(), true);
             o.writeLong(m.view());
             list(o, m.entries(), (to, entry) -> {
                 to.writeString(entry.tenant());
                 to.writeDouble(entry.total());
                 to.writeFloat((float) entry.count());
             });
-        }, i -> new Quotas.Packet(i.readString(), i.readLong(), list(i,
+        }, i -> new Quotas.Packet(i.readString(), i.readLong(), i.readVarLong(true), i.readLong(), list(i,
                 from -> new Quotas.Entry(from.readString(), from.readDouble(), from.readFloat()))));
     }
 
--- a/src/main/java/reedmux/policy/HeapCount.java
+++ b/src/main/java/reedmux/policy/HeapCount.java
@@ -41,6 +41,11 @@
         localCount = Math.max(localCount, count);
     }
 
+    /** No more is counted than that. */
+    public void atMost(double count) {
+        localCount = Math.min(localCount, count);
+    }
+
     public double localCount() {
         return localCount;
     }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -103,7 +103,7 @@
         long life = System.nanoTime() ^ (long) boot.node().hashCode() << 32;
         self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(), life);
         roster = new Roster(boot.node(), boot.zone(), life);
-        quotas = new Quotas(boot.node(), !boot.coldStart(), reactor.now());
+        quotas = new Quotas(boot.node(), life, !boot.coldStart(), reactor.now());
         budget = new RetryBudget(boot.figure("envelope.retryRatio", 0.1),
                 boot.figure("envelope.retrySlack", 10),
                 !boot.coldStart());
@@ -201,8 +201,9 @@
             InetSocketAddress to = Addresses.parse(view.member(letter.place()).ip() + ':' + boot.peerPort());
             List<Quotas.Entry> all = letter.packet().entries();
             for (int i = 0; i < all.size(); i += MOST_ENTRIES) {
-                peers.send(to, codec.write(new Quotas.Packet(letter.packet().from(), letter.packet().view(),
-                        new ArrayList<>(all.subList(i, Math.min(all.size(), i + MOST_ENTRIES))))));
+                peers.send(to, codec.write(new Quotas.Packet(self.node(), self.life(),
+                        letter.packet().generation(), letter.packet().view(),
+                                new ArrayList<>(all.subList(i, Math.min(all.size(), i + MOST_ENTRIES))))));
             }
         }
         reactor.after(quotas.pace(), this::tell);
--- a/src/main/java/reedmux/quota/Quotas.java
+++ b/src/main/java/reedmux/quota/Quotas.java
@@ -26,6 +26,11 @@
     private static final double SECOND = 1e6;
     /** A total is told so often after its last change, as datagrams are lost now and then. */
     private static final int TIMES = 3;
+    /**
+     * Of the burst, the most that is ever counted: what was let through too much is paid back, but not for
+     * long.
+     */
+    private static final double MOST = 1.6;
     /** How long a member that went away may still go on by itself with its part. */
     private static final long AWAY = 10_000_000;
     /** Without a registry we go on as a member only as long as others tell us as one. */
@@ -33,8 +38,14 @@
     /** Of the burst, what a tenant has used as far as a restarted process can know. */
     private static final double FORGOTTEN = 0.5;
 
-    /** What one member tells a neighbour. */
-    public record Packet(String from, long view, ArrayList<Entry> entries) { }
+    /**
+     * What one member tells a neighbour.
+     *
+     * @param life       drawn at the start of its process
+     * @param generation rises whenever its totals begin anew, as with each of its views, also one that
+     *                   comes back
+     */
+    public record Packet(String from, long life, long generation, long view, ArrayList<Entry> entries) { }
 
     /** {@code count} is below nought unless the receiver is new and is told what the sender counts. */
     public record Entry(String tenant, double total, double count) { }
@@ -52,19 +63,17 @@
         private double sight;
     }
 
+    /** The totals of one sender's last generation. */
+    private record Heard(long life, long generation, Map<String, Double> totals) { }
+
     private final String self;
     private final boolean restarted;
     private final long bornAt;
     private final Map<String, Count> counts = new LinkedHashMap<>();
-    /** Totals heard: by sender and view, then by tenant. */
-    private final Map<String, Map<String, Double>> heard = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Map<String, Double>> eldest) {
-            return size() > 64;
-        }
-    };
+    /** Totals heard, by the sender's node. */
+    private final Map<String, Heard> heard = new HashMap<>();
+    private final long life;
+    private long generation;
     private View view = View.of(List.of());
     private int place = -1;
     private long newNeighbourAt;
@@ -73,9 +82,10 @@
     private long toldAt;
     private final Map<String, Long> away = new HashMap<>();
 
-    /** {@code restarted}: others may remember what we no longer do. */
-    public Quotas(String self, boolean restarted, long now) {
+    /** {@code life}: of this process; {@code restarted}: others may remember what we no longer do. */
+    public Quotas(String self, long life, boolean restarted, long now) {
         this.self = self;
+        this.life = life;
         this.restarted = restarted;
         bornAt = now;
     }
@@ -89,6 +99,7 @@
         view = next;
         place = next.place(self);
         newNeighbourAt = now;
+        generation++;
         before.members().stream().filter(member -> next.place(member.node()) < 0)
                 .forEach(member -> away.put(member.node(), now));
         next.members().forEach(member -> away.remove(member.node()));
@@ -224,7 +235,7 @@
                 }
             }
             if (near[i] >= 0 && !entries.isEmpty()) {
-                letters.add(new Letter(near[i], new Packet(self, view.tag(), entries)));
+                letters.add(new Letter(near[i], new Packet(self, life, generation, view.tag(), entries)));
             }
         }
         return letters;
@@ -237,8 +248,15 @@
     public void take(Packet packet, Function<String, Tenant> tenants, long now) {
         int from = view.place(packet.from());
         toldAt = packet.view() == view.tag() ? now : toldAt;
-        Map<String, Double> totals = heard.computeIfAbsent(packet.from() + '/' + packet.view(),
-                name -> new HashMap<>());
+        Heard before = heard.get(packet.from());
+        boolean sameLife = before != null && before.life() == packet.life();
+        if (sameLife && packet.generation() < before.generation()) {
+            return; // overtaken by one whose totals began anew
+        } else if (!sameLife || packet.generation() > before.generation()) {
+            before = new Heard(packet.life(), packet.generation(), new HashMap<>());
+            heard.put(packet.from(), before);
+        }
+        Map<String, Double> totals = before.totals();
         for (Entry entry : packet.entries()) {
             Tenant tenant = tenants.apply(entry.tenant());
             if (tenant == null || tenant.rate() <= 0) {
@@ -255,6 +273,7 @@
                     count.hear(delta);
                 }
             }
+            count.atMost(MOST * tenant.burst());
             if (entry.count() >= 0 && now - bornAt < 2 * crossing()) {
                 count.atLeast(entry.count());
             }
--- a/src/test/java/reedmux/quota/QuotasTest.java
+++ b/src/test/java/reedmux/quota/QuotasTest.java
@@ -31,6 +31,8 @@
         final List<Long> admitted = new ArrayList<>();
         final boolean[] cut;
         View view;
+        /** What each member has as its view. */
+        final View[] views;
         long now = SECOND;
         long number;
 
@@ -39,8 +41,9 @@
             this.loss = loss;
             next = new long[count];
             cut = new boolean[count];
+            views = new View[count];
             for (int i = 0; i < count; i++) {
-                members.add(new Quotas("n" + i, false, now));
+                members.add(new Quotas("n" + i, i + 1, false, now));
                 sessions.add(new Session("n" + i, "10.0.0." + i, "z", i + 1));
                 next[i] = now + random.nextInt(50_000);
             }
@@ -51,11 +54,16 @@
             view = told;
             for (int i = 0; i < members.size(); i++) {
                 if (!cut[i]) {
-                    members.get(i).view(told, now);
+                    change(i, told);
                 }
             }
         }
 
+        void change(int member, View told) {
+            views[member] = told;
+            members.get(member).view(told, now);
+        }
+
         /** Lets time pass with requests at a rate, evenly drawn over the members. */
         void run(double seconds, double rate) {
             long end = now + (long) (seconds * SECOND);
@@ -84,18 +92,13 @@
 
         private void send(int from) {
             for (Quotas.Letter letter : members.get(from).send(now)) {
-                // Places are those of the sender's view, in which a cut-off member still stands.
-                int to = cut[from] ? letter.place() : indexOf(view.member(letter.place()).node());
+                int to = Integer.parseInt(views[from].member(letter.place()).node().substring(1));
                 if (random.nextDouble() >= loss) {
                     mail.add(new Mail(now + 1_400 + random.nextInt(3_000), number++, to, letter.packet()));
                 }
             }
         }
 
-        private int indexOf(String node) {
-            return Integer.parseInt(node.substring(1));
-        }
-
         /** The most that was let through in any five seconds. */
         long most() {
             int from = 0;
@@ -177,7 +180,8 @@
             for (int i : order) {
                 ArrayList<Quotas.Entry> entries = new ArrayList<>(List.of(new Quotas.Entry("t",
                         totals[i], -1)));
-                parent.take(new Quotas.Packet("n1", world.view.tag(), entries), name -> TENANT, world.now);
+                parent.take(new Quotas.Packet("n1", 2, 1, world.view.tag(), entries), name -> TENANT,
+                        world.now);
             }
             assertEquals(parent.counted(TENANT, world.now), 5.0);
             // It goes on to the other child, and not back.
@@ -193,10 +197,40 @@
     public void underAnotherViewUnitsGoNoFurther() {
         World world = new World(3, 0, 0);
         Quotas parent = world.members.get(0);
-        parent.take(new Quotas.Packet("n1", 12345, new ArrayList<>(List.of(new Quotas.Entry("t", 4, -1)))),
+        parent.take(new Quotas.Packet("n1", 2, 1, 12345, new ArrayList<>(List.of(new Quotas.Entry("t", 4,
+                -1)))),
                 name -> TENANT, world.now);
         assertEquals(parent.counted(TENANT, world.now), 4.0);
         assertTrue(parent.send(world.now).stream().allMatch(letter -> letter.packet().entries().stream()
                 .allMatch(entry -> entry.total() == 0)));
     }
+
+    /**
+     * As in hsinhe-ccd hunt-bc35-15: after a loss of the registries views come and go, and a former one
+     * comes back. Totals that began anew were taken for less than before, told on, and then for more: 429
+     * for many seconds.
+     */
+    @Test
+    public void viewsThatComeBackChangeNoCount() {
+        for (int seed = 0; seed < 20; seed++) {
+            World world = new World(10, 0.01, seed);
+            world.run(6, 40);
+            View all = world.view;
+            Random random = new Random(seed);
+            for (int flip = 0; flip < 12; flip++) {
+                List<Session> some = new ArrayList<>(world.sessions);
+                some.remove(random.nextInt(some.size()));
+                View next = flip % 2 == 0 ? View.of(some) : all;
+                for (int i = 0; i < world.members.size(); i++) {
+                    world.change(i, next);
+                    world.run(0.004, 40);
+                }
+            }
+            world.agree(all);
+            int before = world.admitted.size();
+            world.run(5, 40);
+            assertTrue(world.admitted.size() - before > 5 * 40 * 0.8, "seed " + seed + ": "
+                    + (world.admitted.size() - before));
+        }
+    }
 }
