--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -67,6 +67,8 @@
     /** After SIGTERM new connections still come for about two seconds. */
     private static final long STAYS = 3 * SECOND;
     private static final int DESCRIPTORS_KEPT = 400;
+    /** After a start requests wait unread for so long until it is known what to do with them. */
+    private static final long UNREAD = 3 * SECOND / 2;
 
     private final Boot boot;
     private final Reactor reactor;
@@ -89,9 +91,9 @@
     private final long grace;
     private View view = View.of(List.of());
     private boolean ready;
-    private long bornAt;
+    private boolean able;
+    private final long bornAt;
     private long leavingAt = -1;
-    private Listener front;
 
     /** A request as it was read, or why it is refused at once. */
     record Reading(ClientRequest request, Answer refusal) { }
@@ -99,6 +101,9 @@
     public Proxy(Boot boot, Reactor reactor) throws BootException, IOException {
         this.boot = boot;
         this.reactor = reactor;
+        // First of all, so that after a restart clients wait for us and are not turned away.
+        new Listener(reactor, boot.socket("front"), this::client);
+        new Listener(reactor, boot.socket("ready"), wire -> new Calls(reactor, wire, this::readiness));
         bornAt = reactor.now();
         long life = System.nanoTime() ^ (long) boot.node().hashCode() << 32;
         self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(), life);
@@ -117,8 +122,6 @@
             registries.add(new Dialer(reactor, codec, self, at, this));
         }
         peers = new Datagrams(reactor, Addresses.parse(boot.ip() + ':' + boot.peerPort()), this::peer);
-        new Listener(reactor, boot.socket("ready"), wire -> new Calls(reactor, wire, this::readiness));
-        front = new Listener(reactor, boot.socket("front"), this::client);
         reactor.every(LOOK, this::look);
         tell();
     }
@@ -162,6 +165,7 @@
                 poll.take(link.other().node(), items.life(), items.upTo(), items.items());
             }
             pull(link);
+            able();
         } else if (message instanceof News news) {
             vector.put(link.other().node(), new long[] {news.life(), news.upTo()});
             for (Life life : news.lives()) {
@@ -173,7 +177,25 @@
             members();
             requests.on(now(), new Event.Room());
             pull(link);
+            able();
+        }
+    }
+
+    /** Whether requests are read: enough is known to serve them, or has not come for too long. */
+    boolean able() {
+        if (!able) {
+            able = now() - bornAt > UNREAD || known() && !roster.empty();
+            if (able) {
+                List.copyOf(clients).forEach(client -> soon(client::goOn));
+            }
         }
+        return able;
+    }
+
+    /** Whether the configuration is as new as was acknowledged before our start. */
+    private boolean known() {
+        return poll.table() != null && !poll.empty() && (poll.sources() >= Math.min(2, stores.size())
+                || now() - bornAt > 4 * SECOND);
     }
 
     @Override
@@ -243,10 +265,7 @@
         }
         if (!ready) {
             long heard = registries.stream().filter(other -> other.link() != null).count();
-            boolean enough = poll.sources() >= Math.min(2, stores.size())
-                    || poll.sources() > 0 && now() - bornAt > 4 * SECOND;
-            ready = enough && heard > 0 && poll.table() != null && !poll.empty() && !roster.empty()
-                    && view.place(boot.node()) >= 0;
+            ready = known() && heard > 0 && !roster.empty() && view.place(boot.node()) >= 0;
             if (ready) {
                 reactor.log("ready after " + (now() - bornAt) / 1000 + " ms, with " + roster.size()
                         + " checkers and " + view.size() + " members");
@@ -258,7 +277,7 @@
     /** Judges a request by its head. */
     Reading read(ClientWire client, Head head, Upload upload) {
         Table table = poll.table();
-        if (table == null) {
+        if (table == null || !known()) {
             return refused(503, "not ready yet", BACK);
         }
         Route route = table.route(head.get("Host"), head.path());
@@ -395,6 +414,7 @@
 
     // ---- Now and then ------------------------------------------------------------------------------
     private void look() {
+        able();
         members();
         roster.look();
         for (Deque<CheckerWire> kept : List.copyOf(idle.values())) {
