--- a/src/main/java/reedmux/proxy/ClientWire.java
+++ b/src/main/java/reedmux/proxy/ClientWire.java
@@ -61,17 +61,8 @@
         }
     }
 
-    /** What has come in before we knew what to do with it is read now. */
-    void goOn() {
-        if (wire.isOpen() && wire.available() > 0) {
-            input();
-        }
-    }
-
     private boolean step() throws BadMessage {
-        if (!closing && !proxy.able()) {
-            return false;
-        } else if (closing) {
+        if (closing) {
             wire.skip(wire.available());
             return false;
         } else if (body != null) {
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -67,8 +67,8 @@
     /** After SIGTERM new connections still come for about two seconds. */
     private static final long STAYS = 3 * SECOND;
     private static final int DESCRIPTORS_KEPT = 400;
-    /** After a start requests wait unread for so long until it is known what to do with them. */
-    private static final long UNREAD = 3 * SECOND / 2;
+    /** By then a start has usually come so far that requests can be served. */
+    private static final long STARTS = SECOND / 2;
 
     private final Boot boot;
     private final Reactor reactor;
@@ -91,7 +91,6 @@
     private final long grace;
     private View view = View.of(List.of());
     private boolean ready;
-    private boolean able;
     private final long bornAt;
     private long leavingAt = -1;
 
@@ -165,7 +164,6 @@
                 poll.take(link.other().node(), items.life(), items.upTo(), items.items());
             }
             pull(link);
-            able();
         } else if (message instanceof News news) {
             vector.put(link.other().node(), new long[] {news.life(), news.upTo()});
             for (Life life : news.lives()) {
@@ -177,21 +175,9 @@
             members();
             requests.on(now(), new Event.Room());
             pull(link);
-            able();
         }
     }
 
-    /** Whether requests are read: enough is known to serve them, or has not come for too long. */
-    boolean able() {
-        if (!able) {
-            able = now() - bornAt > UNREAD || known() && !roster.empty();
-            if (able) {
-                List.copyOf(clients).forEach(client -> soon(client::goOn));
-            }
-        }
-        return able;
-    }
-
     /** Whether the configuration is as new as was acknowledged before our start. */
     private boolean known() {
         return poll.table() != null && !poll.empty() && (poll.sources() >= Math.min(2, stores.size())
@@ -277,8 +263,9 @@
     /** Judges a request by its head. */
     Reading read(ClientWire client, Head head, Upload upload) {
         Table table = poll.table();
-        if (table == null || !known()) {
-            return refused(503, "not ready yet", BACK);
+        if (table == null || !known() || roster.empty()) {
+            // A request that waits here is late; one that comes back soon is new.
+            return refused(503, "not ready yet", Math.max(BACK / 2, bornAt + STARTS - now()));
         }
         Route route = table.route(head.get("Host"), head.path());
         if (route == null) {
@@ -414,7 +401,6 @@
 
     // ---- Now and then ------------------------------------------------------------------------------
     private void look() {
-        able();
         members();
         roster.look();
         for (Deque<CheckerWire> kept : List.copyOf(idle.values())) {
