--- a/src/main/java/reedmux/quota/Quotas.java
+++ b/src/main/java/reedmux/quota/Quotas.java
@@ -36,7 +36,7 @@
     /** Without a registry we go on as a member only as long as others tell us as one. */
     private static final long UNTOLD = 300_000;
     /** Of the burst, what a tenant has used as far as a restarted process can know. */
-    private static final double FORGOTTEN = 0.5;
+    private static final double FORGOTTEN = 0.2;
 
     /**
      * What one member tells a neighbour.
