--- /dev/null
+++ b/src/main/java/reedmux/attempt/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * One request's state: where it waits, where it was sent, what is known of whether it ran, its one answer.
+ * Pure.
+ */
+package reedmux.attempt;
--- /dev/null
+++ b/src/main/java/reedmux/disk/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Records on disk with checksums, found again after any loss of power. For one thread, which waits for the
+ * disk.
+ */
+package reedmux.disk;
--- /dev/null
+++ b/src/main/java/reedmux/item/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The configuration as items with revisions: what is valid, what is in force at a store, how stores decide
+ * on a call, what a proxy knows. Pure.
+ */
+package reedmux.item;
