--- a/src/main/java/reedmux/budget/RetryBudget.java
+++ b/src/main/java/reedmux/budget/RetryBudget.java
@@ -11,8 +11,8 @@
 public final class RetryBudget {
     /** Of what is allowed; the rest is for what is counted differently elsewhere. */
     private static final double USED = 0.8;
-    private final double ratio;
-    private final double slack;
+    private double ratio;
+    private double slack;
     private final boolean restarted;
     private final Map<String, Double> tokens = new HashMap<>();
     private int members = 1;
@@ -23,6 +23,13 @@
         this.restarted = restarted;
     }
 
+    /** What all proxies together may do from now on. */
+    public void limits(double nextRatio, double nextSlack) {
+        ratio = nextRatio;
+        slack = nextSlack;
+        members(members);
+    }
+
     public void members(int count) {
         members = Math.max(1, count);
         tokens.replaceAll((service, held) -> Math.min(held, most()));
--- a/src/main/java/reedmux/cli/Programs.java
+++ b/src/main/java/reedmux/cli/Programs.java
@@ -8,13 +8,17 @@
 import com.github.rvesse.airline.builder.CliBuilder;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.Set;
 import java.util.concurrent.Callable;
 import reedmux.boot.Boot;
 import reedmux.boot.BootException;
+import reedmux.boot.Program;
 import reedmux.boot.Signals;
 import reedmux.lab.stage.Stage;
+import reedmux.log.Ring;
 import reedmux.net.Reactor;
 import reedmux.proxy.Proxy;
 import reedmux.registry.Registry;
@@ -75,14 +79,15 @@
     }
 
     /** What the three programs have in common. */
-    abstract static class Program implements Callable<Integer> {
+    abstract static class Run implements Callable<Integer> {
         private static final long SIGNALS = 700_000;
+        private static final int LINES = 500;
+        private static final long LOOK = 2_000_000;
 
         @AirlineModule
-        private HelpOption<Program> help;
+        private HelpOption<Run> help;
 
-        /** Begins; what is given back is run at SIGTERM. */
-        abstract Runnable begin(Boot boot, Reactor reactor) throws BootException, IOException;
+        abstract Program begin(Boot boot, Reactor reactor) throws BootException, IOException;
 
         @Override
         public Integer call() throws BootException, IOException {
@@ -90,47 +95,73 @@
                 return 0;
             }
             Boot boot = Boot.ofEnvironment();
-            Reactor reactor = new Reactor(line -> System.err.println(boot.node() + ' ' + line));
+            Reactor reactor = new Reactor(new Ring(boot.node(), LINES, System.err::println,
+                    System::nanoTime));
             reactor.log("begins");
-            Runnable leave = begin(boot, reactor);
+            Program program = begin(boot, reactor);
             reactor.log("listens");
             // The JDK's way to signals takes time that a start does not have.
             reactor.after(SIGNALS, () -> {
-                Signals.on("TERM", leave, reactor::log);
-                Signals.on("HUP", () -> { }, reactor::log);
+                Signals.on("TERM", () -> reactor.execute(program::leave), reactor::log);
+                Signals.on("HUP", () -> reactor.execute(() -> reload(boot, program, reactor)), reactor::log);
+            });
+            // The file may also change without a signal.
+            FileTime[] seen = {changed(boot)};
+            reactor.every(LOOK, () -> {
+                FileTime now = changed(boot);
+                if (now != null && !now.equals(seen[0])) {
+                    seen[0] = now;
+                    reload(boot, program, reactor);
+                }
             });
             reactor.run();
             return 0;
         }
+
+        private static FileTime changed(Boot boot) {
+            try {
+                return Files.getLastModifiedTime(Path.of(boot.file()));
+            } catch (IOException e) {
+                return null;
+            }
+        }
+
+        /** A file that cannot be used changes nothing. */
+        private static void reload(Boot boot, Program program, Reactor reactor) {
+            try {
+                program.reload(Boot.of(Path.of(boot.file())));
+                reactor.log("settings read again");
+            } catch (BootException e) {
+                reactor.log("settings: " + e.getMessage() + "; the old ones stay");
+            }
+        }
     }
 
     /** Carries the traffic. */
     @Command(name = "proxy",
             description = "carries clients' requests to checkers; REEDMUX_BOOT names its settings")
-    public static final class RunProxy extends Program {
+    public static final class RunProxy extends Run {
         @Override
-        Runnable begin(Boot boot, Reactor reactor) throws BootException, IOException {
-            return new Proxy(boot, reactor)::leave;
+        Program begin(Boot boot, Reactor reactor) throws BootException, IOException {
+            return new Proxy(boot, reactor);
         }
     }
 
     /** Takes the calls of checkers and of the operator. */
     @Command(name = "registry", description = "knows checkers and proxies, and takes the calls from outside")
-    public static final class RunRegistry extends Program {
+    public static final class RunRegistry extends Run {
         @Override
-        Runnable begin(Boot boot, Reactor reactor) throws BootException, IOException {
-            new Registry(boot, reactor);
-            return reactor::end;
+        Program begin(Boot boot, Reactor reactor) throws BootException, IOException {
+            return new Registry(boot, reactor);
         }
     }
 
     /** Keeps the configuration. */
     @Command(name = "store", description = "keeps the configuration on disk and tells it to the proxies")
-    public static final class RunStore extends Program {
+    public static final class RunStore extends Run {
         @Override
-        Runnable begin(Boot boot, Reactor reactor) throws BootException, IOException {
-            new Store(boot, reactor);
-            return reactor::end;
+        Program begin(Boot boot, Reactor reactor) throws BootException, IOException {
+            return new Store(boot, reactor);
         }
     }
 
--- a/src/main/java/reedmux/item/Council.java
+++ b/src/main/java/reedmux/item/Council.java
@@ -53,8 +53,8 @@
 
     private final String self;
     private final long life;
-    private final int members;
-    private final int enough;
+    private int members = 1;
+    private int enough = 1;
     private final Shelf shelf;
     private final Effects effects;
     private final Map<String, Round> rounds = new LinkedHashMap<>();
@@ -74,12 +74,9 @@
             long since) { }
 
     /** {@code shelf} has what was found on disk, {@code whole}: that nothing of it was lost. */
-    public Council(String self, long life, int members, int enough, Shelf shelf, boolean whole,
-            Effects effects) {
+    public Council(String self, long life, Shelf shelf, boolean whole, Effects effects) {
         this.self = self;
         this.life = life;
-        this.members = members;
-        this.enough = enough;
         this.shelf = shelf;
         this.whole = whole;
         this.effects = effects;
@@ -87,6 +84,14 @@
         safe.addAll(shelf.held().keySet());
     }
 
+    /**
+     * How many stores there are, this one among them, and on how many disks a call has to be at the least.
+     */
+    public void members(int count, int copies) {
+        members = count;
+        enough = Math.max(count / 2 + 1, copies);
+    }
+
     public boolean whole() {
         return whole;
     }
--- a/src/main/java/reedmux/lab/stage/Stage.java
+++ b/src/main/java/reedmux/lab/stage/Stage.java
@@ -14,6 +14,7 @@
 import java.util.stream.Stream;
 import reedmux.boot.Boot;
 import reedmux.boot.BootException;
+import reedmux.log.Ring;
 import reedmux.net.Reactor;
 import reedmux.proxy.Proxy;
 import reedmux.registry.Registry;
@@ -104,7 +105,7 @@
     }
 
     private Reactor reactor() throws IOException {
-        Reactor made = new Reactor(line -> { });
+        Reactor made = new Reactor(new Ring("stage", 100, line -> { }, System::nanoTime));
         reactors.add(made);
         return made;
     }
--- a/src/main/java/reedmux/link/Codec.java
+++ b/src/main/java/reedmux/link/Codec.java
@@ -71,8 +71,9 @@
             o.writeString(m.ip());
             o.writeString(m.zone());
             o.writeLong(m.life());
+            list(o, m.core(), Output::writeString);
         }, i -> new Hello(i.readInt(), i.readString(), i.readString(), i.readString(), i.readString(),
-                i.readLong()));
+                i.readLong(), list(i, Input::readString)));
         form(Ping.class, (o, m) -> { }, i -> new Ping());
         form(Pull.class, (o, m) -> {
             o.writeLong(m.life());
--- a/src/main/java/reedmux/link/Link.java
+++ b/src/main/java/reedmux/link/Link.java
@@ -149,6 +149,7 @@
     private void take(Object message) {
         if (message instanceof Hello hello && other == null && hello.form() == Messages.FORM) {
             other = hello;
+            reactor.note("link with " + hello.program() + " of " + hello.node() + " is up");
             owner.up(this);
         } else if (message == null || other == null || message instanceof Hello) {
             close();
@@ -166,6 +167,9 @@
     public void close() {
         if (!over) {
             over = true;
+            if (other != null) {
+                reactor.note("link with " + other.program() + " of " + other.node() + " is down");
+            }
             if (wire != null) {
                 wire.close();
             }
--- a/src/main/java/reedmux/link/Messages.java
+++ b/src/main/java/reedmux/link/Messages.java
@@ -15,8 +15,13 @@
 
     private Messages() { }
 
-    /** The first message each way: who speaks. */
-    public record Hello(int form, String program, String node, String ip, String zone, long life) { }
+    /** The first message each way: who speaks, and which machines it knows to serve control. */
+    public record Hello(int form, String program, String node, String ip, String zone, long life,
+                        List<String> core) {
+        public Hello {
+            core = new ArrayList<>(core);
+        }
+    }
 
     /** Nothing but that the sender lives. */
     public record Ping() { }
--- a/src/main/java/reedmux/net/Reactor.java
+++ b/src/main/java/reedmux/net/Reactor.java
@@ -9,8 +9,8 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
-import java.util.function.Consumer;
 import reedmux.core.Clock;
+import reedmux.log.Ring;
 
 /**
  * One thread's sockets and timers. All that it calls runs on the thread of {@link #run()}, and only
@@ -53,13 +53,13 @@
     private final Selector selector;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
-    private final Consumer<String> log;
+    private final Ring log;
     final ByteBuffer chunk = ByteBuffer.allocateDirect(CHUNK);
     private long now = clock.now();
     private long numbers;
     private volatile boolean ended;
 
-    public Reactor(Consumer<String> log) throws IOException {
+    public Reactor(Ring log) throws IOException {
         this.log = log;
         selector = Selector.open();
     }
@@ -99,8 +99,19 @@
         return channel.register(selector, interest, handler);
     }
 
+    /** Writes a line for operators. */
     public void log(String line) {
-        log.accept(line);
+        log.tell(line);
+    }
+
+    /** Keeps a line for the case that something goes wrong. */
+    public void note(String line) {
+        log.note(line);
+    }
+
+    /** Something has gone wrong: writes a line, and what was noted before. */
+    public void wrong(String line) {
+        log.wrong(line);
     }
 
     /** Ends {@link #run()} after this turn. */
@@ -146,7 +157,7 @@
             }
         } catch (IOException | RuntimeException e) {
             if (e instanceof RuntimeException) {
-                log(Failures.told(e));
+                wrong(Failures.told(e));
             }
             handler.failed(e);
         }
@@ -156,7 +167,7 @@
         try {
             task.run();
         } catch (RuntimeException e) {
-            log(Failures.told(e));
+            wrong(Failures.told(e));
         }
     }
 }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -18,6 +18,7 @@
 import reedmux.attempt.Verdict;
 import reedmux.boot.Boot;
 import reedmux.boot.BootException;
+import reedmux.boot.Program;
 import reedmux.budget.RetryBudget;
 import reedmux.choice.Checker;
 import reedmux.choice.Roster;
@@ -53,7 +54,7 @@
  * Carries the traffic: clients on one side, checkers on the other, and what it has to know pulled from the
  * core.
  */
-public final class Proxy implements Link.Owner, Requests.Effects, CheckerWire.Owner {
+public final class Proxy implements Program, Link.Owner, Requests.Effects, CheckerWire.Owner {
     private static final String PROGRAM = "proxy";
     private static final long SECOND = 1_000_000;
     private static final long LINGER = 2 * SECOND;
@@ -67,12 +68,16 @@
     /** After SIGTERM new connections still come for about two seconds. */
     private static final long STAYS = 3 * SECOND;
     private static final int DESCRIPTORS_KEPT = 400;
+    /** Of further tries, where the settings file does not say. */
+    private static final double RATIO = 0.1;
+    private static final double SLACK = 10;
     /** By then a start has usually come so far that requests can be served. */
     private static final long STARTS = SECOND / 2;
 
     private final Boot boot;
     private final Reactor reactor;
     private final Codec codec = new Codec();
+    private final Core core;
     private final Hello self;
     private final Poll poll = new Poll();
     private final Fleet fleet = new Fleet();
@@ -105,26 +110,29 @@
         new Listener(reactor, boot.socket("ready"), wire -> new Calls(reactor, wire, this::readiness));
         bornAt = reactor.now();
         long life = System.nanoTime() ^ (long) boot.node().hashCode() << 32;
-        self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(), life);
+        core = new Core(boot, false);
+        self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(), life, core.machines());
         roster = new Roster(boot.node(), boot.zone(), life);
         quotas = new Quotas(boot.node(), life, !boot.coldStart(), reactor.now());
-        budget = new RetryBudget(boot.figure("envelope.retryRatio", 0.1),
-                boot.figure("envelope.retrySlack", 10),
+        budget = new RetryBudget(boot.figure("envelope.retryRatio", RATIO),
+                boot.figure("envelope.retrySlack", SLACK),
                 !boot.coldStart());
         requests = new Requests(this, roster, budget, life);
         mostClients = Math.max(64, (int) boot.figure("saturation.fdLimit", 1024) - DESCRIPTORS_KEPT);
         grace = (long) (boot.figure("envelope.graceS", 6) * SECOND);
-        for (InetSocketAddress at : Core.others(boot, boot.storePort())) {
-            stores.add(new Dialer(reactor, codec, self, at, this));
-        }
-        for (InetSocketAddress at : Core.others(boot, boot.registryPort())) {
-            registries.add(new Dialer(reactor, codec, self, at, this));
-        }
+        core.others(boot.storePort()).forEach(this::dial);
         peers = new Datagrams(reactor, Addresses.parse(boot.ip() + ':' + boot.peerPort()), this::peer);
         reactor.every(LOOK, this::look);
         tell();
     }
 
+    /** Keeps up links with both programs of a core machine. */
+    private void dial(InetSocketAddress store) {
+        stores.add(new Dialer(reactor, codec, self, store, this));
+        registries.add(new Dialer(reactor, codec, self,
+                new InetSocketAddress(store.getAddress(), boot.registryPort()), this));
+    }
+
     long now() {
         return reactor.now();
     }
@@ -144,6 +152,7 @@
     // ---- The core ----------------------------------------------------------------------------------
     @Override
     public void up(Link link) {
+        core.learn(link.other().core(), boot.storePort()).forEach(this::dial);
         pull(link);
         if (link.other().program().equals("registry")) {
             link.say(new Tell(0, List.copyOf(fleet.all(now())))); // it may have lost what we know
@@ -195,7 +204,7 @@
         View next = sessions.view(now());
         quotas.alone(sessions.alone());
         if (next.tag() != view.tag()) {
-            reactor.log(next.size() + " members, before " + view.size());
+            reactor.note(next.size() + " members, before " + view.size());
             view = next;
             quotas.view(view, now());
             roster.view(view);
@@ -421,11 +430,16 @@
     }
 
     /** From now on no client is to come here; those that do are served, and the end follows. */
+    @Override
     public void leave() {
-        reactor.execute(() -> {
-            if (leavingAt < 0) {
-                leavingAt = now();
-            }
-        });
+        if (leavingAt < 0) {
+            leavingAt = now();
+        }
+    }
+
+    @Override
+    public void reload(Boot next) throws BootException {
+        core.learn(new Core(next, false).machines(), boot.storePort()).forEach(this::dial);
+        budget.limits(next.figure("envelope.retryRatio", RATIO), next.figure("envelope.retrySlack", SLACK));
     }
 }
--- a/src/main/java/reedmux/registry/Memory.java
+++ b/src/main/java/reedmux/registry/Memory.java
@@ -45,7 +45,7 @@
             }
             kept = fleet.changes();
         } catch (IOException e) {
-            reactor.log("disk: " + e.getMessage());
+            reactor.wrong("disk: " + e.getMessage());
         }
         reactor.every(PACE, this::keep);
     }
@@ -62,7 +62,7 @@
             try {
                 journal.begin(List.of(record));
             } catch (IOException e) {
-                reactor.log("disk: " + e.getMessage());
+                reactor.wrong("disk: " + e.getMessage());
             }
             reactor.execute(() -> writing = false);
         });
--- a/src/main/java/reedmux/registry/Registry.java
+++ b/src/main/java/reedmux/registry/Registry.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import reedmux.boot.Boot;
 import reedmux.boot.BootException;
+import reedmux.boot.Program;
 import reedmux.config.Addresses;
 import reedmux.fleet.Fleet;
 import reedmux.fleet.Life;
@@ -38,7 +39,7 @@
  * proxies holds a session, and tells both to whoever pulls. It keeps nothing on disk: after a loss of all
  * registries checkers and proxies tell again. The operator's calls go to a store, this machine's first.
  */
-public final class Registry implements Link.Owner {
+public final class Registry implements Program, Link.Owner {
     private static final String PROGRAM = "registry";
     private static final String PROXY = "proxy";
     private static final long SECOND = 1_000_000;
@@ -55,6 +56,7 @@
     private final Boot boot;
     private final Reactor reactor;
     private final Codec codec = new Codec();
+    private final Core core;
     private final Hello self;
     private final Fleet fleet = new Fleet();
     private final Sessions sessions = new Sessions(LINGER);
@@ -76,19 +78,15 @@
     public Registry(Boot boot, Reactor reactor) throws BootException, IOException {
         this.boot = boot;
         this.reactor = reactor;
+        core = new Core(boot, true);
         self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(),
-                System.nanoTime() ^ (long) boot.node().hashCode() << 32);
+                System.nanoTime() ^ (long) boot.node().hashCode() << 32, core.machines());
         if (boot.dataDir() != null) {
             new Memory(boot.dataDir().resolve("lives"), reactor, codec, fleet);
         }
-        for (InetSocketAddress other : Core.others(boot, boot.registryPort())) {
-            others.add(new Dialer(reactor, codec, self, other, this));
-        }
-        stores.add(new Dialer(reactor, codec, self, Addresses.parse(boot.ip() + ':' + boot.storePort()),
-                this));
-        for (InetSocketAddress other : Core.others(boot, boot.storePort())) {
-            stores.add(new Dialer(reactor, codec, self, other, this));
-        }
+        core.others(boot.registryPort()).forEach(other -> dial(others, other));
+        dial(stores, Addresses.parse(boot.ip() + ':' + boot.storePort()));
+        core.others(boot.storePort()).forEach(other -> dial(stores, other));
         new Listener(reactor, Addresses.parse(boot.ip() + ':' + boot.registryPort()),
                 wire -> Link.of(reactor, codec, self, wire, this));
         new Listener(reactor, boot.socket("control"), wire -> new Calls(reactor, wire, this::call));
@@ -96,6 +94,27 @@
         reactor.every(SECOND, () -> beats(silence));
     }
 
+    @Override
+    public void leave() {
+        reactor.end();
+    }
+
+    @Override
+    public void reload(Boot next) {
+        learn(new Core(next, false).machines());
+    }
+
+    private void learn(List<String> machines) {
+        for (InetSocketAddress other : core.learn(machines, boot.registryPort())) {
+            dial(others, other);
+            dial(stores, new InetSocketAddress(other.getAddress(), boot.storePort()));
+        }
+    }
+
+    private void dial(List<Dialer> to, InetSocketAddress other) {
+        to.add(new Dialer(reactor, codec, self, other, this));
+    }
+
     private void beats(long silence) {
         fleet.sweep(reactor.now(), silence);
         Beats beats = new Beats(fleet.heardWithin(2 * SECOND, reactor.now()));
@@ -184,6 +203,7 @@
     @Override
     public void up(Link link) {
         String program = link.other().program();
+        learn(link.other().core());
         if (program.equals(PROGRAM) && others.stream().anyMatch(other -> other.link() == link)) {
             long[] from = vector.getOrDefault(link.other().node(), new long[] {0, 0});
             link.say(new Pull(from[0], from[1]));
--- a/src/main/java/reedmux/store/Keeper.java
+++ b/src/main/java/reedmux/store/Keeper.java
@@ -108,7 +108,7 @@
                 safe = true;
             } catch (IOException e) {
                 spoilt = journal.broken();
-                reactor.log("disk: " + e.getMessage());
+                reactor.wrong("disk: " + e.getMessage());
             }
             boolean told = safe;
             reactor.execute(() -> done.accept(told));
@@ -128,7 +128,7 @@
                 length = journal.length();
                 spoilt = false;
             } catch (IOException e) {
-                reactor.log("disk: " + e.getMessage());
+                reactor.wrong("disk: " + e.getMessage());
             }
             reactor.execute(() -> compacting = false);
         }, () -> compacting = false);
@@ -142,7 +142,7 @@
         try {
             disk.execute(task);
         } catch (RejectedExecutionException e) {
-            reactor.log("disk: too much waits for it");
+            reactor.wrong("disk: too much waits for it");
             reactor.execute(refused);
         }
     }
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import reedmux.boot.Boot;
 import reedmux.boot.BootException;
+import reedmux.boot.Program;
 import reedmux.config.Addresses;
 import reedmux.item.Council;
 import reedmux.item.Item;
@@ -33,12 +34,15 @@
  * Keeps the items of the configuration on this machine's disk and tells them to whoever pulls. What is
  * decided on the operator's calls is {@link Council}'s; here are its links and its disk.
  */
-public final class Store implements Link.Owner, Council.Effects {
+public final class Store implements Program, Link.Owner, Council.Effects {
     private static final String PROGRAM = "store";
     private static final long LOOK = 125_000;
     private static final long COMPACT_AT = 4L * 1024 * 1024;
 
+    private final Boot boot;
     private final Reactor reactor;
+    private final Core core;
+    private final int copies;
     private final Codec codec = new Codec();
     private final Hello self;
     private final Shelf shelf = new Shelf();
@@ -59,25 +63,39 @@
         if (boot.dataDir() == null) {
             throw new BootException(boot.file() + ": dataDir is missing: a store needs a disk");
         }
+        this.boot = boot;
+        core = new Core(boot, true);
         self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(),
-                System.nanoTime() ^ (long) boot.node().hashCode() << 32);
-        int members = Core.machines(boot, true).size();
-        int enough = Math.max(members / 2 + 1, Math.min(members,
-                (int) boot.figure("tolerance.machines", 1) + 1));
+                System.nanoTime() ^ (long) boot.node().hashCode() << 32, core.machines());
+        copies = (int) boot.figure("tolerance.machines", 0) + 1;
         keeper = new Keeper(boot.dataDir(), reactor, codec, shelf);
         boolean whole = keeper.load(boot.coldStart());
         if (!whole) {
             reactor.log("the disk is empty, and this is not the first start: asking the others");
         }
-        council = new Council(boot.node(), self.life(), members, enough, shelf, whole, this);
-        for (InetSocketAddress other : Core.others(boot, boot.storePort())) {
-            others.put(other, new Dialer(reactor, codec, self, other, this));
-        }
+        council = new Council(boot.node(), self.life(), shelf, whole, this);
+        council.members(core.size(), copies);
+        core.others(boot.storePort()).forEach(this::dial);
         new Listener(reactor, Addresses.parse(boot.ip() + ':' + boot.storePort()),
                 wire -> Link.of(reactor, codec, self, wire, this));
         reactor.every(LOOK, this::look);
     }
 
+    @Override
+    public void leave() {
+        reactor.end();
+    }
+
+    @Override
+    public void reload(Boot next) {
+        core.learn(new Core(next, false).machines(), boot.storePort()).forEach(this::dial);
+        council.members(core.size(), copies);
+    }
+
+    private void dial(InetSocketAddress other) {
+        others.put(other, new Dialer(reactor, codec, self, other, this));
+    }
+
     private void look() {
         council.look(reactor.now());
         if (keeper.length() > COMPACT_AT) {
@@ -88,6 +106,8 @@
     // ---- Links -------------------------------------------------------------------------------------
     @Override
     public void up(Link link) {
+        core.learn(link.other().core(), boot.storePort()).forEach(this::dial);
+        council.members(core.size(), copies);
         if (dialled(link)) {
             long[] from = vector.getOrDefault(link.other().node(), new long[] {0, 0});
             link.say(new Pull(from[0], from[1]));
--- a/src/test/java/reedmux/item/CouncilTest.java
+++ b/src/test/java/reedmux/item/CouncilTest.java
@@ -58,7 +58,8 @@
 
         void start(int i, boolean whole, Shelf shelf) {
             shelves[i] = shelf;
-            councils[i] = new Council("s" + i, now + i, 3, 2, shelf, whole, new Effects(i));
+            councils[i] = new Council("s" + i, now + i, shelf, whole, new Effects(i));
+            councils[i].members(3, 2);
         }
 
         void adjust(int at, int number, String body) {
