--- a/src/main/java/reedmux/link/Link.java
+++ b/src/main/java/reedmux/link/Link.java
@@ -117,7 +117,14 @@
         if (over) {
             return;
         }
-        byte[] bytes = codec.write(message);
+        send(codec.write(message));
+    }
+
+    /** Says a message that has been written already, as it goes to many. */
+    public void send(byte[] bytes) {
+        if (over) {
+            return;
+        }
         saidAt = reactor.now();
         wire.write(ByteBuffer.allocate(LENGTH + bytes.length).putInt(bytes.length).put(bytes).flip());
         if (wire.queued() > MOST_WAITING) {
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -54,6 +54,10 @@
     private final Set<Link> pulling = new HashSet<>();
     /** Over which link each of the others has asked last. */
     private final Map<String, Link> askedBy = new HashMap<>();
+    /** All items as they are told, as of which change, and whether we counted ourselves then. */
+    private byte[] all;
+    private long allOf;
+    private boolean allWhole;
 
     /** Who pulls, and from where on. */
     private record Waiting(long since) { }
@@ -157,11 +161,23 @@
         if (waiting != null && (waiting.since() < 0 || shelf.changes() > waiting.since())) {
             link.note(null);
             pulling.remove(link);
-            link.say(new Items(self.life(), shelf.changes(), council.whole(),
-                    shelf.since(Math.max(0, waiting.since()))));
+            link.send(news(Math.max(0, waiting.since())));
         }
     }
 
+    /** What has come into force since a change; all of it is written once for all that ask, as after a start. */
+    private byte[] news(long since) {
+        if (since > 0) {
+            return codec.write(new Items(self.life(), shelf.changes(), council.whole(), shelf.since(since)));
+        }
+        if (all == null || allOf != shelf.changes() || allWhole != council.whole()) {
+            allOf = shelf.changes();
+            allWhole = council.whole();
+            all = codec.write(new Items(self.life(), allOf, allWhole, shelf.since(0)));
+        }
+        return all;
+    }
+
     /** Another store tells what is in force there. */
     private void take(Link link, Items told) {
         vector.put(link.other().node(), new long[] {told.life(), told.upTo()});
