--- a/src/main/java/reedmux/choice/Checker.java
+++ b/src/main/java/reedmux/choice/Checker.java
@@ -22,6 +22,7 @@
     private long waitsSince;
     /** The part of its slots that is ours to fill. */
     private double part;
+    private boolean guest;
 
     Checker(Life life, long now) {
         address = Addresses.parse(life.address());
@@ -49,8 +50,14 @@
         return inFlight;
     }
 
-    void part(double next) {
+    void part(double next, boolean isGuest) {
         part = next;
+        guest = isGuest;
+    }
+
+    /** Whether we may have one request there without a part. */
+    boolean guest() {
+        return guest;
     }
 
     double part() {
--- a/src/main/java/reedmux/choice/Roster.java
+++ b/src/main/java/reedmux/choice/Roster.java
@@ -23,6 +23,9 @@
     private static final double AWAY_SMALL = 0.2;
     private static final double AWAY_LARGE = 1.0;
     private static final double LUCK = 0.05;
+    /** Up to so many proxies each may have a request at any checker; of more, so many. */
+    private static final int FEW = 10;
+    private static final int GUESTS = 6;
     private final String node;
     private final String zone;
     private final Random random;
@@ -31,6 +34,7 @@
     private final Map<String, Double> usual = new HashMap<>();
     private View view = View.of(List.of());
     private double busy = 0.4;
+    private boolean divided;
 
     public Roster(String node, String zone, long seed) {
         this.node = node;
@@ -55,35 +59,75 @@
                 checkers.remove(life.id());
             }
         }
-        divide();
+        divided = false;
     }
 
     public void view(View next) {
         view = next;
-        divide();
+        divided = false;
     }
 
-    /** Gives each proxy of a zone an even run of the slots there, in the order that all agree on. */
+    /**
+     * Gives each proxy of a zone an even run of the slots there, in the order that all agree on. Beside
+     * that each may have one request at a checker that it has no part in: all of them where they are few,
+     * else those that come first by lot, so that a checker's queue has room for all of it at once.
+     */
     private void divide() {
-        List<Session> here = view.members().stream().filter(member -> member.zone().equals(zone)).toList();
-        int place = -1;
-        for (int i = 0; i < here.size(); i++) {
-            place = here.get(i).node().equals(node) ? i : place;
+        if (divided) {
+            return;
         }
-        double from = place < 0 ? 0 : (double) place / here.size();
-        double to = place < 0 ? 0 : (double) (place + 1) / here.size();
+        divided = true;
         for (List<Checker> all : byPlant.values()) {
-            List<Checker> near = all.stream().filter(checker -> checker.life().zone().equals(zone)
-                    && checker.takes()).sorted(Comparator.comparing(Checker::id)).toList();
-            all.forEach(checker -> checker.part(0));
-            for (int i = 0; i < near.size(); i++) {
-                double low = (double) i / near.size();
-                double high = (double) (i + 1) / near.size();
-                near.get(i).part(Math.max(0, Math.min(high, to) - Math.max(low, from)) * near.size());
+            all.forEach(checker -> checker.part(0, guest(checker)));
+            Map<String, List<Checker>> byZone = new HashMap<>();
+            for (Checker checker : all) {
+                if (checker.takes()) {
+                    byZone.computeIfAbsent(checker.life().zone(), name -> new ArrayList<>()).add(checker);
+                }
             }
+            byZone.forEach(this::divide);
         }
     }
 
+    /** Divides one zone's checkers; those of a zone without proxies belong to all. */
+    private void divide(String ofZone, List<Checker> checkers) {
+        List<Session> takers = view.members().stream().filter(member ->
+                member.zone().equals(ofZone)).toList();
+        takers = takers.isEmpty() ? view.members() : takers;
+        int place = -1;
+        for (int i = 0; i < takers.size(); i++) {
+            place = takers.get(i).node().equals(node) ? i : place;
+        }
+        if (place < 0) {
+            return;
+        }
+        double from = (double) place / takers.size();
+        double to = (double) (place + 1) / takers.size();
+        checkers.sort(Comparator.comparing(Checker::id));
+        int many = checkers.size();
+        for (int i = 0; i < many; i++) {
+            double part = Math.min((i + 1.0) / many, to) - Math.max((double) i / many, from);
+            checkers.get(i).part(Math.max(0, part) * many, guest(checkers.get(i)));
+        }
+    }
+
+    private boolean guest(Checker checker) {
+        if (view.size() <= FEW) {
+            return true;
+        }
+        int mine = lot(checker, node);
+        int before = 0;
+        for (Session member : view.members()) {
+            before += lot(checker, member.node()) < mine ? 1 : 0;
+        }
+        return before < GUESTS;
+    }
+
+    private static int lot(Checker checker, String node) {
+        int hash = (checker.id().hashCode() * 31 + node.hashCode()) * 0x9E3779B1;
+        return (hash ^ hash >>> 15) * 0x85EBCA77;
+    }
+
     public Checker get(String id) {
         return checkers.get(id);
     }
@@ -108,8 +152,9 @@
     }
 
     /** The most that we may have at a checker at once. */
-    private static int most(Checker checker) {
-        return Math.max(1, (int) Math.round(2 * checker.life().capacity() * checker.part()));
+    static int most(Checker checker) {
+        return Math.max(checker.guest() ? 1 : 0,
+                (int) Math.round(2 * checker.life().capacity() * checker.part()));
     }
 
     /**
@@ -119,6 +164,7 @@
      * @param patience how long one may say nothing before it is doubted, in microseconds
      */
     public Checker choose(String plant, Set<String> but, boolean large, long patience, long now) {
+        divide();
         Checker best = null;
         double least = Double.MAX_VALUE;
         boolean doubtful = true;
@@ -152,6 +198,7 @@
 
     /** Takes note of how busy we are; to be called at an even pace. */
     public void look() {
+        divide();
         double slots = 0;
         int out = 0;
         for (Checker checker : checkers.values()) {
--- a/src/main/java/reedmux/link/Codec.java
+++ b/src/main/java/reedmux/link/Codec.java
@@ -89,9 +89,9 @@
             o.writeLong(m.life());
             o.writeLong(m.upTo());
             list(o, m.lives(), Codec::life);
-            list(o, m.own(), Codec::session);
-            list(o, m.all(), Codec::session);
-        }, i -> new News(i.readLong(), i.readLong(), list(i, Codec::life), list(i, Codec::session),
+            o.writeBoolean(m.told());
+            list(o, m.sessions(), Codec::session);
+        }, i -> new News(i.readLong(), i.readLong(), list(i, Codec::life), i.readBoolean(),
                 list(i, Codec::session)));
         form(Adjust.class, (o, m) -> {
             o.writeLong(m.id());
--- a/src/main/java/reedmux/link/Messages.java
+++ b/src/main/java/reedmux/link/Messages.java
@@ -38,12 +38,14 @@
         }
     }
 
-    /** What a registry knows: lives of checkers, its own sessions and all that it knows of. */
-    public record News(long life, long upTo, List<Life> lives, List<Session> own, List<Session> all) {
+    /**
+     * What has changed at a registry: lives of checkers, and sessions if {@code told}: its own for another
+     * registry, all that it knows of for a proxy.
+     */
+    public record News(long life, long upTo, List<Life> lives, boolean told, List<Session> sessions) {
         public News {
             lives = new ArrayList<>(lives);
-            own = new ArrayList<>(own);
-            all = new ArrayList<>(all);
+            sessions = new ArrayList<>(sessions);
         }
     }
 
--- a/src/main/java/reedmux/member/Sessions.java
+++ b/src/main/java/reedmux/member/Sessions.java
@@ -16,6 +16,7 @@
     private final Map<String, Told> told = new HashMap<>();
     private final Map<String, Session> own = new TreeMap<>();
     private long changes;
+    private long seen;
 
     private static final class Told {
         private List<Session> sessions = List.of();
@@ -81,6 +82,13 @@
         return View.of(all);
     }
 
+    /** Takes note of members whose time has run out, so that others are told. */
+    public void look(long now) {
+        long tag = view(now).tag();
+        changes += tag == seen ? 0 : 1;
+        seen = tag;
+    }
+
     /** Whether no source can be heard. */
     public boolean alone() {
         return told.values().stream().allMatch(entry -> entry.lostAt >= 0);
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -180,7 +180,9 @@
                     roster.told(fleet.get(life.id(), now()), now());
                 }
             }
-            sessions.told(link.other().node(), news.all(), now());
+            if (news.told()) {
+                sessions.told(link.other().node(), news.sessions(), now());
+            }
             members();
             requests.on(now(), new Event.Room());
             pull(link);
--- a/src/main/java/reedmux/registry/Registry.java
+++ b/src/main/java/reedmux/registry/Registry.java
@@ -50,6 +50,8 @@
     private static final long STORE_PATIENCE = 850_000;
     /** Checkers call about each {@code periodMs}; so many that are missing make one silent. */
     private static final int MISSED = 4;
+    /** So long for each that pulls, news are gathered before they are told. */
+    private static final long GATHER = 2_000;
     private static final int GOOD = 200;
     private static final int LATER = 503;
 
@@ -71,7 +73,9 @@
     private long changes;
     private long fleetSeen;
     private long sessionsSeen;
+    /** Changes that were told, each with how far lives and sessions had come. */
     private final List<long[]> log = new ArrayList<>();
+    private boolean flushing;
 
     private record Waiting(long since) { }
 
@@ -117,6 +121,7 @@
 
     private void beats(long silence) {
         fleet.sweep(reactor.now(), silence);
+        sessions.look(reactor.now());
         Beats beats = new Beats(fleet.heardWithin(2 * SECOND, reactor.now()));
         others.stream().filter(other -> other.link() != null).forEach(other -> other.link().say(beats));
         changed();
@@ -239,7 +244,9 @@
         } else if (message instanceof News news) {
             vector.put(link.other().node(), new long[] {news.life(), news.upTo()});
             news.lives().forEach(life -> fleet.merge(life, reactor.now()));
-            sessions.told(link.other().node(), news.own(), reactor.now());
+            if (news.told()) {
+                sessions.told(link.other().node(), news.sessions(), reactor.now());
+            }
             link.say(new Pull(news.life(), news.upTo()));
             changed();
         } else if (message instanceof Tell tell) {
@@ -269,7 +276,14 @@
             fleetSeen = fleet.changes();
             sessionsSeen = sessions.changes();
             changes = fleetSeen + sessionsSeen;
-            List.copyOf(pulling).forEach(this::answer);
+            if (!flushing) {
+                // Where many pull, as when all of them start, changes that come together are told together.
+                flushing = true;
+                reactor.after(pulling.size() * GATHER, () -> {
+                    flushing = false;
+                    List.copyOf(pulling).forEach(this::answer);
+                });
+            }
         }
     }
 
@@ -280,22 +294,29 @@
         }
         link.note(null);
         pulling.remove(link);
-        long fleetSince = since(waiting.since());
-        link.say(new News(self.life(), changes, fleet.since(fleetSince, reactor.now()), List.copyOf(
-                sessions.own()), sessions.view(reactor.now()).members()));
-        log.add(new long[] {changes, fleetSeen});
+        long[] known = known(waiting.since());
+        boolean tell = known[1] != sessions.changes();
+        boolean registry = link.other().program().equals(PROGRAM);
+        link.say(new News(self.life(), changes, fleet.since(known[0], reactor.now()), tell, !tell ? List.of()
+                : registry ? List.copyOf(sessions.own()) : sessions.view(reactor.now()).members()));
+        if (log.isEmpty() || log.get(log.size() - 1)[0] != changes) {
+            log.add(new long[] {changes, fleetSeen, sessionsSeen});
+        }
         if (log.size() > 512) {
             log.subList(0, 256).clear();
         }
     }
 
-    /** How far the lives were told to one who knows that change; all of them where we do not remember. */
-    private long since(long change) {
+    /**
+     * How far lives and sessions were told to one who knows that change; from the beginning if that is long
+     * ago.
+     */
+    private long[] known(long change) {
         for (int i = log.size() - 1; i >= 0 && change >= 0; i--) {
             if (log.get(i)[0] == change) {
-                return log.get(i)[1];
+                return new long[] {log.get(i)[1], log.get(i)[2]};
             }
         }
-        return 0;
+        return new long[] {0, -1};
     }
 }
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -165,7 +165,7 @@
         }
     }
 
-    /** What has come into force since a change; all of it is written once for all that ask, as after a start. */
+    /** What has come into force since a change; all of it is written once for all that ask. */
     private byte[] news(long since) {
         if (since > 0) {
             return codec.write(new Items(self.life(), shelf.changes(), council.whole(), shelf.since(since)));
--- /dev/null
+++ b/src/test/java/reedmux/choice/RosterTest.java
@@ -0,0 +1,91 @@
+package reedmux.choice;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import reedmux.fleet.Life;
+import reedmux.member.Session;
+import reedmux.member.View;
+
+/** What many proxies may send to one checker together, and whom one chooses. */
+public class RosterTest {
+    private static final long NOW = 10_000_000;
+    private static final String[] ZONES = {"a", "b", "c"};
+
+    private static Life life(String id, String zone, int capacity, int phase) {
+        return new Life(id, "desk", "10.0.0.1:80", zone, capacity, phase, 1, 0, false);
+    }
+
+    /** Proxies, checkers, slots of each, and what a checker holds before it says nothing more. */
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {{8, 22, 3, 15}, {10, 27, 6, 30}, {65, 179, 3, 15}, {75, 244, 6, 30}, {1,
+                4, 3, 15}};
+    }
+
+    @Test(dataProvider = "fleets")
+    public void allTogetherNeverFillACheckersQueue(int proxies, int checkers, int slots, int most) {
+        List<Session> members = new ArrayList<>();
+        for (int i = 0; i < proxies; i++) {
+            members.add(new Session("edge-" + i, "10.1.0." + i, ZONES[i % 3], i));
+        }
+        Map<String, Integer> sums = new HashMap<>();
+        for (Session member : members) {
+            Roster roster = new Roster(member.node(), member.zone(), 1);
+            for (int i = 0; i < checkers; i++) {
+                roster.told(life("c-" + i, ZONES[i % 3], slots, Life.READY), NOW);
+            }
+            roster.view(View.of(members));
+            while (true) {
+                Checker next = roster.choose("desk", Set.of(), false, 400_000, NOW);
+                if (next == null) {
+                    break;
+                }
+                next.begun(NOW);
+                sums.merge(next.id(), 1, Integer::sum);
+            }
+        }
+        assertEquals(sums.size(), checkers);
+        sums.forEach((id, sum) -> assertTrue(sum <= most && sum >= slots, id + " has " + sum));
+    }
+
+    @Test
+    public void whoLeavesIsNotChosenAndWhoFailsOnlyInNeed() {
+        Roster roster = new Roster("me", "a", 1);
+        roster.told(life("one", "a", 3, Life.READY), NOW);
+        roster.told(life("two", "a", 3, Life.READY), NOW);
+        roster.get("one").failed(NOW);
+        for (int i = 0; i < 20; i++) {
+            assertEquals(roster.choose("desk", Set.of(), false, 400_000, NOW).id(), "two");
+        }
+        roster.told(life("two", "a", 3, Life.DRAINING), NOW);
+        assertEquals(roster.choose("desk", Set.of(), false, 400_000, NOW).id(), "one");
+        assertNull(roster.choose("desk", new HashSet<>(Set.of("one")), false, 400_000, NOW));
+        roster.told(life("one", "a", 3, Life.GONE), NOW);
+        assertNull(roster.choose("desk", Set.of(), false, 400_000, NOW));
+    }
+
+    @Test
+    public void largeBodiesStayInTheZoneAsLongAsThatHasRoom() {
+        Roster roster = new Roster("me", "a", 1);
+        roster.view(View.of(List.of(new Session("me", "10.1.0.1", "a", 1))));
+        roster.told(life("near", "a", 3, Life.READY), NOW);
+        roster.told(life("far", "b", 3, Life.READY), NOW);
+        assertEquals(roster.choose("desk", Set.of(), true, 400_000, NOW).id(), "near");
+        for (int i = 0; i < 6; i++) {
+            roster.get("near").begun(NOW);
+        }
+        assertNotNull(roster.choose("desk", Set.of(), true, 400_000, NOW));
+        assertEquals(roster.choose("desk", Set.of(), true, 400_000, NOW).id(), "far");
+    }
+}
