A sending that never ends is ended after its request's time; what is not whole ends with its client

Cause: by reading: a checker that is silent for good kept its place in the proxy's count, and a body whose client left kept a connection to a checker waiting.

--- a/src/main/java/reedmux/attempt/Event.java
+++ b/src/main/java/reedmux/attempt/Event.java
@@ -18,6 +18,9 @@
     /** A request has waited for a checker for as long as it may. */
     record WaitOver(Exchange exchange) implements Event { }
 
+    /** A sending has had no end long after its request's. */
+    record TryOverdue(Try what) implements Event { }
+
     record DeadlinePassed(Exchange exchange) implements Event { }
 
     /** Nobody waits for the answer any more. */
--- a/src/main/java/reedmux/attempt/Exchange.java
+++ b/src/main/java/reedmux/attempt/Exchange.java
@@ -19,6 +19,9 @@
         boolean sendable();
 
         boolean large();
+
+        /** Whether all of it has come in from its client. */
+        boolean whole();
     }
 
     private final Route route;
--- a/src/main/java/reedmux/attempt/Requests.java
+++ b/src/main/java/reedmux/attempt/Requests.java
@@ -17,6 +17,8 @@
     private static final long MILLI = 1000;
     /** A connection that is not up by then has met a machine that is not there. */
     private static final long CONNECT = 300 * MILLI;
+    /** A checker ends a request at the time that it was told; who says nothing by then will never. */
+    private static final long LAST = 400 * MILLI;
     private static final int MOST_UNREACHED = 4;
     private static final int MOST_WAITING = 256;
     /** Less than this before its end a request is not sent again. */
@@ -33,8 +35,8 @@
         /** Sends; ends as {@link Event.Ended}. */
         void send(Try what);
 
-        /** Gives up a connection that is not up; the end comes as an event. */
-        void giveUpConnecting(Try what);
+        /** Closes the connection of a sending, whatever has become of it; the end comes as an event. */
+        void giveUp(Try what);
 
         void answer(Exchange exchange, Answer answer);
 
@@ -72,7 +74,11 @@
             ended(ended.what(), ended.verdict(), ended.answer());
         } else if (event instanceof Event.ConnectOverdue overdue) {
             if (!overdue.what().over() && !overdue.what().up()) {
-                effects.giveUpConnecting(overdue.what());
+                effects.giveUp(overdue.what());
+            }
+        } else if (event instanceof Event.TryOverdue overdue) {
+            if (!overdue.what().over()) {
+                effects.giveUp(overdue.what());
             }
         } else if (event instanceof Event.Slow slow) {
             slow(slow.exchange());
@@ -143,6 +149,7 @@
         exchange.sent++;
         checker.begun(now);
         effects.later(now + CONNECT, new Event.ConnectOverdue(made));
+        effects.later(exchange.deadline() + LAST, new Event.TryOverdue(made));
         effects.send(made);
         return true;
     }
@@ -251,6 +258,14 @@
             refuse(exchange, "no checker has room");
         } else if (exchange.state != Exchange.State.OVER) {
             over(exchange, new Answer.Own(504, "no answer in time", -1));
+            endUnfinished(exchange);
+        }
+    }
+
+    /** What its client has not sent whole never runs, and nobody will send the rest. */
+    private void endUnfinished(Exchange exchange) {
+        if (!exchange.source().whole()) {
+            List.copyOf(exchange.live).forEach(effects::giveUp);
         }
     }
 
@@ -261,6 +276,7 @@
             if (free) {
                 effects.neverRan(exchange);
             }
+            endUnfinished(exchange);
         }
     }
 
--- a/src/main/java/reedmux/proxy/ClientRequest.java
+++ b/src/main/java/reedmux/proxy/ClientRequest.java
@@ -54,6 +54,11 @@
         return upload == null || upload.fromStart();
     }
 
+    @Override
+    public boolean whole() {
+        return upload == null || upload.whole();
+    }
+
     @Override
     public boolean large() {
         return upload != null && (upload.length() < 0 || upload.length() > LARGE);
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -360,7 +360,7 @@
     }
 
     @Override
-    public void giveUpConnecting(Try what) {
+    public void giveUp(Try what) {
         ((CheckerWire) what.carrier()).giveUp();
     }
 
--- a/src/test/java/reedmux/attempt/RequestsTest.java
+++ b/src/test/java/reedmux/attempt/RequestsTest.java
@@ -30,6 +30,7 @@
         final PriorityQueue<Later> later = new PriorityQueue<>((one, other) -> one.at() != other.at()
                 ? Long.compare(one.at(), other.at()) : one.number() - other.number());
         int neverRan;
+        boolean whole = true;
         long now = 1_000_000;
 
         World(int checkers, double slack) {
@@ -55,6 +56,11 @@
                 public boolean large() {
                     return false;
                 }
+
+                @Override
+                public boolean whole() {
+                    return whole;
+                }
             }, now, now + 1500 * MILLI);
             requests.on(now, new Event.Taken(exchange));
             return exchange;
@@ -96,8 +102,10 @@
         }
 
         @Override
-        public void giveUpConnecting(Try what) {
-            requests.on(now, new Event.Ended(what, Verdict.NOT_RUN, null));
+        public void giveUp(Try what) {
+            requests.on(now, new Event.Ended(what, what.up() && whole ? Verdict.MAY_HAVE_RUN
+                    : Verdict.NOT_RUN,
+                    null));
         }
 
         @Override
@@ -191,6 +199,28 @@
         assertEquals(status(world.answers.get(0)), 504);
     }
 
+    /** A checker that falls silent for good does not keep its place for good. */
+    @Test
+    public void whoNeverAnswersIsNotCountedAsBusyForEver() {
+        World world = new World(1, 100);
+        world.take(false, 2);
+        world.sent.get(0).connected();
+        world.run(world.now + 5000 * MILLI);
+        assertEquals(world.roster.get("c0").inFlight(), 0);
+        assertEquals(world.answers.size(), 1);
+    }
+
+    @Test
+    public void whatIsNotWholeEndsWithItsClient() {
+        World world = new World(1, 100);
+        world.whole = false;
+        Exchange exchange = world.take(false, 2);
+        world.sent.get(0).connected();
+        world.requests.on(world.now, new Event.ClientLeft(exchange));
+        assertEquals(world.roster.get("c0").inFlight(), 0);
+        assertTrue(world.answers.isEmpty());
+    }
+
     @Test
     public void aSlowRepeatableRequestHasASecondChance() {
         World world = new World(2, 100);
