--- a/src/main/java/reedmux/lab/stage/Stage.java
+++ b/src/main/java/reedmux/lab/stage/Stage.java
@@ -54,6 +54,8 @@
     private final Path dir;
     private final List<Reactor> reactors = new ArrayList<>();
     private final List<CheckerStage> checkers = new ArrayList<>();
+    /** Has a proxy leave, as at SIGTERM. */
+    private final List<Runnable> leaving = new ArrayList<>();
     private final Reactor outside;
     private final int proxies;
 
@@ -77,7 +79,8 @@
         }
         for (int i = 0; i < proxies; i++) {
             Reactor ofProxy = reactor();
-            new Proxy(boot("edge-" + i, CORE + i, i, true), ofProxy);
+            Proxy proxy = new Proxy(boot("edge-" + i, CORE + i, i, true), ofProxy);
+            leaving.add(() -> ofProxy.execute(proxy::leave));
             start(ofProxy, "proxy-" + i);
         }
         List<InetSocketAddress> control = new ArrayList<>();
@@ -215,8 +218,7 @@
         for (long waited = 0; waited < millis; waited += 50) {
             boolean all = true;
             for (int i = 0; i < proxies && all; i++) {
-                all = ask(new InetSocketAddress(ip(CORE + i), base + READY),
-                        Asker.request("GET", "/v1/readiness", "ready", "")).status() == 200;
+                all = readiness(i).status() == 200;
             }
             if (all) {
                 return true;
@@ -226,6 +228,17 @@
         return false;
     }
 
+    /** A proxy is told to end, as by SIGTERM. */
+    public void leave(int proxy) {
+        leaving.get(proxy).run();
+    }
+
+    /** What a proxy says to the platform. */
+    public Told readiness(int proxy) throws IOException {
+        return ask(new InetSocketAddress(ip(CORE + proxy), base + READY),
+                Asker.request("GET", "/v1/readiness", "ready", ""));
+    }
+
     /** A checker says from now on that it leaves. */
     public void drain(int checker) {
         outside.execute(() -> checkers.get(checker).drain());
--- a/src/main/java/reedmux/message/Calls.java
+++ b/src/main/java/reedmux/message/Calls.java
@@ -89,6 +89,16 @@
         }
     }
 
+    /**
+     * Bytes as they are, in place of an answer: for stand-ins that misbehave. The connection ends with them.
+     */
+    public void raw(byte[] bytes) {
+        last = true;
+        wire.write(bytes);
+        wire.endOutput();
+        reactor.after(500_000, wire::close);
+    }
+
     /** An answer of a type. */
     public void answer(int status, String type, String text) {
         answer(Head.answer(status).add("Content-Type", type), text.getBytes(StandardCharsets.UTF_8));
--- a/src/test/java/reedmux/lab/stage/StageTest.java
+++ b/src/test/java/reedmux/lab/stage/StageTest.java
@@ -8,6 +8,7 @@
 import java.util.Collections;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import reedmux.boot.BootException;
 
@@ -81,6 +82,31 @@
         assertTrue(chunks.text().contains("11 bytes"), chunks.text());
     }
 
+    /** How a checker misbehaves, and what the client of a request that may run once is told. */
+    @DataProvider
+    public Object[][] mischief() {
+        return new Object[][] {{"stray", 200}, {"behind", 200}, {"cut", 502}, {"endless", 502},
+                {"noseal", 502},
+            {"coded", 502}, {"other", 502}, {"noise", 502}, {"silent", 502}, {"unmarked", 502},
+                    {"limited", 502}};
+    }
+
+    @Test(dataProvider = "mischief")
+    public void noAnswerIsTakenForAnothersOrForWhole(String how, int status) throws IOException {
+        Stage.Told told = stage.request(0, "POST", "/order/" + how, "m-" + how, "body");
+        assertEquals(told.status(), status, how);
+        assertTrue(status != 200 || told.text().equals("good"), how + ": " + told.text());
+        assertEquals(Collections.frequency(stage.ran(), "m-" + how), 1);
+        Stage.Told next = stage.request(0, "POST", "/order/x", "after-" + how, "body");
+        assertTrue(next.status() == 200 && next.text().contains("4 bytes of /order/x"), next.text());
+    }
+
+    @Test
+    public void whatCheckersTurnAwayIsPromisedNotToHaveRun() throws IOException {
+        assertEquals(stage.request(1, "POST", "/order/shed", "shed", "body").status(), 503);
+        assertTrue(!stage.ran().contains("shed"));
+    }
+
     @Test
     public void theOperatorReadsWhatStands() throws IOException {
         Stage.Told read = stage.read();
