--- a/src/main/java/reedmux/attempt/Exchange.java
+++ b/src/main/java/reedmux/attempt/Exchange.java
@@ -63,10 +63,6 @@
         return deadline;
     }
 
-    public long takenAt() {
-        return takenAt;
-    }
-
     public boolean over() {
         return state == State.OVER;
     }
--- a/src/main/java/reedmux/attempt/Requests.java
+++ b/src/main/java/reedmux/attempt/Requests.java
@@ -294,8 +294,4 @@
         effects.answer(exchange, answer);
     }
 
-    /** Requests that wait for a checker. */
-    public int waiting() {
-        return waiting.size();
-    }
 }
--- a/src/main/java/reedmux/item/Table.java
+++ b/src/main/java/reedmux/item/Table.java
@@ -107,10 +107,6 @@
         return tenants.get(name);
     }
 
-    public Collection<Tenant> tenants() {
-        return tenants.values();
-    }
-
     /** Whether requests need a key. */
     public boolean keyed() {
         return !tenants.isEmpty();
--- a/src/main/java/reedmux/net/Wire.java
+++ b/src/main/java/reedmux/net/Wire.java
@@ -49,7 +49,6 @@
     private final Deque<ByteBuffer> out = new ArrayDeque<>();
     private long queued;
     private long sent;
-    private long received;
 
     private Wire(Reactor reactor, SocketChannel channel) {
         this.reactor = reactor;
@@ -140,7 +139,6 @@
             ended = true;
             interest();
         } else if (some > 0) {
-            received += some;
             room(some);
             chunk.flip().get(in, to, some);
             to += some;
@@ -221,11 +219,6 @@
         return ended;
     }
 
-    /** Bytes that have ever come in. */
-    public long received() {
-        return received;
-    }
-
     // ---- What goes out -----------------------------------------------------------------------------
     public void write(byte[] bytes) {
         write(ByteBuffer.wrap(bytes));
