Programs stand on a Ground: sockets, disk, clock and chance behind one interface

Change: net.Ground (Kernel is the machine's own), disk.Volume (Folder), workers and draws through the reactor. Ruled out: a second implementation of links and HTTP for the lab, which would prove nothing about these.

--- a/src/main/java/reedmux/disk/Journal.java
+++ b/src/main/java/reedmux/disk/Journal.java
@@ -2,12 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.DirectoryStream;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
@@ -21,34 +15,32 @@
  */
 public final class Journal implements AutoCloseable {
     private static final String PREFIX = "items-";
+    private static final String FRESH = "fresh";
     private static final int HEAD = 8;
     private static final int MOST = 64 * 1024 * 1024;
-    private final Path dir;
-    private FileChannel file;
+    private final Volume volume;
+    private Volume.File file;
     private long generation;
     private long length;
     private boolean broken;
     private boolean found;
 
-    public Journal(Path dir) {
-        this.dir = dir;
+    public Journal(Volume volume) {
+        this.volume = volume;
     }
 
     /** All records that can be read, the oldest first; none where there is no file. */
     public List<byte[]> read() throws IOException {
-        Files.createDirectories(dir);
-        TreeMap<Long, Path> files = new TreeMap<>();
-        try (DirectoryStream<Path> all = Files.newDirectoryStream(dir, PREFIX + "*")) {
-            for (Path path : all) {
-                String number = path.getFileName().toString().substring(PREFIX.length());
-                if (number.chars().allMatch(c -> c >= '0' && c <= '9') && !number.isEmpty()) {
-                    files.put(Long.parseLong(number), path);
-                }
+        TreeMap<Long, String> files = new TreeMap<>();
+        for (String name : volume.names()) {
+            String number = name.startsWith(PREFIX) ? name.substring(PREFIX.length()) : "";
+            if (number.chars().allMatch(c -> c >= '0' && c <= '9') && !number.isEmpty()) {
+                files.put(Long.parseLong(number), name);
             }
         }
         generation = files.isEmpty() ? 0 : files.lastKey();
-        for (Path path : files.descendingMap().values()) {
-            List<byte[]> records = records(path);
+        for (String name : files.descendingMap().values()) {
+            List<byte[]> records = records(name);
             if (records != null) {
                 found = true;
                 return records;
@@ -66,9 +58,8 @@
      * The records of one file without the empty one, or null if the whole state at its beginning is not
      * there.
      */
-    private static List<byte[]> records(Path path) throws IOException {
-        byte[] bytes = Files.readAllBytes(path);
-        ByteBuffer in = ByteBuffer.wrap(bytes);
+    private List<byte[]> records(String name) throws IOException {
+        ByteBuffer in = ByteBuffer.wrap(volume.read(name));
         List<byte[]> records = new ArrayList<>();
         boolean whole = false;
         while (in.remaining() >= HEAD) {
@@ -98,31 +89,30 @@
         return ~(int) sum.getValue();
     }
 
-    private static void put(FileChannel to, byte[] record) throws IOException {
+    private static int put(Volume.File to, byte[] record) throws IOException {
         ByteBuffer bytes = ByteBuffer.allocate(HEAD + record.length);
         bytes.putInt(record.length).putInt(sum(record)).put(record).flip();
-        while (bytes.hasRemaining()) {
-            to.write(bytes);
-        }
+        to.write(bytes);
+        return HEAD + record.length;
     }
 
     /** Begins a new generation with a whole state; when it returns that is safe. */
     public void begin(List<byte[]> state) throws IOException {
         long next = generation + 1;
-        Path fresh = dir.resolve("fresh");
-        FileChannel made = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING);
+        String named = PREFIX + next;
+        Volume.File made = volume.create(FRESH);
+        long size = 0;
         try {
             for (byte[] record : state) {
-                put(made, record);
-            }
-            put(made, new byte[0]);
-            made.force(true);
-            Path named = dir.resolve(PREFIX + next);
-            Files.move(fresh, named, StandardCopyOption.ATOMIC_MOVE);
-            try (FileChannel folder = FileChannel.open(dir, StandardOpenOption.READ)) {
-                folder.force(true);
+                size += put(made, record);
             }
+            size += put(made, new byte[0]);
+            made.force();
+            // From here on a start may find this generation, so that none before it can be added to.
+            broken = true;
+            generation = next;
+            volume.rename(FRESH, named);
+            volume.forceNames();
             if (records(named) == null) {
                 throw new IOException("what was written to " + named + " does not read back");
             }
@@ -134,10 +124,9 @@
             file.close();
         }
         file = made;
-        length = made.position();
-        generation = next;
+        length = size;
         broken = false;
-        Files.deleteIfExists(dir.resolve(PREFIX + (next - 2)));
+        volume.delete(PREFIX + (next - 2));
     }
 
     /** Appends a record; it is safe once {@link #sync()} has returned. */
@@ -160,7 +149,6 @@
     private void takeBack() {
         try {
             file.truncate(length);
-            file.position(length);
         } catch (IOException e) {
             broken = true;
         }
@@ -168,7 +156,7 @@
 
     public void sync() throws IOException {
         try {
-            file.force(false);
+            file.force();
         } catch (IOException e) {
             broken = true; // the kernel may have dropped what it could not write
             throw e;
--- /dev/null
+++ b/src/main/java/reedmux/disk/Volume.java
@@ -0,0 +1,38 @@
+package reedmux.disk;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+
+/** A folder on a disk, with just what {@link Journal} asks of one. */
+public interface Volume {
+
+    /** A file that is open for writing. */
+    interface File extends AutoCloseable {
+        void write(ByteBuffer bytes) throws IOException;
+
+        /** When it returns, all that was written survives a loss of power. */
+        void force() throws IOException;
+
+        void truncate(long length) throws IOException;
+
+        @Override
+        void close() throws IOException;
+    }
+
+    /** The names of all files; the folder is made where there is none. */
+    List<String> names() throws IOException;
+
+    byte[] read(String name) throws IOException;
+
+    /** Opens a file that is empty then. */
+    File create(String name) throws IOException;
+
+    /** In place of another of that name, as a whole or not at all. */
+    void rename(String from, String to) throws IOException;
+
+    /** Names that were renamed or removed survive a loss of power. */
+    void forceNames() throws IOException;
+
+    void delete(String name) throws IOException;
+}
--- a/src/main/java/reedmux/net/Reactor.java
+++ b/src/main/java/reedmux/net/Reactor.java
@@ -2,14 +2,10 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.SelectableChannel;
-import java.nio.channels.SelectionKey;
-import java.nio.channels.Selector;
+import java.nio.file.Path;
 import java.util.PriorityQueue;
-import java.util.Queue;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
-import reedmux.core.Clock;
+import reedmux.disk.Volume;
 import reedmux.log.Ring;
 
 /**
@@ -19,14 +15,6 @@
 public final class Reactor implements Executor {
     private static final int CHUNK = 64 * 1024;
 
-    /** Whose channel is ready. */
-    public interface Handler {
-        void ready(SelectionKey key) throws IOException;
-
-        /** Something went wrong in {@link #ready}. */
-        void failed(Exception cause);
-    }
-
     /** Something to be done at a time. */
     public static final class Timer implements Comparable<Timer> {
         private final long at;
@@ -49,19 +37,42 @@
         }
     }
 
-    private final Clock clock = new Clock();
-    private final Selector selector;
+    private final Ground ground;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
-    private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
     private final Ring log;
     final ByteBuffer chunk = ByteBuffer.allocateDirect(CHUNK);
-    private long now = clock.now();
+    private long now;
     private long numbers;
     private volatile boolean ended;
 
+    /** One on the machine's own sockets. */
     public Reactor(Ring log) throws IOException {
+        this(log, new Kernel());
+    }
+
+    public Reactor(Ring log, Ground ground) {
         this.log = log;
-        selector = Selector.open();
+        this.ground = ground;
+        now = ground.now();
+    }
+
+    Ground ground() {
+        return ground;
+    }
+
+    /** A number that tells one life of a process from another. */
+    public long draw() {
+        return ground.draw();
+    }
+
+    /** A folder on this process's disk. */
+    public Volume volume(Path folder) {
+        return ground.volume(folder);
+    }
+
+    /** A thread of its own, for what waits for a disk; see {@link Ground#worker}. */
+    public Executor worker(String name, int most) {
+        return ground.worker(name, most);
     }
 
     /** The time of this turn. */
@@ -72,8 +83,7 @@
     /** Has something done on the reactor's thread; from any thread. */
     @Override
     public void execute(Runnable task) {
-        posted.add(task);
-        selector.wakeup();
+        ground.execute(task);
     }
 
     public Timer at(long when, Runnable task) {
@@ -94,9 +104,27 @@
         });
     }
 
-    SelectionKey register(SelectableChannel channel, int interest, Handler handler) throws IOException {
-        channel.configureBlocking(false);
-        return channel.register(selector, interest, handler);
+    /** One that hears in turns of this reactor, and whose failures end nobody else. */
+    Ground.Handler guarded(Ground.Handler handler) {
+        return new Ground.Handler() {
+            @Override
+            public void ready(boolean readable, boolean writable) {
+                now = ground.now();
+                try {
+                    handler.ready(readable, writable);
+                } catch (IOException e) {
+                    handler.failed(e);
+                } catch (RuntimeException e) {
+                    wrong(Failures.told(e));
+                    handler.failed(e);
+                }
+            }
+
+            @Override
+            public void failed(Exception cause) {
+                handler.failed(cause);
+            }
+        };
     }
 
     /** Writes a line for operators. */
@@ -117,50 +145,36 @@
     /** Ends {@link #run()} after this turn. */
     public void end() {
         ended = true;
-        selector.wakeup();
+        ground.execute(() -> { });
+    }
+
+    public boolean ended() {
+        return ended;
     }
 
     /** Runs turns until {@link #end()}. */
     public void run() throws IOException {
+        long next = turn();
         while (!ended) {
-            long wait = timers.isEmpty() ? -1 : timers.peek().at - clock.now();
-            if (!posted.isEmpty() || !timers.isEmpty() && wait <= 0) {
-                selector.selectNow(this::ready);
-            } else if (timers.isEmpty()) {
-                selector.select(this::ready);
-            } else {
-                selector.select(this::ready, Math.max(1, (wait + 999) / 1000));
-            }
-            now = clock.now();
-            for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
-                guarded(task);
-            }
-            while (!timers.isEmpty() && timers.peek().at <= now) {
-                Runnable task = timers.poll().task;
-                if (task != null) {
-                    guarded(task);
-                }
-            }
+            ground.await(next);
+            next = turn();
         }
-        for (SelectionKey key : selector.keys()) {
-            key.channel().close();
-        }
-        selector.close();
+        ground.close();
     }
 
-    private void ready(SelectionKey key) {
-        now = clock.now();
-        Handler handler = (Handler) key.attachment();
-        try {
-            if (key.isValid()) {
-                handler.ready(key);
-            }
-        } catch (IOException | RuntimeException e) {
-            if (e instanceof RuntimeException) {
-                wrong(Failures.told(e));
+    /** One turn: what others gave us, and what is due; returns when something is due again. */
+    public long turn() {
+        now = ground.now();
+        for (Runnable task = ground.next(); task != null; task = ground.next()) {
+            guarded(task);
+        }
+        while (!timers.isEmpty() && timers.peek().at <= now) {
+            Runnable task = timers.poll().task;
+            if (task != null) {
+                guarded(task);
             }
-            handler.failed(e);
         }
+        return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at;
     }
 
     private void guarded(Runnable task) {
--- a/src/main/java/reedmux/net/Wire.java
+++ b/src/main/java/reedmux/net/Wire.java
@@ -2,20 +2,16 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.SelectionKey;
-import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.Deque;
-import jdk.net.ExtendedSocketOptions;
 
 /**
  * A TCP connection of a {@link Reactor}: what has come in and is not used yet, and what waits to go out.
  * For the reactor's thread alone.
  */
-public final class Wire implements Reactor.Handler {
+public final class Wire implements Ground.Handler {
     private static final byte[] EMPTY = {};
     private static final int LEAST = 1024;
 
@@ -36,8 +32,7 @@
     }
 
     private final Reactor reactor;
-    private final SocketChannel channel;
-    private SelectionKey key;
+    private final Ground.Line line;
     private Owner owner;
     private byte[] in = EMPTY;
     private int from;
@@ -50,46 +45,30 @@
     private long queued;
     private long sent;
 
-    private Wire(Reactor reactor, SocketChannel channel) {
+    private Wire(Reactor reactor, Ground.Line line) {
         this.reactor = reactor;
-        this.channel = channel;
+        this.line = line;
     }
 
     /** One that has been accepted. */
-    static Wire accepted(Reactor reactor, SocketChannel channel) throws IOException {
-        Wire wire = new Wire(reactor, channel);
-        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    static Wire accepted(Reactor reactor, Ground.Line line) throws IOException {
+        Wire wire = new Wire(reactor, line);
         wire.up = true;
-        wire.key = reactor.register(channel, SelectionKey.OP_READ, wire);
+        line.handle(reactor.guarded(wire));
         return wire;
     }
 
     /** Opens one; {@code owner} hears when it is up, or that it has not come up. */
     public static Wire open(Reactor reactor, InetSocketAddress to, InetSocketAddress local, Owner owner)
             throws IOException {
-        SocketChannel channel = SocketChannel.open();
-        try {
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            channel.setOption(StandardSocketOptions.SO_KEEPALIVE, true);
-            channel.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, 2);
-            channel.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, 1);
-            channel.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, 3);
-            if (local != null) {
-                channel.bind(local);
-            }
-            Wire wire = new Wire(reactor, channel);
-            wire.owner = owner;
-            channel.configureBlocking(false);
-            boolean now = channel.connect(to);
-            wire.key = reactor.register(channel, SelectionKey.OP_CONNECT, wire);
-            if (now) {
-                reactor.execute(wire::finish);
-            }
-            return wire;
-        } catch (IOException | RuntimeException e) {
-            channel.close();
-            throw e instanceof IOException io ? io : new IOException(e);
+        Ground.Line line = reactor.ground().open(to, local);
+        Wire wire = new Wire(reactor, line);
+        wire.owner = owner;
+        line.handle(reactor.guarded(wire));
+        if (line.upAtOnce()) {
+            reactor.execute(wire::finish);
         }
+        return wire;
     }
 
     private void finish() {
@@ -113,18 +92,19 @@
     }
 
     @Override
-    public void ready(SelectionKey ignored) throws IOException {
-        if (!up) {
-            if (!channel.finishConnect()) {
-                return;
+    public void ready(boolean readable, boolean writable) throws IOException {
+        if (closed) {
+            return;
+        } else if (!up) {
+            if (line.finish()) {
+                finish();
             }
-            finish();
             return;
         }
-        if (key.isReadable()) {
+        if (readable) {
             read();
         }
-        if (!closed && key.isValid() && key.isWritable()) {
+        if (!closed && writable) {
             flush();
             if (!closed && queued == 0) {
                 owner.flushed();
@@ -134,7 +114,7 @@
 
     private void read() throws IOException {
         ByteBuffer chunk = reactor.chunk.clear();
-        int some = channel.read(chunk);
+        int some = line.read(chunk);
         if (some < 0) {
             ended = true;
             interest();
@@ -159,7 +139,7 @@
         }
         try {
             ByteBuffer chunk = reactor.chunk.clear();
-            return channel.read(chunk) == 0;
+            return line.read(chunk) == 0;
         } catch (IOException e) {
             return false;
         }
@@ -243,7 +223,7 @@
     private void flush() throws IOException {
         while (!out.isEmpty()) {
             ByteBuffer first = out.peek();
-            int some = channel.write(first);
+            int some = line.write(first);
             sent += some;
             queued -= some;
             if (first.hasRemaining()) {
@@ -271,12 +251,8 @@
     }
 
     private void interest() {
-        if (key != null && key.isValid() && up) {
-            int wanted = (ended || paused ? 0 : SelectionKey.OP_READ) | (queued > 0
-                    ? SelectionKey.OP_WRITE : 0);
-            if (key.interestOps() != wanted) {
-                key.interestOps(wanted);
-            }
+        if (up && !closed) {
+            line.interest(!ended && !paused, queued > 0);
         }
     }
 
@@ -289,7 +265,7 @@
             in = EMPTY;
             from = to = 0;
             try {
-                channel.close();
+                line.close();
             } catch (IOException e) {
                 // it is gone either way
             }
@@ -299,7 +275,7 @@
     /** No more goes out from here, and what comes in is still read; the other side sees the end. */
     public void endOutput() {
         try {
-            channel.shutdownOutput();
+            line.endOutput();
         } catch (IOException | RuntimeException e) {
             close();
         }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -109,7 +109,7 @@
         new Listener(reactor, boot.socket("front"), this::client);
         new Listener(reactor, boot.socket("ready"), wire -> new Calls(reactor, wire, this::readiness));
         bornAt = reactor.now();
-        long life = System.nanoTime() ^ (long) boot.node().hashCode() << 32;
+        long life = reactor.draw() ^ (long) boot.node().hashCode() << 32;
         core = new Core(boot, false);
         self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(), life, core.machines());
         roster = new Roster(boot.node(), boot.zone(), life);
--- a/src/main/java/reedmux/registry/Memory.java
+++ b/src/main/java/reedmux/registry/Memory.java
@@ -4,8 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.Executor;
 import reedmux.disk.Journal;
 import reedmux.fleet.Fleet;
 import reedmux.fleet.Life;
@@ -26,17 +25,14 @@
     private final Journal journal;
     private long kept;
     private boolean writing;
-    private final ExecutorService disk = Executors.newSingleThreadExecutor(task -> {
-        Thread thread = new Thread(task, "reedmux-disk");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final Executor disk;
 
     Memory(Path dir, Reactor reactor, Codec codec, Fleet fleet) {
         this.reactor = reactor;
         this.codec = codec;
         this.fleet = fleet;
-        journal = new Journal(dir);
+        journal = new Journal(reactor.volume(dir));
+        disk = reactor.worker("reedmux-disk", 4);
         try {
             for (byte[] record : journal.read()) {
                 if (codec.read(record) instanceof Tell told) {
--- a/src/main/java/reedmux/registry/Registry.java
+++ b/src/main/java/reedmux/registry/Registry.java
@@ -4,7 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -65,7 +65,7 @@
     private final List<Dialer> others = new ArrayList<>();
     private final List<Dialer> stores = new ArrayList<>();
     private final Map<String, long[]> vector = new HashMap<>();
-    private final Set<Link> pulling = new HashSet<>();
+    private final Set<Link> pulling = new LinkedHashSet<>();
     private final Map<Long, Consumer<Outcome>> asked = new HashMap<>();
     private final Map<Long, Runnable> telling = new HashMap<>();
     private long ids;
@@ -84,7 +84,7 @@
         this.reactor = reactor;
         core = new Core(boot, true);
         self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(),
-                System.nanoTime() ^ (long) boot.node().hashCode() << 32, core.machines());
+                reactor.draw() ^ (long) boot.node().hashCode() << 32, core.machines());
         if (boot.dataDir() != null) {
             new Memory(boot.dataDir().resolve("lives"), reactor, codec, fleet);
         }
--- a/src/main/java/reedmux/store/Keeper.java
+++ b/src/main/java/reedmux/store/Keeper.java
@@ -4,9 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.ThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
 import reedmux.disk.Journal;
@@ -35,18 +33,14 @@
      * Whether what is here is all that we ever held: false after a disk was lost, until it is made up for.
      */
     private boolean whole;
-    private final ThreadPoolExecutor disk = new ThreadPoolExecutor(1, 1, 0, TimeUnit.SECONDS,
-            new LinkedBlockingQueue<>(MOST_WAITING), task -> {
-                Thread thread = new Thread(task, "reedmux-disk");
-                thread.setDaemon(true);
-                return thread;
-            });
+    private final Executor disk;
 
     Keeper(Path dir, Reactor reactor, Codec codec, Shelf shelf) {
         this.reactor = reactor;
         this.codec = codec;
         this.shelf = shelf;
-        journal = new Journal(dir);
+        journal = new Journal(reactor.volume(dir));
+        disk = reactor.worker("reedmux-disk", MOST_WAITING);
     }
 
     /** Brings the shelf up to what is on disk; false where what was once there has been lost. */
@@ -128,6 +122,7 @@
                 length = journal.length();
                 spoilt = false;
             } catch (IOException e) {
+                spoilt = journal.broken();
                 reactor.wrong("disk: " + e.getMessage());
             }
             reactor.execute(() -> compacting = false);
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -51,7 +51,7 @@
     private final Map<InetSocketAddress, Dialer> others = new HashMap<>();
     /** How far we have come with each of the others. */
     private final Map<String, long[]> vector = new HashMap<>();
-    private final Set<Link> pulling = new HashSet<>();
+    private final Set<Link> pulling = new LinkedHashSet<>();
     /** Over which link each of the others has asked last. */
     private final Map<String, Link> askedBy = new HashMap<>();
     /** All items as they are told, as of which change, and whether we counted ourselves then. */
@@ -70,7 +70,7 @@
         this.boot = boot;
         core = new Core(boot, true);
         self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(),
-                System.nanoTime() ^ (long) boot.node().hashCode() << 32, core.machines());
+                reactor.draw() ^ (long) boot.node().hashCode() << 32, core.machines());
         copies = (int) boot.figure("tolerance.machines", 0) + 1;
         keeper = new Keeper(boot.dataDir(), reactor, codec, shelf);
         boolean whole = keeper.load(boot.coldStart());
--- a/src/test/java/reedmux/disk/JournalTest.java
+++ b/src/test/java/reedmux/disk/JournalTest.java
@@ -39,7 +39,7 @@
 
     @Test
     public void anEmptyFolderIsNothingFound() throws IOException {
-        Journal journal = new Journal(dir);
+        Journal journal = new Journal(new Folder(dir));
         assertTrue(journal.read().isEmpty());
         assertFalse(journal.found());
     }
@@ -47,7 +47,7 @@
     /** The file ends at every byte, or has one that is wrong there: what comes before is found, no more. */
     @Test
     public void whatWasSyncedIsFoundWhateverBecameOfTheRest() throws IOException {
-        try (Journal journal = new Journal(dir)) {
+        try (Journal journal = new Journal(new Folder(dir))) {
             journal.read();
             journal.begin(List.of(record(0), record(1)));
             long synced = journal.length();
@@ -63,7 +63,7 @@
                         image[end] ^= 0x55;
                     }
                     Files.write(file, image);
-                    List<byte[]> found = new Journal(dir).read();
+                    List<byte[]> found = new Journal(new Folder(dir)).read();
                     assertTrue(found.size() >= 2 && found.size() < 4, "at " + end);
                     for (int i = 0; i < found.size(); i++) {
                         assertEquals(found.get(i), record(i));
@@ -76,17 +76,17 @@
     /** A generation that did not get whole gives way to the one before. */
     @Test
     public void theGenerationBeforeStandsUntilTheNextIsWhole() throws IOException {
-        try (Journal journal = new Journal(dir)) {
+        try (Journal journal = new Journal(new Folder(dir))) {
             journal.read();
             journal.begin(List.of(record(0)));
             journal.begin(List.of(record(0), record(1)));
             Files.write(dir.resolve("items-3"), Arrays.copyOf(Files.readAllBytes(dir.resolve("items-2")), 9));
             Files.write(dir.resolve("fresh"), new byte[] {1, 2, 3});
-            Journal next = new Journal(dir);
+            Journal next = new Journal(new Folder(dir));
             assertEquals(next.read().size(), 2);
             next.begin(List.of(record(2)));
             next.close();
-            assertEquals(new Journal(dir).read().get(0), record(2));
+            assertEquals(new Journal(new Folder(dir)).read().get(0), record(2));
         }
     }
 }
