--- /dev/null
+++ b/src/main/java/reedmux/cli/PlayWorld.java
@@ -0,0 +1,73 @@
+package reedmux.cli;
+
+import com.github.rvesse.airline.HelpOption;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import java.util.concurrent.Callable;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import reedmux.lab.world.Day;
+import reedmux.lab.world.Days;
+
+/** Plays drawn days of a whole deployment in virtual time, against the rules. */
+@Command(name = "world",
+        description = "plays drawn days of a whole deployment in virtual time, against the rules")
+public final class PlayWorld implements Callable<Integer> {
+    private static final Pattern SEEDS = Pattern.compile("([0-9]{1,9})(?:\\.\\.([0-9]{1,9}))?");
+    private static final int BROKEN = 1;
+    private static final int BAD_USAGE = 2;
+
+    @AirlineModule
+    private HelpOption<PlayWorld> help;
+
+    @Option(name = "--seeds", title = "A..B", description = "the days to play, each drawn from its seed")
+    private String seeds = "1..20";
+
+    @Option(name = "--proxies", title = "N", description = "proxies, spread over three zones")
+    private int proxies = 8;
+
+    @Option(name = "--cores", title = "N", description = "core machines, spread over three zones")
+    private int cores = 3;
+
+    @Option(name = "--pace", title = "N", description = "requests a second for each proxy")
+    private double pace = 12;
+
+    @Option(name = "--jobs", title = "N", description = "days that are played side by side")
+    private int jobs = Runtime.getRuntime().availableProcessors();
+
+    @Option(name = "--log", description = "also print what the processes write; for one seed")
+    private boolean log;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        if (help != null && help.showHelpIfRequested()) {
+            return 0;
+        }
+        Matcher range = SEEDS.matcher(seeds);
+        if (!range.matches() || proxies < 1 || cores < 1 || jobs < 1 || !(pace > 0)) {
+            System.err.println("reedmux: world: --seeds is A..B, the others are numbers above 0");
+            return BAD_USAGE;
+        }
+        long first = Long.parseLong(range.group(1));
+        long last = range.group(2) == null ? first : Long.parseLong(range.group(2));
+        long begin = System.nanoTime();
+        Days days = new Days(proxies, cores, pace);
+        Days.Sum sum = days.play(first, last, log ? 1 : jobs, log ? System.out::println : line -> { },
+                PlayWorld::tell);
+        double wall = (System.nanoTime() - begin) / 1e9;
+        System.out.printf("%d days with %d proxies and %d core machines, %d broken; %.0f simulated seconds, "
+                + "%.1f a wall second; %d of %d requests served; digest %016x%n", sum.days(), proxies, cores,
+                sum.broken(), sum.simulated() / 1e6, sum.simulated() / 1e6 / wall, sum.served(), sum.asked(),
+                sum.digest());
+        return sum.broken() == 0 ? 0 : BROKEN;
+    }
+
+    private static void tell(Day.Outcome day) {
+        if (!day.broken().isEmpty()) {
+            System.out.printf("seed %d breaks rules (digest %016x)%n", day.seed(), day.digest());
+            day.broken().stream().limit(6).forEach(line -> System.out.println("    " + line));
+            day.story().forEach(line -> System.out.println("        " + line));
+        }
+    }
+}
--- a/src/main/java/reedmux/cli/Programs.java
+++ b/src/main/java/reedmux/cli/Programs.java
@@ -29,7 +29,7 @@
     private static final int FAILED = 1;
     private static final int BAD_USAGE = 2;
     private static final int BAD_SETTINGS = 3;
-    private static final Set<String> NAMES = Set.of("proxy", "registry", "store", "check", "rehearse");
+    private static final Set<String> NAMES = Set.of("proxy", "registry", "store", "check", "rehearse", "world");
 
     private Programs() { }
 
@@ -40,7 +40,7 @@
     /** Runs one and returns its exit code. */
     static int run(String[] args) {
         try {
-            if (args.length == 1 && !args[0].equals("check")) {
+            if (args.length == 1 && !Set.of("check", "world").contains(args[0])) {
                 return plain(args[0]).call(
                         ); // as the platform starts it: reading no options saves 0.1 s of CPU
             }
@@ -75,6 +75,7 @@
         builder.withCommand(RunStore.class);
         builder.withCommand(Check.class);
         builder.withCommand(Rehearse.class);
+        builder.withCommand(PlayWorld.class);
         return builder.build().parse(args);
     }
 
--- a/src/main/java/reedmux/lab/stage/Asker.java
+++ b/src/main/java/reedmux/lab/stage/Asker.java
@@ -12,13 +12,14 @@
 import reedmux.net.Wire;
 
 /** One call over a connection of its own, as checkers, operators and clients make it. */
-final class Asker implements Wire.Owner {
+public final class Asker implements Wire.Owner {
     private static final int MOST_HEAD = 16 * 1024;
     private static final long PATIENCE = 3_000_000;
 
     /** What came of it; the status is 0 where no answer came. */
-    interface Done {
-        void told(int status, String text);
+    public interface Done {
+        /** {@code head} is null where no answer came. */
+        void told(int status, Head head, String text);
     }
 
     private final Wire wire;
@@ -30,18 +31,24 @@
     private boolean over;
 
     Asker(Reactor reactor, InetSocketAddress to, byte[] request, Done done) throws IOException {
+        this(reactor, to, request, PATIENCE, done);
+    }
+
+    /** {@code patience}: how long an answer is waited for, in microseconds. */
+    public Asker(Reactor reactor, InetSocketAddress to, byte[] request, long patience, Done done)
+            throws IOException {
         this.done = done;
         wire = Wire.open(reactor, to, null, this);
         wire.write(request);
-        reactor.after(PATIENCE, () -> end(0, "no answer"));
+        reactor.after(patience, () -> end(0, "no answer"));
     }
 
-    static byte[] post(String path, String body) {
+    public static byte[] post(String path, String body) {
         return request("POST", path, "control", body);
     }
 
     /** {@code headers} are further lines, each with its end. */
-    static byte[] request(String method, String path, String host, String body, String... headers) {
+    public static byte[] request(String method, String path, String host, String body, String... headers) {
         byte[] content = body.getBytes(StandardCharsets.UTF_8);
         String head = method + ' ' + path + " HTTP/1.1\r\nHost: " + host + "\r\n" + String.join("", headers)
                 + (method.equals("GET") ? "" : "Content-Length: " + content.length + "\r\n") + "\r\n";
@@ -81,7 +88,7 @@
         if (!over) {
             over = true;
             wire.close();
-            done.told(status, text);
+            done.told(status, status == 0 ? null : head, text);
         }
     }
 
--- a/src/main/java/reedmux/lab/stage/CheckerStage.java
+++ b/src/main/java/reedmux/lab/stage/CheckerStage.java
@@ -106,7 +106,7 @@
                     + "'phase':'%s','coldLeftMs':0,'seq':%d}", plant, address, zone, phase, ++seq)
                     .replace('\'', '"');
             new Asker(reactor, control.get(calls++ % control.size()), Asker.post(
-                    "/v1/Instances.Heartbeat/" + id, body), (status, text) -> { });
+                    "/v1/Instances.Heartbeat/" + id, body), (status, head, text) -> { });
         } catch (IOException e) {
             reactor.log("checker " + id + ": " + e.getMessage());
         }
--- a/src/main/java/reedmux/lab/stage/Stage.java
+++ b/src/main/java/reedmux/lab/stage/Stage.java
@@ -172,7 +172,8 @@
         CompletableFuture<Told> told = new CompletableFuture<>();
         outside.execute(() -> {
             try {
-                new Asker(outside, to, request, (status, text) -> told.complete(new Told(status, text)));
+                new Asker(outside, to, request, (status, head, text) ->
+                        told.complete(new Told(status, text)));
             } catch (IOException e) {
                 told.complete(new Told(0, e.getMessage()));
             }
--- /dev/null
+++ b/src/main/java/reedmux/lab/world/Operator.java
@@ -0,0 +1,102 @@
+package reedmux.lab.world;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Consumer;
+import reedmux.item.Change;
+import reedmux.item.Invalid;
+import reedmux.item.Item;
+import reedmux.lab.stage.Asker;
+
+/** One operator: a call is sent unchanged to one registry after the other until its answer is clear. */
+final class Operator {
+    private static final long PATIENCE = 1_000_000;
+    private static final long LONGEST = 12_000_000;
+    private static final long PAUSE = 100_000;
+    private static final long MOST_PAUSE = 800_000;
+    private final Host host;
+    private final Watch watch;
+    private final List<InetSocketAddress> control;
+
+    Operator(World world, String ip, List<InetSocketAddress> control, Watch watch) {
+        host = new Host(world, new Machine(world, ip, Deployment.ZONES[0], false), "operator " + ip, 0,
+                line -> { });
+        this.watch = watch;
+        this.control = control;
+    }
+
+    Machine machine() {
+        return host.machine();
+    }
+
+    /** How a version shows in requests. */
+    interface Shows {
+        String of(Item item);
+    }
+
+    /** Sends a change; {@code done} hears the last status, 0 where it was given up. */
+    void adjust(String body, Watch.Proper proper, Shows shows, Consumer<Integer> done) {
+        List<Item> items;
+        try {
+            items = Change.read(body);
+        } catch (Invalid e) {
+            items = List.of(); // it cannot be read in full
+        }
+        long now = host.now();
+        items.forEach(item -> watch.sentVersion(item, shows.of(item), now));
+        send(body, items, proper, now, PAUSE, done);
+    }
+
+    private InetSocketAddress any() {
+        return control.get(host.world().random().nextInt(control.size()));
+    }
+
+    private void send(String body, List<Item> items, Watch.Proper proper, long since, long pause,
+            Consumer<Integer> done) {
+        ask(Asker.post("/v1/Config.Adjust", body), (status, text) -> {
+            host.world().saw("adjust " + status);
+            if (status == 200) {
+                watch.acked(items, proper, host.now());
+                done.accept(status);
+            } else if (status >= 400 && status < 500 && status != 408 && status != 429) {
+                watch.refused(items, proper, true, since, host.now());
+                done.accept(status);
+            } else if (host.now() - since > LONGEST) {
+                watch.refused(items, proper, false, since, host.now());
+                done.accept(0);
+            } else {
+                host.reactor().after(pause, () -> send(body, items, proper, since,
+                        Math.min(MOST_PAUSE, 2 * pause), done));
+            }
+        });
+    }
+
+    private interface Told {
+        void told(int status, String text);
+    }
+
+    private void ask(byte[] call, Told told) {
+        host.enter(() -> {
+            try {
+                new Asker(host.reactor(), any(), call, PATIENCE, (status, head, text) ->
+                        told.told(status, text));
+            } catch (IOException e) {
+                told.told(0, e.getMessage());
+            }
+        });
+    }
+
+    /** Asks for all items again and again, for so long; null where no answer came. */
+    void read(long until, Consumer<String> done) {
+        ask(Asker.request("GET", "/v1/Config.Read", "control", ""), (status, text) -> {
+            if (status == 200) {
+                done.accept(text);
+            } else if (host.now() > until) {
+                done.accept(null);
+            } else {
+                host.reactor().after(PAUSE, () -> read(until, done));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/lab/world/Watch.java
@@ -0,0 +1,386 @@
+package reedmux.lab.world;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import reedmux.item.Change;
+import reedmux.item.Invalid;
+import reedmux.item.Item;
+import reedmux.item.Table;
+
+/**
+ * The rules, judged by what clients, checkers and the operator have seen. It knows nothing of the inside of
+ * a process. Times are microseconds; pure.
+ */
+final class Watch {
+    private static final long SECOND = 1_000_000;
+    private static final long SETTLE = 2 * SECOND;
+    private static final long STRETCH = 5 * SECOND;
+    private static final long REVERT = SECOND / 4;
+    private static final long CONTACT = 3 * SECOND;
+    private static final long DRAIN = 2 * SECOND;
+    private static final long ACK = 4 * SECOND;
+    private static final long QUOTA_WINDOW = 5 * SECOND;
+    private static final double OVERSHOOT = 1.1;
+    private static final double QUOTA_SLACK = 20;
+    private static final long BUDGET_WINDOW = 10 * SECOND;
+    private static final double BUDGET_RATIO = 0.2;
+    private static final double BUDGET_SLACK = 56;
+    private static final int MOST_BROKEN = 40;
+
+    /** What a version of an item lets be seen: a service, a sign that a key is known, or nothing. */
+    static final String NONE = "none";
+
+    /** What is right to do with a call of the operator. */
+    enum Proper {
+        VALID, INVALID,
+        /** Of two that are sent at once and cannot stand together, either may be refused. */
+        EITHER
+    }
+
+    private static final class Version {
+        private final Item item;
+        private final String shows;
+        private final long sentAt;
+        private long ackedAt = -1;
+        private boolean refused;
+
+        private Version(Item item, String shows, long sentAt) {
+            this.item = item;
+            this.shows = shows;
+            this.sentAt = sentAt;
+        }
+    }
+
+    private static final class Sent {
+        private final long at;
+        private final String proxy;
+        private final boolean repeatable;
+        private final String tenant;
+        private final String service;
+        private final String route;
+        private final List<String> ran = new ArrayList<>();
+        private int arrivals;
+        private int status = -1;
+
+        private Sent(long at, String proxy, boolean repeatable, String tenant, String service,
+                String route) {
+            this.at = at;
+            this.route = route;
+            this.proxy = proxy;
+            this.repeatable = repeatable;
+            this.tenant = tenant;
+            this.service = service;
+        }
+    }
+
+    private final List<String> broken = new ArrayList<>();
+    private final Map<String, TreeMap<Long, Version>> versions = new LinkedHashMap<>();
+    private final Map<String, Sent> sent = new LinkedHashMap<>();
+    private final Map<String, Long> drained = new HashMap<>();
+    private final Map<String, Deque<Long>> quota = new HashMap<>();
+    private final Map<String, Map<Long, int[]>> budget = new HashMap<>();
+    private final Map<String, Long> floors = new HashMap<>();
+    private final Map<String, List<long[]>> troubles = new HashMap<>();
+    private final List<long[]> coreTroubles = new ArrayList<>();
+    private final List<long[]> halfLost = new ArrayList<>();
+    private double rate;
+    private double burst;
+    private long served;
+    private long asked;
+
+    List<String> broken() {
+        return broken;
+    }
+
+    long served() {
+        return served;
+    }
+
+    long asked() {
+        return asked;
+    }
+
+    private void broke(String rule, String what) {
+        if (broken.size() < MOST_BROKEN) {
+            broken.add(rule + ": " + what);
+        }
+    }
+
+    void quota(double flow, double most) {
+        rate = flow;
+        burst = most;
+    }
+
+    // ---- Troubles that the day brought about -------------------------------------------------------
+    /** A machine was in trouble from one time to another. */
+    void trouble(String machine, long from, long to) {
+        troubles.computeIfAbsent(machine, name -> new ArrayList<>()).add(new long[] {from, to});
+    }
+
+    /** The core was not settled; {@code half}: not even half of it ran, connected. */
+    void coreTrouble(long from, long to, boolean half) {
+        coreTroubles.add(new long[] {from, to});
+        if (half) {
+            halfLost.add(new long[] {from, to});
+        }
+    }
+
+    private static boolean meets(List<long[]> spans, long from, long to) {
+        return spans != null && spans.stream().anyMatch(span -> span[0] <= to && from <= span[1]);
+    }
+
+    private boolean inTouch(String machine, long from, long to) {
+        return !meets(troubles.get(machine), from - CONTACT, to);
+    }
+
+    private boolean settled(long from, long to) {
+        return !meets(coreTroubles, from - CONTACT, to);
+    }
+
+    // ---- The configuration -------------------------------------------------------------------------
+    /** A version was sent for the first time; {@code shows}: what requests under it come to. */
+    void sentVersion(Item item, String shows, long now) {
+        versions.computeIfAbsent(item.key(), key -> {
+            TreeMap<Long, Version> all = new TreeMap<>();
+            all.put(0L, new Version(new Item(item.kind(), item.name(), 0, ""), NONE, 0));
+            return all;
+        }).putIfAbsent(item.revision(), new Version(item, shows, now));
+    }
+
+    /** A call was acknowledged. */
+    void acked(List<Item> items, Proper proper, long now) {
+        for (Item item : items) {
+            Version version = versions.get(item.key()).get(item.revision());
+            if (proper == Proper.INVALID) {
+                broke("CONFIG", "an invalid call is acknowledged: " + item);
+            } else if (version.ackedAt < 0) {
+                version.ackedAt = now;
+            }
+        }
+    }
+
+    /** A call was refused, or given up by the operator. */
+    void refused(List<Item> items, Proper proper, boolean clear, long sentAt, long now) {
+        for (Item item : items) {
+            Version version = versions.get(item.key()).get(item.revision());
+            version.refused |= clear;
+        }
+        if (proper == Proper.VALID && (clear || now - sentAt >= ACK) && settled(sentAt, now)) {
+            broke("ACKS", "a valid change has no acknowledgement: " + items);
+        }
+    }
+
+    /** What a request sent to one proxy has shown of an item; {@code fits}: the versions that show it. */
+    void showed(String proxy, String life, String key, String shows, Predicate<String> fits, long sentAt,
+            long now) {
+        TreeMap<Long, Version> all = versions.get(key);
+        if (all == null || !inTouch(proxy, sentAt, now)) {
+            return;
+        }
+        long bound = SETTLE + (settled(sentAt - SETTLE, now) ? 0 : STRETCH);
+        long must = 0;
+        for (Version version : all.values()) {
+            if (version.ackedAt >= 0 && version.ackedAt + bound < sentAt) {
+                must = version.item.revision();
+            }
+        }
+        long least = -1;
+        long most = -1;
+        for (Version version : all.values()) {
+            if (fits.test(version.shows) && version.sentAt <= now && !version.refused) {
+                least = least < 0 ? version.item.revision() : least;
+                most = version.item.revision();
+            }
+        }
+        boolean half = meets(halfLost, sentAt - SETTLE - STRETCH, now);
+        if (most < 0) {
+            broke("CONFIG", proxy + " handles " + key + " as no version allows: " + shows);
+        } else if (most < must && !half) {
+            broke("CONFIG", proxy + " shows " + shows + " of " + key + ", which only " + most
+                    + " allows; " + must + " was acknowledged long before");
+        }
+        String floor = life + ' ' + key;
+        long[] seen = {floors.getOrDefault(floor, -1L), floors.getOrDefault(floor + " at", 0L)};
+        if (most >= 0 && most < seen[0] && sentAt > seen[1] + REVERT) {
+            broke("CONFIG", life + " goes back from " + seen[0] + " to " + most + " of " + key);
+        }
+        if (least > seen[0]) {
+            floors.put(floor, least);
+            floors.put(floor + " at", now);
+        }
+    }
+
+    /** What the operator reads back at the end; null: no answer at all. */
+    void readBack(String text, String rule) {
+        if (text == null) {
+            broke(rule, "no answer to the operator who reads back");
+            return;
+        }
+        Map<String, Item> found = new HashMap<>();
+        try {
+            List<Item> items = Change.read("{\"apply\":" + text + "}");
+            items.forEach(item -> found.put(item.key(), item));
+            Table.of(items);
+        } catch (Invalid e) {
+            broke("CONFIG", "what is in force is invalid: " + e.getMessage());
+        }
+        versions.forEach((key, all) -> {
+            long acked = -1;
+            for (Version version : all.values()) {
+                acked = version.ackedAt >= 0 ? version.item.revision() : acked;
+            }
+            Item has = found.remove(key);
+            Version told = has == null ? null : all.get(has.revision());
+            boolean droppedLater = false;
+            for (Version version : all.tailMap(acked, true).values()) {
+                droppedLater |= version.item.dropped() && !version.refused;
+            }
+            if (has == null ? acked >= 0 && !droppedLater : has.revision() < acked) {
+                broke(rule, key + " was acknowledged with " + acked + " and reads "
+                        + (has == null ? "missing" : has.revision()));
+            } else if (has != null && (told == null || told.refused || !told.item.equals(has))) {
+                broke("CONFIG", key + " reads as nobody sent it, or as it was refused: " + has);
+            }
+        });
+        found.forEach((key, item) -> broke("CONFIG", key + " was never sent"));
+    }
+
+    // ---- Requests ----------------------------------------------------------------------------------
+    /** {@code service}: that it is a request for, or null where it is only a probe. */
+    void sent(String id, String proxy, boolean repeatable, String tenant, String service, String route,
+            long now) {
+        sent.put(id, new Sent(now, proxy, repeatable, tenant, service, route));
+        if (service != null) {
+            asked++;
+            bucket(service, now)[0]++;
+        }
+    }
+
+    private int[] bucket(String service, long now) {
+        return budget.computeIfAbsent(service, name -> new HashMap<>()).computeIfAbsent(now / SECOND,
+                second -> new int[2]);
+    }
+
+    /** A request has reached a checker that did not turn it away for being another. */
+    void arrived(String id, String service, long now) {
+        Sent request = sent.get(id);
+        if (request != null && request.service != null && ++request.arrivals > 1) {
+            bucket(service, now)[1]++;
+        }
+    }
+
+    /** A checker begins to work on a request. */
+    void ran(String id, String checker, String service, String tenant, long now) {
+        Sent request = sent.get(id);
+        if (request == null) {
+            broke("UNASKED", checker + " runs " + id + ", which nobody sent");
+            return;
+        }
+        request.ran.add(checker);
+        if (versions.containsKey(request.route) && versions.get(request.route).values().stream()
+                .noneMatch(version -> version.shows.equals(service))) {
+            broke("ROUTE", id + " runs at " + service + ", where no version of " + request.route + " leads");
+        }
+        if (!request.repeatable && request.ran.size() > 1) {
+            broke("TWICE", id + " is run by " + request.ran);
+        }
+        if (!request.repeatable && promise(request.status)) {
+            broke("REFUSED", id + " is run after " + request.status);
+        }
+        if (request.tenant != null && !request.tenant.equals(tenant)) {
+            broke("UNASKED", id + " is of " + request.tenant + " and runs for " + tenant);
+        }
+        Long drainedAt = drained.get(checker);
+        if (drainedAt != null && now > drainedAt + DRAIN && inTouch(request.proxy, drainedAt, now)
+                && settled(drainedAt, now)) {
+            broke("DRAIN", id + " reaches " + checker + " " + (now - drainedAt) / 1000
+                    + " ms after its drain was acknowledged");
+        }
+        if (tenant != null && rate > 0) {
+            Deque<Long> times = quota.computeIfAbsent(tenant, name -> new ArrayDeque<>());
+            times.add(now);
+            while (times.peek() < now - QUOTA_WINDOW) {
+                times.poll();
+            }
+            double most = (rate * QUOTA_WINDOW / SECOND + burst) * OVERSHOOT + QUOTA_SLACK;
+            if (times.size() > most) {
+                broke("QUOTA", times.size() + " of " + tenant + " in 5 s, " + (long) most + " allowed");
+                times.clear();
+            }
+        }
+    }
+
+    private static boolean promise(int status) {
+        return status == 429 || status == 503 || status == 408 || status == 421;
+    }
+
+    /** {@code sealedBy}: the checker whose whole answer it is, or null. */
+    void answered(String id, int status, String sealedBy, long now) {
+        Sent request = sent.get(id);
+        request.status = status;
+        if (!request.repeatable && promise(status) && !request.ran.isEmpty()) {
+            broke("REFUSED", id + " gets " + status + " and has run at " + request.ran);
+        }
+        if (status >= 200 && status < 300) {
+            if (!request.ran.contains(sealedBy)) {
+                broke("MIXED", id + " is answered with what " + sealedBy + " said, and ran at "
+                        + request.ran);
+            }
+            served += request.service == null ? 0 : 1;
+        }
+    }
+
+    /** A request's connection ended before a whole answer, or nothing came in time. */
+    void lost(String id, boolean cutOff, boolean planned, long now) {
+        Sent request = sent.get(id);
+        if (cutOff && planned && inTouch(request.proxy, request.at, now) && settled(request.at, now)) {
+            broke("LOST", id + " ends without an answer while " + request.proxy + " leaves in order");
+        }
+    }
+
+    /** A checker's word that it leaves was acknowledged, or was not within its patience. */
+    void drainAcked(String checker, long now) {
+        drained.putIfAbsent(checker, now);
+    }
+
+    /** After the last event: the windows that are judged as a whole. */
+    void end() {
+        budget.forEach((service, seconds) -> {
+            Set<Long> ends = new HashSet<>(seconds.keySet());
+            long window = BUDGET_WINDOW / SECOND;
+            for (long end : ends) {
+                int further = 0;
+                int[] first = new int[3];
+                for (long second = end - 2 * window + 1; second <= end; second++) {
+                    int[] here = seconds.getOrDefault(second, new int[2]);
+                    further += second > end - window ? here[1] : 0;
+                    first[0] += second > end - window ? here[0] : 0;
+                    first[1] += second <= end - window ? here[0] : 0;
+                    first[2] += second > end - window - window / 2 && second <= end - window / 2 ? here[0] : 0;
+                }
+                double most = BUDGET_RATIO * Math.max(first[0], Math.max(first[1], first[2])) + BUDGET_SLACK;
+                if (further > most) {
+                    broke("BUDGET", further + " further tries at " + service + ", " + (long) most
+                            + " allowed");
+                    return;
+                }
+            }
+        });
+    }
+
+    /** Of those sent after a closing fault and the time to recover from it. */
+    void recovered(long askedThen, long servedThen) {
+        if (askedThen > 20 && servedThen * 4 < askedThen) {
+            broke("RECOVER", servedThen + " of " + askedThen + " are served after the closing fault");
+        }
+    }
+}
--- a/src/main/java/reedmux/net/Reactor.java
+++ b/src/main/java/reedmux/net/Reactor.java
@@ -113,16 +113,16 @@
                 try {
                     handler.ready(readable, writable);
                 } catch (IOException e) {
-                    handler.failed(e);
+                    failed(e);
                 } catch (RuntimeException e) {
                     wrong(Failures.told(e));
-                    handler.failed(e);
+                    failed(e);
                 }
             }
 
             @Override
             public void failed(Exception cause) {
-                handler.failed(cause);
+                guarded(() -> handler.failed(cause));
             }
         };
     }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -91,7 +92,7 @@
     private final Map<String, long[]> vector = new HashMap<>();
     private final Datagrams peers;
     private final Set<ClientWire> clients = new LinkedHashSet<>();
-    private final Map<Checker, Deque<CheckerWire>> idle = new HashMap<>();
+    private final Map<Checker, Deque<CheckerWire>> idle = new LinkedHashMap<>();
     private final int mostClients;
     private final long grace;
     private View view = View.of(List.of());
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -125,6 +125,10 @@
     @Override
     public void down(Link link) {
         pulling.remove(link);
+        if (link.other() == null) {
+            return; // it ended before it said who it is
+        }
+        askedBy.remove(link.other().node(), link);
         boolean another = others.values().stream().anyMatch(dialer -> dialer.link() != null
                 && dialer.link().other().node().equals(link.other().node()));
         if (link.other().program().equals(PROGRAM) && !another) {
