--- a/src/main/java/reedmux/lab/world/CheckerActor.java
+++ b/src/main/java/reedmux/lab/world/CheckerActor.java
@@ -27,6 +27,8 @@
     private final String service;
     private final List<InetSocketAddress> control;
     private final Runnable onEnd;
+    /** Hears the address of who acknowledged that it leaves. */
+    private final java.util.function.Consumer<String> onDrain;
     private final Deque<Runnable> queue = new ArrayDeque<>();
     private int busy;
     private boolean draining;
@@ -38,13 +40,14 @@
     private double loses;
 
     CheckerActor(World world, Machine machine, String id, String service, List<InetSocketAddress> control,
-            Watch watch, Runnable onEnd) {
+            Watch watch, Runnable onEnd, java.util.function.Consumer<String> onDrain) {
         this.world = world;
         this.watch = watch;
         this.id = id;
         this.service = service;
         this.control = control;
         this.onEnd = onEnd;
+        this.onDrain = onDrain;
         calls = world.random().nextInt(control.size());
         host = new Host(world, machine, id, 0, line -> { });
         try {
@@ -131,6 +134,7 @@
             if (good && said && !drainAcked) {
                 drainAcked = true;
                 watch.drainAcked(id, host.now());
+                onDrain.accept(control.get(calls % control.size()).getAddress().getHostAddress());
                 host.reactor().after(DRAIN, () -> leave(0));
             } else if (!good && failed < control.size()) {
                 calls++;
--- a/src/main/java/reedmux/lab/world/Day.java
+++ b/src/main/java/reedmux/lab/world/Day.java
@@ -30,6 +30,8 @@
     private long coreFreeAt;
     /** What is done once a change has been acknowledged. */
     private Runnable afterAck;
+    /** What is done to the machine that has acknowledged a drain. */
+    private Consumer<Deployment.Node> afterDrain;
 
     /**
      * How a day went.
@@ -72,6 +74,8 @@
     private Outcome play(long seed) {
         begin = world.now() + LEAD;
         deployment.start();
+        long sync = new long[] {500, 2_000, 10_000}[random.nextInt(3)];
+        deployment.cores().forEach(core -> core.machine().disk().syncTakes(sync));
         int many = Math.max(CHECKERS, deployment.edges().size());
         for (int i = 0; i < many; i++) {
             checker(new Machine(world, "10.3." + i / 200 + '.' + (1 + i % 200),
@@ -117,10 +121,18 @@
         String id = "i-" + checkerNumber++;
         CheckerActor[] made = {null};
         made[0] = new CheckerActor(world, machine, id, Settings.SERVICES[service], deployment.control(), watch,
-                () -> checkers.remove(made[0]));
+                () -> checkers.remove(made[0]), this::drainAcked);
         checkers.add(made[0]);
     }
 
+    private void drainAcked(String ip) {
+        Consumer<Deployment.Node> then = afterDrain;
+        if (then != null && world.now() >= coreFreeAt) {
+            afterDrain = null;
+            deployment.cores().stream().filter(core -> core.machine().ip().equals(ip)).forEach(then);
+        }
+    }
+
     private void traffic(long until) {
         clients.request(settings.wish());
         if (world.now() < until) {
@@ -169,8 +181,8 @@
         if (world.now() > until) {
             return;
         }
-        int kind = random.nextInt(22);
-        if (kind < 11) {
+        int kind = random.nextInt(24);
+        if (kind < 11 || kind > 21) {
             if (world.now() >= coreFreeAt) {
                 core(kind);
             }
@@ -221,13 +233,30 @@
             case 4, 5, 6 -> {
                 tell(node.name() + " is cut off, way " + kind + ", " + length / 1000 + " ms");
                 coreTrouble(node, length, false);
-                cutOff(node, length, kind != 6, kind != 5);
+                cutOff(node, length, kind != 6, kind != 5, random.nextBoolean());
+            }
+            case 22 -> {
+                boolean all = random.nextBoolean();
+                afterDrain = acked -> {
+                    tell(all ? "all of the core is killed after a drain was acknowledged"
+                            : acked.name() + " loses power after it has acknowledged a drain");
+                    if (all) {
+                        coreTrouble(null, 2 * SECOND, true);
+                        deployment.cores().forEach(core -> core.kill(500_000));
+                    } else {
+                        coreTrouble(acked, length + SECOND, false);
+                        acked.losePower(length, false);
+                    }
+                };
+                if (!checkers.isEmpty()) {
+                    ofCheckers(18);
+                }
             }
             case 7 -> {
                 tell(node.name() + " has a slow disk");
                 coreTrouble(node, length, false);
-                node.machine().disk().syncTakes(40_000);
-                world.after(length, () -> node.machine().disk().syncTakes(500));
+                node.machine().disk().syncTakes(60_000);
+                world.after(length, () -> node.machine().disk().syncTakes(1_000));
             }
             case 8 -> {
                 tell(node.name() + " has a full disk");
@@ -248,10 +277,12 @@
         }
     }
 
-    /** Between a machine and all others of the system nothing goes out, comes in, or neither. */
-    private void cutOff(Deployment.Node node, long length, boolean out, boolean in) {
+    /** Between a machine and others of the system nothing goes out, comes in, or neither. */
+    private void cutOff(Deployment.Node node, long length, boolean out, boolean in, boolean coreOnly) {
         List<Deployment.Node> others = new ArrayList<>(deployment.cores());
-        others.addAll(deployment.edges());
+        if (!coreOnly) {
+            others.addAll(deployment.edges());
+        }
         others.remove(node);
         for (Deployment.Node other : others) {
             if (out) {
@@ -289,7 +320,7 @@
             case 14 -> {
                 tell(node.name() + " is cut off");
                 watch.trouble(node.name(), world.now(), world.now() + length);
-                cutOff(node, length, true, true);
+                cutOff(node, length, true, true, false);
             }
             case 15 -> {
                 tell(node.name() + " is frozen");
