A heap cut by a silent member does with its parts of the quota; ceilings of connections shared

Ruled out: the away rule (it begins with the new view); loss of datagrams (2% change nothing, tested).

--- a/src/main/java/reedmux/choice/Roster.java
+++ b/src/main/java/reedmux/choice/Roster.java
@@ -31,6 +31,7 @@
     private final Map<String, Checker> checkers = new LinkedHashMap<>();
     private final Map<String, List<Checker>> byPlant = new HashMap<>();
     private final Map<String, Double> usual = new HashMap<>();
+    private final Map<String, Integer> ceilings = new HashMap<>();
     private View view = View.of(List.of());
     private double busy = 0.4;
     private boolean divided;
@@ -150,10 +151,30 @@
         checker.answered(now, took / Math.max(1, mean));
     }
 
-    /** The most that we may have at a checker at once. */
-    static int most(Checker checker) {
-        return Math.max(checker.guest() ? 1 : 0,
-                (int) Math.round(2 * checker.life().capacity() * checker.part()));
+    /** How many connections one checker of a service takes from all proxies together. */
+    public void ceiling(String plant, int connections) {
+        ceilings.put(plant, connections);
+    }
+
+    /**
+     * The most that we may have at a checker at once. Where its ceiling is lower than what all may have
+     * together, guests have none, and each proxy its part of the ceiling less one; that one is for whoever
+     * comes first by lot, so that a checker is never out of reach.
+     */
+    int most(Checker checker) {
+        int capacity = checker.life().capacity();
+        int ceiling = ceilings.getOrDefault(checker.life().plant(), Integer.MAX_VALUE);
+        int guests = view.size() <= FEW ? view.size() : GUESTS;
+        if (2 * capacity + 1 + guests > ceiling) {
+            int own = (int) ((ceiling - 1) * Math.min(1, checker.part()));
+            return Math.min(2 * capacity, first(checker) ? own + 1 : own);
+        }
+        return Math.max(checker.guest() ? 1 : 0, (int) Math.round(2 * capacity * checker.part()));
+    }
+
+    private boolean first(Checker checker) {
+        int mine = lot(checker, node);
+        return view.members().stream().noneMatch(member -> lot(checker, member.node()) < mine);
     }
 
     /**
--- a/src/main/java/reedmux/item/Table.java
+++ b/src/main/java/reedmux/item/Table.java
@@ -94,6 +94,10 @@
         return null;
     }
 
+    public Collection<Plant> plants() {
+        return plants.values();
+    }
+
     public Plant plant(String name) {
         return plants.get(name);
     }
--- a/src/main/java/reedmux/lab/world/Day.java
+++ b/src/main/java/reedmux/lab/world/Day.java
@@ -12,7 +12,9 @@
     private static final long LENGTH = 26 * SECOND;
     private static final long AFTER = 19 * SECOND;
     private static final long RECOVERY = 15 * SECOND;
-    private static final int CHECKERS = 8;
+    private static final int CHECKERS = 12;
+    private static final int SURGE = 8;
+    private static final long SURGE_PACE = 25_000;
     private static final int ZONES = 3;
     private final World world;
     private final Deployment deployment;
@@ -373,6 +375,11 @@
                 again(one, machine, service);
             }
             case 20 -> {
+                if (random.nextBoolean()) {
+                    tell("one tenant sends many times its usual");
+                    surge(settings.wish().tenant(), world.now() + 5 * SECOND);
+                    return;
+                }
                 tell("answers are lost");
                 checkers.forEach(checker -> checker.loses(0.04));
                 world.after(4 * SECOND, () -> checkers.forEach(checker -> checker.loses(0)));
@@ -385,6 +392,15 @@
         }
     }
 
+    private void surge(String tenant, long until) {
+        for (int i = 0; i < SURGE; i++) {
+            clients.request(settings.wish(tenant));
+        }
+        if (world.now() < until) {
+            world.after(SURGE_PACE, () -> surge(tenant, until));
+        }
+    }
+
     private void again(CheckerActor before, Machine machine, int service) {
         world.after(2 * SECOND, () -> {
             if (before.alive()) {
--- a/src/main/java/reedmux/lab/world/Settings.java
+++ b/src/main/java/reedmux/lab/world/Settings.java
@@ -189,10 +189,15 @@
 
     /** A request on a route that stays. */
     Clients.Wish wish() {
+        return wish("t" + random.nextInt(TENANTS));
+    }
+
+    /** One of a tenant. */
+    Clients.Wish wish(String name) {
         int number = random.nextInt(ROUTES);
-        int tenant = random.nextInt(TENANTS);
+        int tenant = Integer.parseInt(name.substring(1));
         return new Clients.Wish("/r" + number + "/x", number % 3 != 0, "key-" + tenant + "-first.",
-                "t" + tenant, SERVICES[serviceOf.get("r" + number)], "routes/r" + number,
+                name, SERVICES[serviceOf.get("r" + number)], "routes/r" + number,
                 "tenants/t" + tenant);
     }
 
--- a/src/main/java/reedmux/lab/world/Watch.java
+++ b/src/main/java/reedmux/lab/world/Watch.java
@@ -87,6 +87,8 @@
     private final Map<String, Sent> sent = new LinkedHashMap<>();
     private final Map<String, Long> drained = new HashMap<>();
     private final Map<String, Deque<Long>> quota = new HashMap<>();
+    /** Of tenants beyond their quota, the most that ran in one window. */
+    private final Map<String, Integer> mostOfQuota = new LinkedHashMap<>();
     private final Map<String, Map<Long, int[]>> budget = new HashMap<>();
     private final Map<String, Long> floors = new HashMap<>();
     private final Map<String, List<long[]>> troubles = new HashMap<>();
@@ -312,9 +314,8 @@
                 times.poll();
             }
             double most = (rate * QUOTA_WINDOW / SECOND + burst) * OVERSHOOT + QUOTA_SLACK;
-            if (times.size() > most) {
-                broke("QUOTA", times.size() + " of " + tenant + " in 5 s, " + (long) most + " allowed");
-                times.clear();
+            if (times.size() > most && times.size() > mostOfQuota.getOrDefault(tenant, 0)) {
+                mostOfQuota.put(tenant, times.size());
             }
         }
     }
@@ -354,6 +355,8 @@
 
     /** After the last event: the windows that are judged as a whole. */
     void end() {
+        mostOfQuota.forEach((tenant, most) -> broke("QUOTA", most + " of " + tenant + " in 5 s, "
+                + (long) ((rate * QUOTA_WINDOW / SECOND + burst) * OVERSHOOT + QUOTA_SLACK) + " allowed"));
         budget.forEach((service, seconds) -> {
             Set<Long> ends = new HashSet<>(seconds.keySet());
             long window = BUDGET_WINDOW / SECOND;
--- a/src/main/java/reedmux/link/Codec.java
+++ b/src/main/java/reedmux/link/Codec.java
@@ -300,6 +300,7 @@
         out.writeLong(packet.life());
         out.writeVarLong(packet.generation(), true);
         out.writeLong(packet.view());
+        out.writeVarInt(packet.reach(), true);
         out.writeVarInt(packet.entries().size(), true);
         for (Quotas.Entry entry : packet.entries()) {
             out.writeString(entry.tenant());
@@ -313,12 +314,13 @@
         long life = in.readLong();
         long generation = in.readVarLong(true);
         long view = in.readLong();
+        int reach = in.readVarInt(true);
         int size = in.readVarInt(true);
         ArrayList<Quotas.Entry> all = list(size);
         for (int i = 0; i < size; i++) {
             all.add(new Quotas.Entry(in.readString(), in.readDouble(), in.readFloat()));
         }
-        return new Quotas.Packet(from, life, generation, view, all);
+        return new Quotas.Packet(from, life, generation, view, reach, all);
     }
 
     private static void item(Output out, Item item) {
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -177,7 +177,9 @@
     public void told(Link link, Object message) {
         if (message instanceof Items items) {
             if (items.whole() || !poll.empty()) {
-                poll.take(link.other().node(), items.life(), items.upTo(), items.items());
+                if (poll.take(link.other().node(), items.life(), items.upTo(), items.items())) {
+                    poll.table().plants().forEach(plant -> roster.ceiling(plant.name(), plant.ceiling()));
+                }
             }
             pull(link);
             begun();
@@ -263,12 +265,15 @@
     private void tell() {
         for (Quotas.Letter letter : quotas.send(now())) {
             InetSocketAddress to = Addresses.parse(view.member(letter.place()).ip() + ':' + boot.peerPort());
-            List<Quotas.Entry> all = letter.packet().entries();
-            for (int i = 0; i < all.size(); i += MOST_ENTRIES) {
-                peers.send(to, codec.write(new Quotas.Packet(self.node(), self.life(),
-                        letter.packet().generation(), letter.packet().view(),
-                                new ArrayList<>(all.subList(i, Math.min(all.size(), i + MOST_ENTRIES))))));
-            }
+            Quotas.Packet packet = letter.packet();
+            List<Quotas.Entry> all = packet.entries();
+            int from = 0;
+            do {
+                int end = Math.min(all.size(), from + MOST_ENTRIES);
+                peers.send(to, codec.write(new Quotas.Packet(self.node(), self.life(), packet.generation(),
+                        packet.view(), packet.reach(), new ArrayList<>(all.subList(from, end)))));
+                from = end;
+            } while (from < all.size());
         }
         reactor.after(quotas.pace(), this::tell);
     }
--- a/src/main/java/reedmux/quota/Quotas.java
+++ b/src/main/java/reedmux/quota/Quotas.java
@@ -21,6 +21,7 @@
     private static final long PACE = 50_000;
     private static final long QUICK_PACE = 20_000;
     private static final double NEAR = 0.1;
+    private static final double HOT = 0.3;
     /** What a message takes from one member to the next at the most, but for its waiting to be sent. */
     private static final long UNDER_WAY = 20_000;
     private static final double SECOND = 1e6;
@@ -31,6 +32,12 @@
      * long.
      */
     private static final double MOST = 1.6;
+    /** How often a neighbour hears from us if there is no news, usually and while a tenant is near its burst. */
+    private static final long BEAT = 200_000;
+    private static final long QUICK_BEAT = 40_000;
+    /** A neighbour that says nothing for so long is cut off, with all who are behind it. */
+    private static final long SILENCE = 500_000;
+    private static final long QUICK_SILENCE = 160_000;
     /** How long a member that went away may still go on by itself with its part. */
     private static final long AWAY = 10_000_000;
     /** Without a registry we go on as a member only as long as others tell us as one. */
@@ -44,8 +51,10 @@
      * @param life       drawn at the start of its process
      * @param generation rises whenever its totals begin anew, as with each of its views, also one that
      *                   comes back
+     * @param reach      how many members it can reach without the receiver, itself among them
      */
-    public record Packet(String from, long life, long generation, long view, ArrayList<Entry> entries) { }
+    public record Packet(String from, long life, long generation, long view, int reach,
+                         ArrayList<Entry> entries) { }
 
     /** {@code count} is below nought unless the receiver is new and is told what the sender counts. */
     public record Entry(String tenant, double total, double count) { }
@@ -61,6 +70,8 @@
         private long drainedAt;
         private long seenAt;
         private double sight;
+        /** Of the burst, what is left to those that we cannot reach. */
+        private double withheld;
     }
 
     /** The totals of one sender's last generation. */
@@ -77,6 +88,14 @@
     private View view = View.of(List.of());
     private int place = -1;
     private long newNeighbourAt;
+    /** By link: when we said and heard something last, and how many the other side can reach. */
+    private final long[] saidAt = new long[3];
+    private final long[] heardAt = new long[3];
+    private final int[] reach = new int[3];
+    /** Whether a tenant has used so much that a silent neighbour matters at once, and since when. */
+    private boolean hot;
+    private long hotSince;
+    private int reached = 1;
     private boolean alone;
     /** When somebody with our view told us something last. */
     private long toldAt;
@@ -99,6 +118,14 @@
         view = next;
         place = next.place(self);
         newNeighbourAt = now;
+        hotSince = now;
+        int[] links = view.neighbours(place);
+        for (int i = 0; i < 3; i++) {
+            heardAt[i] = now;
+            saidAt[i] = 0;
+            reach[i] = links[i] < 0 ? 0 : i == 0 ? members() - below(place) : below(links[i]);
+        }
+        reached = members();
         generation++;
         before.members().stream().filter(member -> next.place(member.node()) < 0)
                 .forEach(member -> away.put(member.node(), now));
@@ -137,6 +164,52 @@
         return Math.max(1, view.size());
     }
 
+    /** How many are in the heap from a place on downwards. */
+    private int below(int from) {
+        int sum = 0;
+        int width = 1;
+        for (int at = from; at >= 0 && at < view.size(); at = 2 * at + 1) {
+            sum += Math.min(width, view.size() - at);
+            width *= 2;
+        }
+        return sum;
+    }
+
+    private boolean live(int link, long now) {
+        return view.neighbours(place)[link] >= 0
+                && now - Math.max(heardAt[link], hot ? hotSince : 0) <= (hot ? QUICK_SILENCE : SILENCE);
+    }
+
+    /** How many we can reach, ourselves among them, but for those behind a link. */
+    private int reach(int without, long now) {
+        int sum = 1;
+        for (int i = 0; i < 3; i++) {
+            sum += i != without && live(i, now) ? reach[i] : 0;
+        }
+        return Math.min(members(), sum);
+    }
+
+    /**
+     * Who we cannot reach goes on by itself until the registries know of it: each side does with its part
+     * of the quota, by its number of members.
+     */
+    private void look(long now) {
+        int next = place < 0 ? members() : reach(-1, now);
+        if (next == reached) {
+            return;
+        }
+        counts.values().forEach(count -> drain(count, now)); // up to now by what was reached before
+        reached = next;
+        for (Count count : counts.values()) {
+            double room = Math.max(0, count.burst - count.localCount());
+            count.withheld = reached == members() ? 0 : Math.max(count.withheld, room * (1 - part()));
+        }
+    }
+
+    private double part() {
+        return (double) reached / members();
+    }
+
     private Count count(Tenant tenant, long now) {
         Count count = counts.get(tenant.name());
         if (count == null) {
@@ -147,6 +220,7 @@
                 count.forget();
             }
             count.rewire(view.neighbours(place));
+            count.withheld = tenant.burst() * (1 - part());
             counts.put(tenant.name(), count);
         }
         count.rate = tenant.rate();
@@ -159,8 +233,15 @@
         double passed = (now - count.drainedAt) / SECOND;
         count.drainedAt = now;
         away.values().removeIf(since -> now - since > AWAY);
-        double there = apart(now) ? 1.0 / members() : (double) members() / (members() + away.size());
-        count.drain(count.rate * there * passed);
+        double there = apart(now) ? 1.0 / members() : (double) reached / (members() + away.size());
+        double units = count.rate * there * passed;
+        if (count.withheld > 0 && reached == members()) {
+            // Another part of the heap that joins ours in a new view may have used it, and does not tell.
+            double back = Math.min(count.withheld, units / 2);
+            count.withheld -= back;
+            units -= back;
+        }
+        count.drain(units);
     }
 
     /** Worst time for a count to cross the heap: 2(log2(N+1)-1)(Δs+Δt), with whole levels. */
@@ -175,7 +256,9 @@
             return true;
         }
         Count count = count(tenant, now);
-        double burst = Math.max(1, tenant.burst()) / (apart(now) ? members() : 1);
+        look(now);
+        double burst = apart(now) ? Math.max(1, tenant.burst()) / members()
+                : Math.max(1, tenant.burst() - count.withheld);
         boolean sight = now - bornAt < crossing();
         if (count.localCount() + 1 > burst || sight && count.sight >= Math.max(1,
                 tenant.burst() / members())) {
@@ -206,18 +289,30 @@
 
     /** How long until {@link #send} is to be called again. */
     public long pace() {
+        return anyOver(NEAR) ? QUICK_PACE : PACE;
+    }
+
+    private boolean anyOver(double part) {
         for (Count count : counts.values()) {
-            if (count.burst > 0 && count.localCount() > NEAR * count.burst) {
-                return QUICK_PACE;
+            if (count.burst > 0 && count.localCount() > part * count.burst) {
+                return true;
             }
         }
-        return PACE;
+        return false;
     }
 
-    /** Sends each neighbour the counter facing it, skipping zeros, and resets it. */
+    /**
+     * Sends each neighbour the counter facing it, skipping zeros, and resets it. Who has not heard from us for
+     * a while hears that we are there.
+     */
     public List<Letter> send(long now) {
         List<Letter> letters = new ArrayList<>();
-        int[] near = view.neighbours(place);
+        boolean wasHot = hot;
+        hot = anyOver(HOT);
+        hotSince = hot && !wasHot ? now : hotSince;
+        look(now);
+        long beat = anyOver(NEAR) ? QUICK_BEAT : BEAT;
+        int[] links = view.neighbours(place);
         boolean tellCounts = now - newNeighbourAt < crossing();
         for (int i = 0; i < 3; i++) {
             ArrayList<Entry> entries = new ArrayList<>();
@@ -228,14 +323,16 @@
                     count.total[i] += news;
                     count.times[i] = TIMES;
                 }
-                if (near[i] >= 0 && (count.times[i] > 0 || tellCounts && count.localCount() > 0)) {
+                if (links[i] >= 0 && (count.times[i] > 0 || tellCounts && count.localCount() > 0)) {
                     count.times[i] = Math.max(0, count.times[i] - 1);
                     entries.add(new Entry(entry.getKey(), count.total[i], tellCounts
                             ? count.localCount() : -1));
                 }
             }
-            if (near[i] >= 0 && !entries.isEmpty()) {
-                letters.add(new Letter(near[i], new Packet(self, life, generation, view.tag(), entries)));
+            if (links[i] >= 0 && (!entries.isEmpty() || now - saidAt[i] >= beat)) {
+                saidAt[i] = now;
+                letters.add(new Letter(links[i], new Packet(self, life, generation, view.tag(),
+                        reach(i, now), entries)));
             }
         }
         return letters;
@@ -248,6 +345,13 @@
     public void take(Packet packet, Function<String, Tenant> tenants, long now) {
         int from = view.place(packet.from());
         toldAt = packet.view() == view.tag() ? now : toldAt;
+        int[] links = view.neighbours(place);
+        for (int i = 0; i < 3 && packet.view() == view.tag(); i++) {
+            if (links[i] >= 0 && links[i] == from) {
+                heardAt[i] = now;
+                reach[i] = packet.reach();
+            }
+        }
         Heard before = heard.get(packet.from());
         boolean sameLife = before != null && before.life() == packet.life();
         if (sameLife && packet.generation() < before.generation()) {
--- a/src/test/java/reedmux/choice/RosterTest.java
+++ b/src/test/java/reedmux/choice/RosterTest.java
@@ -26,15 +26,17 @@
         return new Life(id, "desk", "10.0.0.1:80", zone, capacity, phase, 1, 0, false);
     }
 
-    /** Proxies, checkers, slots of each, and what a checker holds before it says nothing more. */
+    /** Proxies, checkers, slots of each, what may be at one at the most, and its ceiling of connections. */
     @DataProvider
     public Object[][] fleets() {
-        return new Object[][] {{8, 22, 3, 15}, {10, 27, 6, 30}, {65, 179, 3, 15}, {75, 244, 6, 30}, {1,
-                4, 3, 15}};
+        return new Object[][] {{8, 22, 3, 15, 110}, {10, 27, 6, 30, 120}, {65, 179, 3, 15, 450},
+                {75, 244, 6, 30, 510}, {1, 4, 3, 15, 110}, {8, 22, 3, 10, 10}, {10, 27, 6, 4, 4},
+                {65, 179, 3, 2, 2}, {75, 244, 6, 1, 1}, {3, 1, 3, 5, 5}};
     }
 
     @Test(dataProvider = "fleets")
-    public void allTogetherNeverFillACheckersQueue(int proxies, int checkers, int slots, int most) {
+    public void allTogetherNeverFillACheckersQueue(int proxies, int checkers, int slots, int most,
+            int ceiling) {
         List<Session> members = new ArrayList<>();
         for (int i = 0; i < proxies; i++) {
             members.add(new Session("edge-" + i, "10.1.0." + i, ZONES[i % 3], i));
@@ -42,6 +44,7 @@
         Map<String, Integer> sums = new HashMap<>();
         for (Session member : members) {
             Roster roster = new Roster(member.node(), member.zone(), 1);
+            roster.ceiling("desk", ceiling);
             for (int i = 0; i < checkers; i++) {
                 roster.told(life("c-" + i, ZONES[i % 3], slots, Life.READY), NOW);
             }
@@ -56,7 +59,7 @@
             }
         }
         assertEquals(sums.size(), checkers);
-        sums.forEach((id, sum) -> assertTrue(sum <= most && sum >= slots, id + " has " + sum));
+        sums.forEach((id, sum) -> assertTrue(sum <= most && sum >= Math.min(slots, most / 2), id + " has " + sum));
     }
 
     @Test
--- a/src/test/java/reedmux/lab/world/WatchTest.java
+++ b/src/test/java/reedmux/lab/world/WatchTest.java
@@ -178,9 +178,11 @@
             sent("a" + i, true);
             watch.ran("a" + i, "c1", "desk", "t", SECOND);
         }
+        watch.end();
         keeps();
         sent("b", true);
         watch.ran("b", "c1", "desk", "t", SECOND);
+        watch.end();
         breaks("QUOTA");
     }
 
--- a/src/test/java/reedmux/link/CodecTest.java
+++ b/src/test/java/reedmux/link/CodecTest.java
@@ -34,7 +34,7 @@
                 new Messages.Decided("c", MOTION.ballot(), true, List.of(ITEM)),
                 new Messages.Tell(8, List.of(LIFE)),
                 new Messages.Known(9), new Messages.Beats(List.of(new Fleet.Heard("i-1", 3, 4))),
-                new Quotas.Packet("n", 1, 2, 3, new ArrayList<>(List.of(new Quotas.Entry("t", 1.5, -1)))));
+                new Quotas.Packet("n", 1, 2, 3, 4, new ArrayList<>(List.of(new Quotas.Entry("t", 1.5, -1)))));
     }
 
     @Test
--- a/src/test/java/reedmux/quota/QuotasTest.java
+++ b/src/test/java/reedmux/quota/QuotasTest.java
@@ -4,9 +4,11 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import org.testng.annotations.Test;
 import reedmux.item.Tenant;
 import reedmux.member.Session;
@@ -30,6 +32,9 @@
         final double loss;
         final List<Long> admitted = new ArrayList<>();
         final boolean[] cut;
+        /** Members that are cut off from the others, or dead, without anybody having been told. */
+        final Set<Integer> silent = new HashSet<>();
+        final Set<Integer> dead = new HashSet<>();
         View view;
         /** What each member has as its view. */
         final View[] views;
@@ -73,12 +78,18 @@
                 while (due < now) {
                     due += SECOND / rate * 2 * random.nextDouble();
                     int at = random.nextInt(members.size());
+                    if (dead.contains(at)) {
+                        continue;
+                    }
                     if (members.get(at).admit(TENANT, now)) {
                         admitted.add(now);
                     }
                 }
                 while (!mail.isEmpty() && mail.peek().at() <= now) {
                     Mail first = mail.poll();
+                    if (silent.contains(first.to())) {
+                        continue;
+                    }
                     members.get(first.to()).take(first.packet(), name -> TENANT, now);
                 }
                 for (int i = 0; i < members.size(); i++) {
@@ -92,6 +103,9 @@
 
         private void send(int from) {
             for (Quotas.Letter letter : members.get(from).send(now)) {
+                if (silent.contains(from)) {
+                    continue;
+                }
                 int to = Integer.parseInt(views[from].member(letter.place()).node().substring(1));
                 if (random.nextDouble() >= loss) {
                     mail.add(new Mail(now + 1_400 + random.nextInt(3_000), number++, to, letter.packet()));
@@ -170,6 +184,54 @@
         assertTrue(world.admitted.size() - before > 6 * 40 * 0.8);
     }
 
+    /**
+     * A member falls silent, and with it every path through it, two seconds and a half before the registries
+     * tell: each part of the heap went on with the whole rate. Before, during and after the beginning of a
+     * surge; cut off with clients of its own, or dead.
+     */
+    @Test
+    public void whoIsBehindASilentMemberDoesWithItsPart() {
+        for (int gone = 0; gone < 8; gone++) {
+            for (double before : new double[] {0.2, 0.8, 1.5, 3.5}) {
+                for (boolean dies : new boolean[] {false, true}) {
+                    World world = new World(10, 0.01, gone);
+                    world.run(2, 40);
+                    if (before < 2) {
+                        world.run(before, 276);
+                    }
+                    world.silent.add(gone);
+                    if (dies) {
+                        world.dead.add(gone);
+                    }
+                    world.run(before < 2 ? 2.5 : 1, before < 2 ? 276 : 40);
+                    world.run(before < 2 ? 0 : 1.5, 276);
+                    List<Session> rest = new ArrayList<>(world.sessions);
+                    rest.remove(gone);
+                    world.cut[gone] = true;
+                    world.members.get(gone).alone(true);
+                    world.agree(View.of(rest));
+                    world.run(4, 276);
+                    assertTrue(world.most() <= ALLOWED, "member " + gone + ", after " + before
+                            + (dies ? ", dead: " : ": ") + world.most());
+                }
+            }
+        }
+    }
+
+    /** Loss of datagrams alone is no silence. */
+    @Test
+    public void lostDatagramsCutNobodyOff() {
+        for (int seed = 0; seed < 6; seed++) {
+            World world = new World(10, 0.02, seed);
+            world.run(3, 40);
+            world.run(1, 276);
+            int before = world.admitted.size();
+            world.run(8, 276);
+            assertTrue(world.admitted.size() - before > 8 * 65 * 0.93, "let through: "
+                    + (world.admitted.size() - before));
+        }
+    }
+
     /** Every order of a total, its repeat and the next one: what is counted is the last total. */
     @Test
     public void nothingIsCountedTwiceAndNothingLostInAnyOrder() {
@@ -180,7 +242,7 @@
             for (int i : order) {
                 ArrayList<Quotas.Entry> entries = new ArrayList<>(List.of(new Quotas.Entry("t",
                         totals[i], -1)));
-                parent.take(new Quotas.Packet("n1", 2, 1, world.view.tag(), entries), name -> TENANT,
+                parent.take(new Quotas.Packet("n1", 2, 1, world.view.tag(), 1, entries), name -> TENANT,
                         world.now);
             }
             assertEquals(parent.counted(TENANT, world.now), 5.0);
@@ -188,7 +250,7 @@
             List<Quotas.Letter> letters = parent.send(world.now);
             assertEquals(letters.stream().filter(letter -> letter.place() == 2).count(), 1);
             assertTrue(letters.stream().noneMatch(letter -> letter.place() == 1
-                    && letter.packet().entries().get(0).total() != 0));
+                    && letter.packet().entries().stream().anyMatch(entry -> entry.total() != 0)));
         }
     }
 
@@ -197,7 +259,7 @@
     public void underAnotherViewUnitsGoNoFurther() {
         World world = new World(3, 0, 0);
         Quotas parent = world.members.get(0);
-        parent.take(new Quotas.Packet("n1", 2, 1, 12345, new ArrayList<>(List.of(new Quotas.Entry("t", 4,
+        parent.take(new Quotas.Packet("n1", 2, 1, 12345, 1, new ArrayList<>(List.of(new Quotas.Entry("t", 4,
                 -1)))),
                 name -> TENANT, world.now);
         assertEquals(parent.counted(TENANT, world.now), 4.0);
