--- a/src/main/java/reedmux/choice/Checker.java
+++ b/src/main/java/reedmux/choice/Checker.java
@@ -2,7 +2,7 @@
 
 import java.net.InetSocketAddress;
 import reedmux.config.Addresses;
-import reedmux.fleet.Life;
+import reedmux.fleet.Incarnation;
 
 /** One life of a checker, as a proxy has come to know it from its own traffic. */
 public final class Checker {
@@ -11,7 +11,7 @@
     private static final long MOST_PAUSE = 3_000_000;
     private static final double SLOWEST = 6;
     private static final double FASTEST = 0.2;
-    private Life life;
+    private Incarnation life;
     private final InetSocketAddress address;
     private long coldUntil;
     private int inFlight;
@@ -24,12 +24,12 @@
     private double part;
     private boolean guest;
 
-    Checker(Life life, long now) {
+    Checker(Incarnation life, long now) {
         address = Addresses.parse(life.address());
         told(life, now);
     }
 
-    void told(Life next, long now) {
+    void told(Incarnation next, long now) {
         life = next;
         coldUntil = now + next.coldMs() * 1000;
     }
@@ -38,7 +38,7 @@
         return life.id();
     }
 
-    public Life life() {
+    public Incarnation life() {
         return life;
     }
 
@@ -105,7 +105,8 @@
 
     /** The address is another's now. */
     public void gone() {
-        life = new Life(life.id(), life.plant(), life.address(), life.zone(), life.capacity(), Life.GONE,
+        life = new Incarnation(life.id(), life.plant(), life.address(), life.zone(), life.capacity(),
+                Incarnation.GONE,
                 life.seq(), 0, life.silent());
     }
 
@@ -116,6 +117,6 @@
     }
 
     boolean takes() {
-        return life.phase() == Life.READY;
+        return life.phase() == Incarnation.READY;
     }
 }
--- a/src/main/java/reedmux/choice/Roster.java
+++ b/src/main/java/reedmux/choice/Roster.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import reedmux.fleet.Life;
+import reedmux.fleet.Incarnation;
 import reedmux.member.Session;
 import reedmux.member.View;
 
@@ -43,16 +43,16 @@
     }
 
     /** News of a life. */
-    public void told(Life life, long now) {
+    public void told(Incarnation life, long now) {
         Checker checker = checkers.get(life.id());
         if (checker != null) {
             checker.told(life, now);
-        } else if (life.phase() != Life.GONE && !life.plant().isEmpty()) {
+        } else if (life.phase() != Incarnation.GONE && !life.plant().isEmpty()) {
             checker = new Checker(life, now);
             checkers.put(life.id(), checker);
             byPlant.computeIfAbsent(life.plant(), plant -> new ArrayList<>()).add(checker);
         }
-        if (life.phase() == Life.GONE && checker != null) {
+        if (life.phase() == Incarnation.GONE && checker != null) {
             Checker gone = checker;
             byPlant.getOrDefault(life.plant(), new ArrayList<>()).remove(gone);
             if (gone.inFlight() == 0) {
@@ -226,6 +226,7 @@
             out += checker.inFlight();
         }
         busy += 0.1 * (Math.min(1.5, slots > 0 ? out / slots : 0.5) - busy);
-        checkers.values().removeIf(checker -> checker.life().phase() == Life.GONE && checker.inFlight() == 0);
+        checkers.values().removeIf(checker -> checker.life().phase() == Incarnation.GONE
+                && checker.inFlight() == 0);
     }
 }
--- a/src/main/java/reedmux/fleet/Fleet.java
+++ b/src/main/java/reedmux/fleet/Fleet.java
@@ -18,7 +18,7 @@
 
     /** One life here. */
     private static final class Entry {
-        private Life life;
+        private Incarnation life;
         private long heardAt;
         private long coldUntil;
         private long change;
@@ -29,7 +29,7 @@
     private long changes;
 
     /** Takes in what somebody tells; returns whether there was any news in it for others. */
-    public boolean merge(Life told, long now) {
+    public boolean merge(Incarnation told, long now) {
         Entry entry = entries.get(told.id());
         if (entry == null) {
             entry = new Entry();
@@ -41,9 +41,9 @@
             takeAddress(told, now);
             return true;
         }
-        Life had = entry.life;
+        Incarnation had = entry.life;
         boolean newer = told.seq() > had.seq();
-        Life base = newer ? told : had;
+        Incarnation base = newer ? told : had;
         if (newer) {
             entry.heardAt = now;
             entry.coldUntil = now + told.coldMs() * MILLI;
@@ -60,14 +60,14 @@
     }
 
     /** An address has one life at a time: who had it before is gone. */
-    private void takeAddress(Life told, long now) {
-        if (told.phase() == Life.GONE) {
+    private void takeAddress(Incarnation told, long now) {
+        if (told.phase() == Incarnation.GONE) {
             return;
         }
         String before = byAddress.put(told.address(), told.id());
         Entry old = before == null || before.equals(told.id()) ? null : entries.get(before);
-        if (old != null && old.life.phase() != Life.GONE && now - old.heardAt > MILLI * MILLI) {
-            old.life = old.life.with(Life.GONE, old.life.silent(), 0);
+        if (old != null && old.life.phase() != Incarnation.GONE && now - old.heardAt > MILLI * MILLI) {
+            old.life = old.life.with(Incarnation.GONE, old.life.silent(), 0);
             old.change = ++changes;
         }
     }
@@ -78,8 +78,8 @@
         if (entry != null) {
             entry.heardAt = Math.max(entry.heardAt, at);
             if (seq > entry.life.seq()) {
-                Life life = entry.life;
-                entry.life = new Life(id, life.plant(), life.address(), life.zone(), life.capacity(),
+                Incarnation life = entry.life;
+                entry.life = new Incarnation(id, life.plant(), life.address(), life.zone(), life.capacity(),
                         life.phase(), seq, 0, life.silent());
             }
             if (entry.life.silent()) {
@@ -91,22 +91,23 @@
 
     /** Notes who has not been heard of for {@code silence}, and forgets whose end is long ago. */
     public void sweep(long now, long silence) {
-        entries.values().removeIf(entry -> entry.life.phase() == Life.GONE
+        entries.values().removeIf(entry -> entry.life.phase() == Incarnation.GONE
                 && now - entry.heardAt > REMEMBERED);
         for (Entry entry : entries.values()) {
-            if (!entry.life.silent() && entry.life.phase() != Life.GONE && now - entry.heardAt > silence) {
+            if (!entry.life.silent() && entry.life.phase() != Incarnation.GONE && now - entry.heardAt >
+                    silence) {
                 entry.life = entry.life.with(entry.life.phase(), true, 0);
                 entry.change = ++changes;
             }
         }
     }
 
-    public Life get(String id, long now) {
+    public Incarnation get(String id, long now) {
         Entry entry = entries.get(id);
         return entry == null ? null : told(entry, now);
     }
 
-    private static Life told(Entry entry, long now) {
+    private static Incarnation told(Entry entry, long now) {
         return entry.life.with(entry.life.phase(), entry.life.silent(),
                 Math.max(0, (entry.coldUntil - now) / MILLI));
     }
@@ -117,8 +118,8 @@
     }
 
     /** What has changed since. */
-    public List<Life> since(long change, long now) {
-        List<Life> news = new ArrayList<>();
+    public List<Incarnation> since(long change, long now) {
+        List<Incarnation> news = new ArrayList<>();
         for (Entry entry : entries.values()) {
             if (entry.change > change) {
                 news.add(told(entry, now));
@@ -127,7 +128,7 @@
         return news;
     }
 
-    public Collection<Life> all(long now) {
+    public Collection<Incarnation> all(long now) {
         return since(0, now);
     }
 
@@ -135,7 +136,7 @@
     public List<Heard> heardWithin(long while_, long now) {
         List<Heard> all = new ArrayList<>();
         for (Entry entry : entries.values()) {
-            if (now - entry.heardAt <= while_ && entry.life.phase() != Life.GONE) {
+            if (now - entry.heardAt <= while_ && entry.life.phase() != Incarnation.GONE) {
                 all.add(new Heard(entry.life.id(), entry.life.seq(), (now - entry.heardAt) / MILLI));
             }
         }
--- a/src/main/java/reedmux/fleet/Life.java
+++ b/src/main/java/reedmux/fleet/Incarnation.java
@@ -7,13 +7,14 @@
  * @param coldMs how much longer it is slow from its start, as of when this is told
  * @param silent whether nobody has heard from it for a while
  */
-public record Life(String id, String plant, String address, String zone, int capacity, int phase, long seq,
+public record Incarnation(String id, String plant, String address, String zone, int capacity, int phase,
+        long seq,
                    long coldMs, boolean silent) {
     public static final int READY = 0;
     public static final int DRAINING = 1;
     public static final int GONE = 2;
 
-    Life with(int nextPhase, boolean isSilent, long cold) {
-        return new Life(id, plant, address, zone, capacity, nextPhase, seq, cold, isSilent);
+    Incarnation with(int nextPhase, boolean isSilent, long cold) {
+        return new Incarnation(id, plant, address, zone, capacity, nextPhase, seq, cold, isSilent);
     }
 }
--- a/src/main/java/reedmux/item/Council.java
+++ b/src/main/java/reedmux/item/Agreement.java
@@ -18,7 +18,7 @@
  * that nothing acknowledged can be missing, and then holds what these hold. Pure: what is to be done is told
  * to {@link Effects}.
  */
-public final class Council {
+public final class Agreement {
     /** A call that was not decided on for so long is brought again, in microseconds. */
     private static final long UNDECIDED = 250_000;
     /** Who is later in the order of those that can be reached waits so much longer with that. */
@@ -50,15 +50,15 @@
     public interface Effects {
 
         /** Asks all others that can be reached to hold a call. */
-        void propose(Motion motion);
+        void propose(Proposal proposal);
 
         void vote(String to, String call, Ballot ballot, Vote vote);
 
         /** Tells all others that can be reached what became of a call. */
         void tell(String call, Ballot ballot, boolean inForce, List<Item> items);
 
-        /** Puts a call that is held on disk; ends as {@link Council#kept}. */
-        void keepHeld(Motion motion);
+        /** Puts a call that is held on disk; ends as {@link Agreement#kept}. */
+        void keepHeld(Proposal proposal);
 
         void keepDecided(String call, Ballot ballot, boolean inForce, List<Item> items);
 
@@ -72,7 +72,7 @@
     private final long life;
     private int members = 1;
     private int enough = 1;
-    private final Shelf shelf;
+    private final Replica replica;
     private final Effects effects;
     private final Map<String, Round> rounds = new LinkedHashMap<>();
     private final Map<String, Long> heldAt = new LinkedHashMap<>();
@@ -89,20 +89,20 @@
     private long now;
 
     /** One call on its way. */
-    private record Round(Motion motion, BiConsumer<Integer, String> reply, Map<String, Vote> votes,
+    private record Round(Proposal proposal, BiConsumer<Integer, String> reply, Map<String, Vote> votes,
             long since) { }
 
-    /** {@code shelf} has what was found on disk, {@code whole}: that nothing of it was lost. */
-    public Council(String self, long life, Shelf shelf, boolean whole, Effects effects) {
+    /** {@code replica} has what was found on disk, {@code whole}: that nothing of it was lost. */
+    public Agreement(String self, long life, Replica replica, boolean whole, Effects effects) {
         this.self = self;
         this.life = life;
-        this.shelf = shelf;
+        this.replica = replica;
         this.whole = whole;
         this.effects = effects;
-        shelf.held().values().forEach(motion -> {
-            heldAt.put(motion.call(), Long.MIN_VALUE / 2);
-            safe.put(motion.call(), motion.ballot());
-            seen(motion.call(), motion.ballot());
+        replica.held().values().forEach(proposal -> {
+            heldAt.put(proposal.call(), Long.MIN_VALUE / 2);
+            safe.put(proposal.call(), proposal.ballot());
+            seen(proposal.call(), proposal.ballot());
         });
     }
 
@@ -120,9 +120,9 @@
 
     // ---- The others --------------------------------------------------------------------------------
     /** All that is in force at another store has been told, up to now; {@code itsWhole}: it counts itself. */
-    public void met(long time, String other, boolean itsWhole, List<Item> items, List<Motion> held) {
+    public void met(long time, String other, boolean itsWhole, List<Item> items, List<Proposal> held) {
         now = time;
-        if (!shelf.merge(items).isEmpty()) {
+        if (!replica.merge(items).isEmpty()) {
             effects.changed();
         }
         if (itsWhole && !whole) {
@@ -134,7 +134,7 @@
         // Whatever was acknowledged with us is on enough - 1 others: of these we have to have met one.
         if (!whole && merged.size() >= members - enough + 1) {
             whole = true;
-            effects.log("whole again, with " + shelf.inForce().size() + " items");
+            effects.log("whole again, with " + replica.inForce().size() + " items");
             effects.changed();
         }
     }
@@ -143,17 +143,18 @@
      * What another store holds may have been acknowledged with our vote, before our disk was lost: so it is
      * held here, too.
      */
-    private void takeOver(Motion motion) {
-        if (!shelf.holds(motion.call()) && shelf.judge(motion.call(), motion.items()) == Shelf.Verdict.GOOD) {
-            hold(motion);
+    private void takeOver(Proposal proposal) {
+        if (!replica.holds(proposal.call()) && replica.judge(proposal.call(),
+                proposal.items()) == Replica.Verdict.GOOD) {
+            hold(proposal);
         }
     }
 
-    private void hold(Motion motion) {
-        seen(motion.call(), motion.ballot());
-        shelf.hold(motion);
-        heldAt.put(motion.call(), now);
-        effects.keepHeld(motion);
+    private void hold(Proposal proposal) {
+        seen(proposal.call(), proposal.ballot());
+        replica.hold(proposal);
+        heldAt.put(proposal.call(), now);
+        effects.keepHeld(proposal);
     }
 
     private void seen(String call, Ballot ballot) {
@@ -162,7 +163,7 @@
             seen.put(call, ballot);
         }
         if (seen.size() > MOST_BALLOTS) {
-            seen.keySet().removeIf(old -> seen.size() > MOST_BALLOTS / 2 && !shelf.holds(old));
+            seen.keySet().removeIf(old -> seen.size() > MOST_BALLOTS / 2 && !replica.holds(old));
         }
     }
 
@@ -198,44 +199,44 @@
             reply.accept(LATER, "too few of the others can be reached");
             return;
         }
-        List<Item> news = shelf.news(items);
-        Shelf.Verdict verdict = shelf.judge("", news);
-        if (verdict == Shelf.Verdict.INVALID) {
-            reply.accept(WRONG, shelf.problem());
-        } else if (verdict == Shelf.Verdict.BUSY) {
+        List<Item> news = replica.news(items);
+        Replica.Verdict verdict = replica.judge("", news);
+        if (verdict == Replica.Verdict.INVALID) {
+            reply.accept(WRONG, replica.problem());
+        } else if (verdict == Replica.Verdict.BUSY) {
             reply.accept(LATER, "another change is being made");
         } else if (news.isEmpty()) {
             reply.accept(GOOD, "{}"); // all of it is in force, or overtaken
         } else {
-            bring(new Motion(self + '/' + life + '/' + ++calls, new Ballot(1, self), news), reply, now);
+            bring(new Proposal(self + '/' + life + '/' + ++calls, new Ballot(1, self), news), reply, now);
         }
     }
 
     /** All items that stand, told to {@code reply} with the status. */
     public void read(BiConsumer<Integer, String> reply) {
-        if (current() && shelf.held().isEmpty()) {
-            reply.accept(GOOD, Change.write(shelf.inForce()));
+        if (current() && replica.held().isEmpty()) {
+            reply.accept(GOOD, Change.write(replica.inForce()));
         } else {
             reply.accept(LATER, "too few of the others can be reached, or a change is being made");
         }
     }
 
-    private void bring(Motion motion, BiConsumer<Integer, String> reply, long since) {
-        rounds.put(motion.call(), new Round(motion, reply, new HashMap<>(), since));
-        effects.propose(motion);
-        asked(now, self, motion);
+    private void bring(Proposal proposal, BiConsumer<Integer, String> reply, long since) {
+        rounds.put(proposal.call(), new Round(proposal, reply, new HashMap<>(), since));
+        effects.propose(proposal);
+        asked(now, self, proposal);
     }
 
-    private Motion further(Motion motion) {
-        long number = seen.getOrDefault(motion.call(), motion.ballot()).number() + 1;
-        return motion.under(new Ballot(number, self));
+    private Proposal further(Proposal proposal) {
+        long number = seen.getOrDefault(proposal.call(), proposal.ballot()).number() + 1;
+        return proposal.under(new Ballot(number, self));
     }
 
     /** Another store, or this one, asks us to hold a call. */
-    public void asked(long time, String by, Motion motion) {
+    public void asked(long time, String by, Proposal proposal) {
         now = time;
-        String call = motion.call();
-        Ballot ballot = motion.ballot();
+        String call = proposal.call();
+        Ballot ballot = proposal.ballot();
         if (!whole) {
             voted(by, call, ballot, Vote.UNABLE);
             return;
@@ -248,23 +249,23 @@
             voted(by, call, ballot, Vote.HELD);
             return;
         }
-        Shelf.Verdict verdict = shelf.judge(call, motion.items()); // good where it is held already
-        if (verdict != Shelf.Verdict.GOOD) {
-            voted(by, call, ballot, verdict == Shelf.Verdict.BUSY ? Vote.BUSY : Vote.INVALID);
+        Replica.Verdict verdict = replica.judge(call, proposal.items()); // good where it is held already
+        if (verdict != Replica.Verdict.GOOD) {
+            voted(by, call, ballot, verdict == Replica.Verdict.BUSY ? Vote.BUSY : Vote.INVALID);
             return;
         }
         asking.computeIfAbsent(call, name -> new LinkedHashMap<>()).put(by, ballot);
-        hold(motion);
+        hold(proposal);
     }
 
     /** The disk has kept a call that is held, or cannot. */
     public void kept(long time, String call, Ballot ballot, boolean done) {
         now = time;
-        if (shelf.holds(call)) {
+        if (replica.holds(call)) {
             if (done) {
                 safe.put(call, ballot);
             } else if (!safe.containsKey(call)) {
-                shelf.decide(call, false, List.of());
+                replica.decide(call, false, List.of());
                 heldAt.remove(call);
             }
         }
@@ -294,7 +295,7 @@
     public void counted(long time, String by, String call, Ballot ballot, Vote vote) {
         now = time;
         Round round = rounds.get(call);
-        if (round == null || !round.motion.ballot().equals(ballot)) {
+        if (round == null || !round.proposal.ballot().equals(ballot)) {
             return;
         }
         round.votes.put(by, vote);
@@ -323,12 +324,12 @@
             effects.log("not decided: " + call + ' ' + round.votes);
         }
         if (clear) {
-            List<Item> items = good ? round.motion.items() : List.of();
-            decided(now, call, round.motion.ballot(), good, items);
+            List<Item> items = good ? round.proposal.items() : List.of();
+            decided(now, call, round.proposal.ballot(), good, items);
             if (good) {
                 round.reply.accept(GOOD, "{}");
             }
-            effects.tell(call, round.motion.ballot(), good, items);
+            effects.tell(call, round.proposal.ballot(), good, items);
         }
         if (!good) {
             round.reply.accept(LATER, "too few stores could keep the change");
@@ -344,10 +345,10 @@
         seen(call, ballot);
         heldAt.remove(call);
         safe.remove(call);
-        long before = shelf.changes();
-        shelf.decide(call, inForce, items);
+        long before = replica.changes();
+        replica.decide(call, inForce, items);
         effects.keepDecided(call, ballot, inForce, items);
-        if (shelf.changes() != before) {
+        if (replica.changes() != before) {
             effects.changed();
         }
     }
@@ -361,7 +362,7 @@
                 end(entry.getKey(), false, false);
             } else if (round.votes.containsValue(Vote.BUSY) && current()) {
                 // What was in its way may be decided by now.
-                bring(further(round.motion), round.reply, round.since);
+                bring(further(round.proposal), round.reply, round.since);
             }
         }
         if (!current()) {
@@ -369,10 +370,10 @@
         }
         long turn = UNDECIDED + TURN * merged.stream().filter(other -> other.compareTo(self) < 0).count();
         for (Map.Entry<String, Long> entry : List.copyOf(heldAt.entrySet())) {
-            Motion motion = shelf.held().get(entry.getKey());
-            if (now - entry.getValue() > turn && motion != null && !rounds.containsKey(motion.call())) {
-                heldAt.put(motion.call(), now + ROUND);
-                bring(further(motion), (status, line) -> { }, now);
+            Proposal proposal = replica.held().get(entry.getKey());
+            if (now - entry.getValue() > turn && proposal != null && !rounds.containsKey(proposal.call())) {
+                heldAt.put(proposal.call(), now + ROUND);
+                bring(further(proposal), (status, line) -> { }, now);
             }
         }
     }
--- a/src/main/java/reedmux/item/Ballot.java
+++ b/src/main/java/reedmux/item/Ballot.java
@@ -1,7 +1,7 @@
 package reedmux.item;
 
 /**
- * The number of an attempt to decide on a motion, and whose attempt it is: of two attempts the one with the
+ * The number of an attempt to decide on a proposal, and whose attempt it is: of two attempts the one with the
  * higher number goes before, and of two with one number that of the node whose name comes last.
  */
 public record Ballot(long number, String by) implements Comparable<Ballot> {
--- a/src/main/java/reedmux/item/Motion.java
+++ b/src/main/java/reedmux/item/Proposal.java
@@ -8,16 +8,17 @@
  *
  * @param ballot of the last attempt to decide on it that its holder has taken part in
  */
-public record Motion(String call, Ballot ballot, List<Item> items) {
-    public Motion {
+public record Proposal(String call, Ballot ballot, List<Item> items) {
+    public Proposal {
         items = new ArrayList<>(items);
     }
 
     // Written out, as what a record brings is linked at run time, in the middle of a start.
     @Override
     public boolean equals(Object other) {
-        return other instanceof Motion motion && call.equals(motion.call) && ballot.equals(motion.ballot)
-                && items.equals(motion.items);
+        return other instanceof Proposal proposal && call.equals(proposal.call)
+                && ballot.equals(proposal.ballot)
+                && items.equals(proposal.items);
     }
 
     @Override
@@ -26,7 +27,7 @@
     }
 
     /** The same under a further ballot. */
-    Motion under(Ballot next) {
-        return new Motion(call, next, items);
+    Proposal under(Ballot next) {
+        return new Proposal(call, next, items);
     }
 }
--- a/src/main/java/reedmux/item/Shelf.java
+++ b/src/main/java/reedmux/item/Replica.java
@@ -12,7 +12,7 @@
  * The items that one store has: those in force, and those of calls that are held until it is known whether
  * they come into force. A call is held, comes into force or is dropped as a whole. Pure.
  */
-public final class Shelf {
+public final class Replica {
 
     /** What a store says of a call that it is asked to hold. */
     public enum Verdict {
@@ -26,7 +26,7 @@
 
     private final Map<String, Item> inForce = new TreeMap<>();
     private final Map<String, Long> changedAt = new HashMap<>();
-    private final Map<String, Motion> held = new LinkedHashMap<>();
+    private final Map<String, Proposal> held = new LinkedHashMap<>();
     private long changes;
     private String problem = "";
 
@@ -45,7 +45,7 @@
                 return Verdict.BUSY;
             }
         }
-        for (Motion other : held.values()) {
+        for (Proposal other : held.values()) {
             for (Item one : news) {
                 for (Item beside : other.items()) {
                     if (one.key().equals(beside.key()) && one.revision() == beside.revision()
@@ -96,8 +96,8 @@
     }
 
     /** Holds a call that was judged good, or goes on holding it under another ballot. */
-    public void hold(Motion motion) {
-        held.put(motion.call(), motion);
+    public void hold(Proposal proposal) {
+        held.put(proposal.call(), proposal);
     }
 
     /** A call is no longer held, and in force from now on or not at all. */
@@ -127,7 +127,7 @@
     }
 
     /** Calls that are held, the oldest first. */
-    public Map<String, Motion> held() {
+    public Map<String, Proposal> held() {
         return held;
     }
 
--- a/src/main/java/reedmux/lab/sim/SimNode.java
+++ b/src/main/java/reedmux/lab/sim/SimNode.java
@@ -48,7 +48,7 @@
     private final World.Region region;
     private final int number;
     private final long seed;
-    private Life life;
+    private Incarnation life;
     private int lives;
 
     SimNode(World world, World.Region region, int number, long seed) {
@@ -77,14 +77,14 @@
 
     void start() {
         if (life == null) {
-            life = new Life(seed + 1000L * ++lives);
+            life = new Incarnation(seed + 1000L * ++lives);
             tellProviders();
         }
     }
 
     /** Dies as a process does: its connections are reset, and what it had taken is not answered. */
     void kill() {
-        Life dead = life;
+        Incarnation dead = life;
         life = null;
         if (dead == null) {
             return;
@@ -105,7 +105,7 @@
                         world.planted == Planted.TELLS_NO_START ? 0 : provider.startedAt), NOWHERE));
                 world.ledger.rules.told(world.time.now(), name(), provider.id, status == Status.READY);
             });
-            Life told = life;
+            Incarnation told = life;
             Event list = new Event.ProvidersTold(new ProviderList(Scope.FULL, region.listRevision, all));
             if (world.planted == Planted.TELLS_DRAINS_LATE) {
                 world.time.in(World.SECOND, () -> told.event(list));
@@ -135,7 +135,7 @@
 
     /** Takes a consumer's request; {@code then} is run when it has its answer. */
     Invocation take(String id, int kind, long customer, long deadline, double units, Runnable then) {
-        Life at = life;
+        Incarnation at = life;
         int spread = world.spread == 0 ? region.nodes.size() : world.spread;
         int first = world.spread == 0 ? 0 : (int) (customer % region.nodes.size());
         boolean alone = world.planted == Planted.WHOLE_CEILING_EACH;
@@ -167,14 +167,14 @@
 
     /** One call under way, to a provider or to a gateway of another region. */
     private static final class Flight {
-        final Life from;
+        final Incarnation from;
         final InvokerCall call;
         boolean written;
         boolean ended;
         /** Run where our side of the connection goes: the other side sees it end. */
         Runnable closed = () -> { };
 
-        Flight(Life from, InvokerCall call) {
+        Flight(Incarnation from, InvokerCall call) {
             this.from = from;
             this.call = call;
             from.flights.add(this);
@@ -206,7 +206,7 @@
     }
 
     /** One life of the process. */
-    private final class Life implements Effects {
+    private final class Incarnation implements Effects {
         final Reducer reducer;
         final RegionDesk desk;
         final RegionFront front;
@@ -217,7 +217,7 @@
         final Map<Invocation, Runnable> visitors = new HashMap<>();
         private long wakeAt = Long.MAX_VALUE;
 
-        Life(long chance) {
+        Incarnation(long chance) {
             long now = world.time.now();
             RegionRules rules = region.rules;
             name = rules == null ? region.setup.name() : rules.name();
@@ -373,7 +373,7 @@
 
     /** Another region's request has arrived whole at this gatekeeper. */
     private void visit(Flight flight, Departure departure, String from, LinkFault fault) {
-        Life here = life;
+        Incarnation here = life;
         if (here == null || here.desk == null) {
             flight.broken("reset");
             return;
--- a/src/main/java/reedmux/lab/world/CheckerActor.java
+++ b/src/main/java/reedmux/lab/world/CheckerActor.java
@@ -22,7 +22,7 @@
     private static final int PORT = 8080;
     private final Host host;
     private final World world;
-    private final Watch watch;
+    private final InvariantChecker watch;
     private final String id;
     private final String service;
     private final List<InetSocketAddress> control;
@@ -40,7 +40,7 @@
     private double loses;
 
     CheckerActor(World world, Machine machine, String id, String service, List<InetSocketAddress> control,
-            Watch watch, Runnable onEnd, java.util.function.Consumer<String> onDrain) {
+            InvariantChecker watch, Runnable onEnd, java.util.function.Consumer<String> onDrain) {
         this.world = world;
         this.watch = watch;
         this.id = id;
--- a/src/main/java/reedmux/lab/world/Clients.java
+++ b/src/main/java/reedmux/lab/world/Clients.java
@@ -18,7 +18,7 @@
     private static final int TRIES = 3;
     private final World world;
     private final Deployment deployment;
-    private final Watch watch;
+    private final InvariantChecker watch;
     private final Host host;
     private final Map<String, Integer> missed = new HashMap<>();
     private long numbers;
@@ -35,7 +35,7 @@
     record Wish(String path, boolean repeatable, String key, String tenant, String service,
             String routeItem, String keyItem) { }
 
-    Clients(World world, Deployment deployment, Watch watch) {
+    Clients(World world, Deployment deployment, InvariantChecker watch) {
         this.world = world;
         this.deployment = deployment;
         this.watch = watch;
@@ -171,7 +171,8 @@
                 return;
             }
             if (status == 404) {
-                watch.showed(edge.name(), life, wish.routeItem, Watch.NONE, Watch.NONE::equals, begun,
+                watch.showed(edge.name(), life, wish.routeItem, InvariantChecker.NONE,
+                        InvariantChecker.NONE::equals, begun,
                         world.now());
             } else if (status == 401) {
                 watch.showed(edge.name(), life, wish.keyItem, "no " + wish.key,
--- a/src/main/java/reedmux/lab/world/Day.java
+++ b/src/main/java/reedmux/lab/world/Day.java
@@ -18,7 +18,7 @@
     private static final int ZONES = 3;
     private final World world;
     private final Deployment deployment;
-    private final Watch watch = new Watch();
+    private final InvariantChecker watch = new InvariantChecker();
     private final Settings settings;
     private final Clients clients;
     private final List<Operator> operators = new ArrayList<>();
@@ -87,7 +87,8 @@
             checker(new Machine(world, "10.3." + i / 200 + '.' + (1 + i % 200),
                     Deployment.ZONES[i % ZONES], false), i % 2);
         }
-        operators.get(0).adjust(settings.first(), Watch.Proper.VALID, Settings::shows, status -> { });
+        operators.get(0).adjust(settings.first(), InvariantChecker.Proper.VALID, Settings::shows, status ->
+                { });
         world.run(LEAD);
         long end = begin + LENGTH;
         traffic(end + AFTER + SECOND);
@@ -98,7 +99,8 @@
         String rule = "CONFIG";
         if (random.nextInt(3) == 0 && world.now() >= coreFreeAt) {
             rule = "LOST";
-            operators.get(0).adjust(settings.change(), Watch.Proper.VALID, Settings::shows, status -> {
+            operators.get(0).adjust(settings.change(), InvariantChecker.Proper.VALID, Settings::shows,
+                    status -> {
                 if (status == 200) {
                     close();
                 }
@@ -161,16 +163,19 @@
             return;
         }
         switch (shape.storm() ? Math.min(2, 1 + random.nextInt(6) / 5) : random.nextInt(6)) {
-            case 0 -> operators.get(1).adjust(settings.invalid(), Watch.Proper.INVALID, Settings::shows,
+            case 0 -> operators.get(1).adjust(settings.invalid(), InvariantChecker.Proper.INVALID,
+                    Settings::shows,
                     status -> { });
             case 1 -> {
                 var pair = settings.pair();
                 for (int i = 0; i < 2; i++) {
-                    operators.get(i).adjust(pair.getValue().get(i), pair.getKey() ? Watch.Proper.VALID
-                            : Watch.Proper.EITHER, Settings::shows, status -> { });
+                    operators.get(i).adjust(pair.getValue().get(i), pair.getKey()
+                            ? InvariantChecker.Proper.VALID
+                            : InvariantChecker.Proper.EITHER, Settings::shows, status -> { });
                 }
             }
-            default -> operators.get(0).adjust(settings.change(), Watch.Proper.VALID, Settings::shows,
+            default -> operators.get(0).adjust(settings.change(), InvariantChecker.Proper.VALID,
+                    Settings::shows,
                     status -> {
                         Runnable then = afterAck;
                         if (status == 200 && then != null) {
--- a/src/main/java/reedmux/lab/world/Host.java
+++ b/src/main/java/reedmux/lab/world/Host.java
@@ -14,11 +14,11 @@
 import java.util.concurrent.Executor;
 import reedmux.disk.Volume;
 import reedmux.log.Ring;
-import reedmux.net.Ground;
+import reedmux.net.Environment;
 import reedmux.net.Reactor;
 
 /** One process in the world: what its reactor stands on. */
-final class Host implements Ground {
+final class Host implements Environment {
     private static final int FIRST_FREE = 40_000;
     private final World world;
     private final Machine machine;
--- a/src/main/java/reedmux/lab/world/Watch.java
+++ b/src/main/java/reedmux/lab/world/InvariantChecker.java
@@ -20,7 +20,7 @@
  * The rules, judged by what clients, checkers and the operator have seen. It knows nothing of the inside of
  * a process. Times are microseconds; pure.
  */
-final class Watch {
+final class InvariantChecker {
     private static final long SECOND = 1_000_000;
     private static final long SETTLE = 2 * SECOND;
     private static final long STRETCH = 5 * SECOND;
--- a/src/main/java/reedmux/lab/world/Operator.java
+++ b/src/main/java/reedmux/lab/world/Operator.java
@@ -16,10 +16,10 @@
     private static final long PAUSE = 100_000;
     private static final long MOST_PAUSE = 800_000;
     private final Host host;
-    private final Watch watch;
+    private final InvariantChecker watch;
     private final List<InetSocketAddress> control;
 
-    Operator(World world, String ip, List<InetSocketAddress> control, Watch watch) {
+    Operator(World world, String ip, List<InetSocketAddress> control, InvariantChecker watch) {
         host = new Host(world, new Machine(world, ip, Deployment.ZONES[0], false), "operator " + ip, 0,
                 line -> { });
         this.watch = watch;
@@ -36,7 +36,7 @@
     }
 
     /** Sends a change; {@code done} hears the last status, 0 where it was given up. */
-    void adjust(String body, Watch.Proper proper, Shows shows, Consumer<Integer> done) {
+    void adjust(String body, InvariantChecker.Proper proper, Shows shows, Consumer<Integer> done) {
         List<Item> items;
         try {
             items = Change.read(body);
@@ -52,7 +52,7 @@
         return control.get(host.world().random().nextInt(control.size()));
     }
 
-    private void send(String body, List<Item> items, Watch.Proper proper, long since, long pause,
+    private void send(String body, List<Item> items, InvariantChecker.Proper proper, long since, long pause,
             Consumer<Integer> done) {
         ask(Asker.post("/v1/Config.Adjust", body), (status, text) -> {
             host.world().saw("adjust " + status);
--- a/src/main/java/reedmux/lab/world/Settings.java
+++ b/src/main/java/reedmux/lab/world/Settings.java
@@ -59,7 +59,7 @@
     static String shows(Item item) {
         try {
             if (item.dropped()) {
-                return Watch.NONE;
+                return InvariantChecker.NONE;
             }
             Map<String, Object> map = Json.map(Json.read(item.body()), "item");
             return item.kind().equals("routes") ? String.valueOf(map.get("plant"))
--- a/src/main/java/reedmux/lab/world/SimBox.java
+++ b/src/main/java/reedmux/lab/world/SimBox.java
@@ -4,15 +4,15 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import reedmux.net.Ground;
+import reedmux.net.Environment;
 
 /** A place for datagrams, which are lost now and then. */
-final class SimBox implements Ground.Post {
+final class SimBox implements Environment.Post {
     private static final int MOST = 256;
     private final Host host;
     private final InetSocketAddress address;
     private final Deque<Letter> letters = new ArrayDeque<>();
-    private Ground.Handler handler;
+    private Environment.Handler handler;
 
     private record Letter(InetSocketAddress from, byte[] bytes) { }
 
@@ -22,7 +22,7 @@
     }
 
     @Override
-    public void handle(Ground.Handler by) {
+    public void handle(Environment.Handler by) {
         handler = by;
     }
 
--- a/src/main/java/reedmux/lab/world/SimLine.java
+++ b/src/main/java/reedmux/lab/world/SimLine.java
@@ -5,10 +5,10 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import reedmux.net.Ground;
+import reedmux.net.Environment;
 
 /** One end of a TCP connection. */
-final class SimLine implements Ground.Line {
+final class SimLine implements Environment.Line {
     private static final int WINDOW = 64 * 1024;
     private static final long FIRST_AGAIN = 1_000_000;
     private static final long RETRY = 200_000;
@@ -18,7 +18,7 @@
     private final Host host;
     private final World world;
     private SimLine peer;
-    private Ground.Handler handler;
+    private Environment.Handler handler;
     private final Deque<byte[]> in = new ArrayDeque<>();
     private int offset;
     private boolean ended;
@@ -160,7 +160,7 @@
 
     // ---- What its process does ---------------------------------------------------------------------
     @Override
-    public void handle(Ground.Handler by) {
+    public void handle(Environment.Handler by) {
         handler = by;
         tell();
     }
--- a/src/main/java/reedmux/lab/world/SimPort.java
+++ b/src/main/java/reedmux/lab/world/SimPort.java
@@ -3,16 +3,16 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import reedmux.net.Ground;
+import reedmux.net.Environment;
 
 /** A place where connections come in, with a queue that drops what is beyond it. */
-final class SimPort implements Ground.Port {
+final class SimPort implements Environment.Port {
     private final Host host;
     private final InetSocketAddress address;
     private final int backlog;
     private final Runnable closing;
     private final Deque<SimLine> waiting = new ArrayDeque<>();
-    private Ground.Handler handler;
+    private Environment.Handler handler;
     private boolean accepts = true;
     private boolean told;
 
@@ -54,12 +54,12 @@
     }
 
     @Override
-    public void handle(Ground.Handler by) {
+    public void handle(Environment.Handler by) {
         handler = by;
     }
 
     @Override
-    public Ground.Line accept() {
+    public Environment.Line accept() {
         return waiting.poll();
     }
 
--- a/src/main/java/reedmux/link/Codec.java
+++ b/src/main/java/reedmux/link/Codec.java
@@ -5,11 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import reedmux.fleet.Fleet;
-import reedmux.fleet.Life;
+import reedmux.fleet.Incarnation;
 import reedmux.item.Ballot;
-import reedmux.item.Council.Vote;
+import reedmux.item.Agreement.Vote;
 import reedmux.item.Item;
-import reedmux.item.Motion;
+import reedmux.item.Proposal;
 import reedmux.link.Messages.Adjust;
 import reedmux.link.Messages.Beats;
 import reedmux.link.Messages.Decided;
@@ -75,8 +75,8 @@
             out.writeBoolean(told.whole());
             items(told.items());
             out.writeVarInt(told.held().size(), true);
-            for (Motion motion : told.held()) {
-                motion(motion);
+            for (Proposal proposal : told.held()) {
+                proposal(proposal);
             }
         } else if (message instanceof News news) {
             out.writeByte(NEWS);
@@ -104,7 +104,7 @@
     private void ofCalls(Object message) {
         if (message instanceof Propose propose) {
             out.writeByte(PROPOSE);
-            motion(propose.motion());
+            proposal(propose.proposal());
         } else if (message instanceof Voted voted) {
             out.writeByte(VOTED);
             out.writeString(voted.call());
@@ -150,19 +150,19 @@
             case PING -> new Ping();
             case PULL -> new Pull(in.readLong(), in.readLong());
             case ITEMS -> new Items(in.readLong(), in.readLong(), in.readBoolean(), items(in),
-                    motions(in));
+                    proposals(in));
             case NEWS -> new News(in.readLong(), in.readLong(), lives(in), in.readBoolean(), sessions(in));
             case BEATS -> beats(in);
             case HELLO -> new Hello(in.readInt(), in.readString(), in.readString(), in.readString(),
                     in.readString(), in.readLong(), texts(in));
             case TELL -> new Tell(in.readLong(), lives(in));
             case KNOWN -> new Known(in.readLong());
-            case PROPOSE -> new Propose(motion(in));
+            case PROPOSE -> new Propose(proposal(in));
             case VOTED -> new Voted(in.readString(), ballot(in), Vote.values()[in.readByte()]);
             case DECIDED -> new Decided(in.readString(), ballot(in), in.readBoolean(), items(in));
             case ITEMS_WITHOUT -> new Items(in.readLong(), in.readLong(), in.readBoolean(), items(in),
                     List.of());
-            case PROPOSE_WITHOUT -> new Propose(new Motion(in.readString(), WITHOUT, items(in)));
+            case PROPOSE_WITHOUT -> new Propose(new Proposal(in.readString(), WITHOUT, items(in)));
             case DECIDED_WITHOUT -> new Decided(in.readString(), WITHOUT, in.readBoolean(), items(in));
             case ADJUST -> new Adjust(in.readLong(), in.readString());
             case READ -> new Read(in.readLong());
@@ -234,21 +234,21 @@
         return all;
     }
 
-    private void motion(Motion motion) {
-        out.writeString(motion.call());
-        ballot(motion.ballot());
-        items(motion.items());
+    private void proposal(Proposal proposal) {
+        out.writeString(proposal.call());
+        ballot(proposal.ballot());
+        items(proposal.items());
     }
 
-    private static Motion motion(Input in) {
-        return new Motion(in.readString(), ballot(in), items(in));
+    private static Proposal proposal(Input in) {
+        return new Proposal(in.readString(), ballot(in), items(in));
     }
 
-    private static List<Motion> motions(Input in) {
+    private static List<Proposal> proposals(Input in) {
         int size = in.readVarInt(true);
-        List<Motion> all = list(size);
+        List<Proposal> all = list(size);
         for (int i = 0; i < size; i++) {
-            all.add(motion(in));
+            all.add(proposal(in));
         }
         return all;
     }
@@ -262,16 +262,16 @@
         return new Ballot(in.readVarLong(true), in.readString());
     }
 
-    private void lives(List<Life> lives) {
+    private void lives(List<Incarnation> lives) {
         out.writeVarInt(lives.size(), true);
-        for (Life life : lives) {
+        for (Incarnation life : lives) {
             life(out, life);
         }
     }
 
-    private static List<Life> lives(Input in) {
+    private static List<Incarnation> lives(Input in) {
         int size = in.readVarInt(true);
-        List<Life> all = list(size);
+        List<Incarnation> all = list(size);
         for (int i = 0; i < size; i++) {
             all.add(life(in));
         }
@@ -335,7 +335,7 @@
         return new Item(in.readString(), in.readString(), in.readVarLong(true), in.readString());
     }
 
-    private static void life(Output out, Life life) {
+    private static void life(Output out, Incarnation life) {
         out.writeString(life.id());
         out.writeString(life.plant());
         out.writeString(life.address());
@@ -347,8 +347,8 @@
         out.writeBoolean(life.silent());
     }
 
-    private static Life life(Input in) {
-        return new Life(in.readString(), in.readString(), in.readString(), in.readString(),
+    private static Incarnation life(Input in) {
+        return new Incarnation(in.readString(), in.readString(), in.readString(), in.readString(),
                 in.readVarInt(true), in.readByte(), in.readVarLong(true), in.readVarLong(true),
                         in.readBoolean());
     }
--- a/src/main/java/reedmux/link/Messages.java
+++ b/src/main/java/reedmux/link/Messages.java
@@ -3,11 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import reedmux.fleet.Fleet;
-import reedmux.fleet.Life;
+import reedmux.fleet.Incarnation;
 import reedmux.item.Ballot;
-import reedmux.item.Council.Vote;
+import reedmux.item.Agreement.Vote;
 import reedmux.item.Item;
-import reedmux.item.Motion;
+import reedmux.item.Proposal;
 import reedmux.member.Session;
 
 /** What the system's own processes tell each other. */
@@ -37,7 +37,7 @@
      * Items that are in force at a store; {@code whole}: it has all that was ever acknowledged; {@code held}:
      * for another store, what is not decided on.
      */
-    public record Items(long life, long upTo, boolean whole, List<Item> items, List<Motion> held) {
+    public record Items(long life, long upTo, boolean whole, List<Item> items, List<Proposal> held) {
         public Items {
             items = new ArrayList<>(items);
             held = new ArrayList<>(held);
@@ -48,7 +48,7 @@
      * What has changed at a registry: lives of checkers, and sessions if {@code told}: its own for another
      * registry, all that it knows of for a proxy.
      */
-    public record News(long life, long upTo, List<Life> lives, boolean told, List<Session> sessions) {
+    public record News(long life, long upTo, List<Incarnation> lives, boolean told, List<Session> sessions) {
         public News {
             lives = new ArrayList<>(lives);
             sessions = new ArrayList<>(sessions);
@@ -65,7 +65,7 @@
     public record Outcome(long id, int status, String body) { }
 
     /** Asks another store to hold a call's items. */
-    public record Propose(Motion motion) { }
+    public record Propose(Proposal proposal) { }
 
     /** What became of that at one store. */
     public record Voted(String call, Ballot ballot, Vote vote) { }
@@ -78,7 +78,7 @@
     }
 
     /** Lives that another process is to know of; it says when it does. */
-    public record Tell(long id, List<Life> lives) {
+    public record Tell(long id, List<Incarnation> lives) {
         public Tell {
             lives = new ArrayList<>(lives);
         }
--- a/src/main/java/reedmux/net/Datagrams.java
+++ b/src/main/java/reedmux/net/Datagrams.java
@@ -6,16 +6,16 @@
 import java.util.function.BiConsumer;
 
 /** Datagrams at one address. */
-public final class Datagrams implements Ground.Handler {
+public final class Datagrams implements Environment.Handler {
     private final Reactor reactor;
-    private final Ground.Post post;
+    private final Environment.Post post;
     private final BiConsumer<InetSocketAddress, byte[]> taken;
 
     public Datagrams(Reactor reactor, InetSocketAddress address, BiConsumer<InetSocketAddress, byte[]> taken)
             throws IOException {
         this.reactor = reactor;
         this.taken = taken;
-        post = reactor.ground().post(address);
+        post = reactor.environment().post(address);
         post.handle(reactor.guarded(this));
     }
 
--- a/src/main/java/reedmux/net/Ground.java
+++ b/src/main/java/reedmux/net/Environment.java
@@ -12,7 +12,7 @@
  * the lab has one in virtual time, so that whole programs run there as they are. All but {@link #execute} is
  * for the reactor's thread.
  */
-public interface Ground extends Executor {
+public interface Environment extends Executor {
 
     /** Whose socket is ready. */
     interface Handler {
--- a/src/main/java/reedmux/net/Kernel.java
+++ b/src/main/java/reedmux/net/Kernel.java
@@ -23,7 +23,7 @@
 import reedmux.disk.Volume;
 
 /** The machine's own sockets, files and clock. */
-public final class Kernel implements Ground {
+public final class Kernel implements Environment {
     private static final int KEEP_IDLE = 2;
     private static final int KEEP_INTERVAL = 1;
     private static final int KEEP_COUNT = 3;
--- a/src/main/java/reedmux/net/Listener.java
+++ b/src/main/java/reedmux/net/Listener.java
@@ -5,18 +5,18 @@
 import java.util.function.Consumer;
 
 /** Takes in connections at an address, as long as there is room for them. */
-public final class Listener implements Ground.Handler {
+public final class Listener implements Environment.Handler {
     private static final int BACKLOG = 512;
     private static final int AT_ONCE = 64;
     private static final long PAUSE = 50_000;
     private final Reactor reactor;
-    private final Ground.Port port;
+    private final Environment.Port port;
     private final Consumer<Wire> taken;
 
     public Listener(Reactor reactor, InetSocketAddress address, Consumer<Wire> taken) throws IOException {
         this.reactor = reactor;
         this.taken = taken;
-        port = reactor.ground().listen(address, BACKLOG);
+        port = reactor.environment().listen(address, BACKLOG);
         port.handle(reactor.guarded(this));
     }
 
@@ -28,7 +28,7 @@
     @Override
     public void ready(boolean readable, boolean writable) throws IOException {
         for (int i = 0; i < AT_ONCE; i++) {
-            Ground.Line accepted;
+            Environment.Line accepted;
             try {
                 accepted = port.accept();
             } catch (IOException e) { // no descriptor left: those that are open go on
--- a/src/main/java/reedmux/net/Reactor.java
+++ b/src/main/java/reedmux/net/Reactor.java
@@ -37,7 +37,7 @@
         }
     }
 
-    private final Ground ground;
+    private final Environment environment;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Ring log;
     final ByteBuffer chunk = ByteBuffer.allocateDirect(CHUNK);
@@ -50,29 +50,29 @@
         this(log, new Kernel());
     }
 
-    public Reactor(Ring log, Ground ground) {
+    public Reactor(Ring log, Environment environment) {
         this.log = log;
-        this.ground = ground;
-        now = ground.now();
+        this.environment = environment;
+        now = environment.now();
     }
 
-    Ground ground() {
-        return ground;
+    Environment environment() {
+        return environment;
     }
 
     /** A number that tells one life of a process from another. */
     public long draw() {
-        return ground.draw();
+        return environment.draw();
     }
 
     /** A folder on this process's disk. */
     public Volume volume(Path folder) {
-        return ground.volume(folder);
+        return environment.volume(folder);
     }
 
-    /** A thread of its own, for what waits for a disk; see {@link Ground#worker}. */
+    /** A thread of its own, for what waits for a disk; see {@link Environment#worker}. */
     public Executor worker(String name, int most) {
-        return ground.worker(name, most);
+        return environment.worker(name, most);
     }
 
     /** The time of this turn. */
@@ -83,7 +83,7 @@
     /** Has something done on the reactor's thread; from any thread. */
     @Override
     public void execute(Runnable task) {
-        ground.execute(task);
+        environment.execute(task);
     }
 
     public Timer at(long when, Runnable task) {
@@ -105,11 +105,11 @@
     }
 
     /** One that hears in turns of this reactor, and whose failures end nobody else. */
-    Ground.Handler guarded(Ground.Handler handler) {
-        return new Ground.Handler() {
+    Environment.Handler guarded(Environment.Handler handler) {
+        return new Environment.Handler() {
             @Override
             public void ready(boolean readable, boolean writable) {
-                now = ground.now();
+                now = environment.now();
                 try {
                     handler.ready(readable, writable);
                 } catch (IOException e) {
@@ -145,7 +145,7 @@
     /** Ends {@link #run()} after this turn. */
     public void end() {
         ended = true;
-        ground.execute(() -> { });
+        environment.execute(() -> { });
     }
 
     public boolean ended() {
@@ -156,16 +156,16 @@
     public void run() throws IOException {
         long next = turn();
         while (!ended) {
-            ground.await(next);
+            environment.await(next);
             next = turn();
         }
-        ground.close();
+        environment.close();
     }
 
     /** One turn: what others gave us, and what is due; returns when something is due again. */
     public long turn() {
-        now = ground.now();
-        for (Runnable task = ground.next(); task != null; task = ground.next()) {
+        now = environment.now();
+        for (Runnable task = environment.next(); task != null; task = environment.next()) {
             guarded(task);
         }
         while (!timers.isEmpty() && timers.peek().at <= now) {
--- a/src/main/java/reedmux/net/Wire.java
+++ b/src/main/java/reedmux/net/Wire.java
@@ -11,7 +11,7 @@
  * A TCP connection of a {@link Reactor}: what has come in and is not used yet, and what waits to go out.
  * For the reactor's thread alone.
  */
-public final class Wire implements Ground.Handler {
+public final class Wire implements Environment.Handler {
     private static final byte[] EMPTY = {};
     private static final int LEAST = 1024;
 
@@ -32,7 +32,7 @@
     }
 
     private final Reactor reactor;
-    private final Ground.Line line;
+    private final Environment.Line line;
     private Owner owner;
     private byte[] in = EMPTY;
     private int from;
@@ -45,13 +45,13 @@
     private long queued;
     private long sent;
 
-    private Wire(Reactor reactor, Ground.Line line) {
+    private Wire(Reactor reactor, Environment.Line line) {
         this.reactor = reactor;
         this.line = line;
     }
 
     /** One that has been accepted. */
-    static Wire accepted(Reactor reactor, Ground.Line line) throws IOException {
+    static Wire accepted(Reactor reactor, Environment.Line line) throws IOException {
         Wire wire = new Wire(reactor, line);
         wire.up = true;
         line.handle(reactor.guarded(wire));
@@ -61,7 +61,7 @@
     /** Opens one; {@code owner} hears when it is up, or that it has not come up. */
     public static Wire open(Reactor reactor, InetSocketAddress to, InetSocketAddress local, Owner owner)
             throws IOException {
-        Ground.Line line = reactor.ground().open(to, local);
+        Environment.Line line = reactor.environment().open(to, local);
         Wire wire = new Wire(reactor, line);
         wire.owner = owner;
         line.handle(reactor.guarded(wire));
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -25,7 +25,7 @@
 import reedmux.choice.Roster;
 import reedmux.config.Addresses;
 import reedmux.fleet.Fleet;
-import reedmux.fleet.Life;
+import reedmux.fleet.Incarnation;
 import reedmux.item.Bounds;
 import reedmux.item.Poll;
 import reedmux.item.Route;
@@ -185,7 +185,7 @@
             begun();
         } else if (message instanceof News news) {
             vector.put(link.other().node(), new long[] {news.life(), news.upTo()});
-            for (Life life : news.lives()) {
+            for (Incarnation life : news.lives()) {
                 if (fleet.merge(life, now())) {
                     roster.told(fleet.get(life.id(), now()), now());
                 }
@@ -467,7 +467,7 @@
         roster.look();
         for (Deque<CheckerWire> kept : List.copyOf(idle.values())) {
             for (CheckerWire wire : List.copyOf(kept)) {
-                if (wire.stale(now()) || wire.checker().life().phase() != Life.READY) {
+                if (wire.stale(now()) || wire.checker().life().phase() != Incarnation.READY) {
                     wire.shut();
                 }
             }
--- a/src/main/java/reedmux/registry/ControlCall.java
+++ b/src/main/java/reedmux/registry/ControlCall.java
@@ -2,7 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import reedmux.fleet.Life;
+import reedmux.fleet.Incarnation;
 import reedmux.item.Invalid;
 import reedmux.item.Json;
 import reedmux.message.BadMessage;
@@ -14,7 +14,7 @@
     String LEAVE = "/v1/Instances.Leave/";
 
     /** A checker tells of itself. */
-    record Heartbeat(Life life) implements ControlCall { }
+    record Heartbeat(Incarnation life) implements ControlCall { }
 
     /** A checker ends. */
     record Leave(String id) implements ControlCall { }
@@ -52,10 +52,10 @@
             throw new BadMessage(400, id.isEmpty() ? "the id is missing" : "address is no address:port");
         }
         String phase = Json.text(map.get("phase"), "phase");
-        return new Heartbeat(new Life(id, Json.text(map.get("plant"), "plant"), address,
+        return new Heartbeat(new Incarnation(id, Json.text(map.get("plant"), "plant"), address,
                 Json.text(map.get("zone"), "zone"),
                 (int) Math.max(1, Json.number(map.get("capacity"), 1, "capacity")),
-                phase.equals("draining") ? Life.DRAINING : Life.READY,
+                phase.equals("draining") ? Incarnation.DRAINING : Incarnation.READY,
                 (long) Json.number(map.get("seq"), 0, "seq"),
                 (long) Json.number(map.get("coldLeftMs"), 0, "coldLeftMs"), false));
     }
--- a/src/main/java/reedmux/registry/Memory.java
+++ b/src/main/java/reedmux/registry/Memory.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.Executor;
 import reedmux.disk.Journal;
 import reedmux.fleet.Fleet;
-import reedmux.fleet.Life;
+import reedmux.fleet.Incarnation;
 import reedmux.link.Codec;
 import reedmux.link.Messages.Tell;
 import reedmux.net.Reactor;
@@ -52,7 +52,7 @@
         }
         writing = true;
         kept = fleet.changes();
-        List<Life> lives = new ArrayList<>(fleet.all(reactor.now()));
+        List<Incarnation> lives = new ArrayList<>(fleet.all(reactor.now()));
         byte[] record = codec.write(new Tell(0, lives));
         disk.execute(() -> {
             try {
--- a/src/main/java/reedmux/registry/Registry.java
+++ b/src/main/java/reedmux/registry/Registry.java
@@ -14,7 +14,7 @@
 import reedmux.boot.Program;
 import reedmux.config.Addresses;
 import reedmux.fleet.Fleet;
-import reedmux.fleet.Life;
+import reedmux.fleet.Incarnation;
 import reedmux.link.Codec;
 import reedmux.link.Dialer;
 import reedmux.link.Link;
@@ -140,13 +140,13 @@
             fleet.merge(heartbeat.life(), reactor.now());
             known(heartbeat.life().id(), from);
         } else if (command instanceof ControlCall.Leave leave) {
-            Life before = fleet.get(leave.id(), reactor.now());
+            Incarnation before = fleet.get(leave.id(), reactor.now());
             if (before == null) { // all that can be known of it: that it is over
-                before = new Life(leave.id(), "", "0.0.0.0:0", "", 1, Life.READY, 0, 0, false);
+                before = new Incarnation(leave.id(), "", "0.0.0.0:0", "", 1, Incarnation.READY, 0, 0, false);
             }
-            fleet.merge(new Life(leave.id(), before.plant(), before.address(), before.zone(),
+            fleet.merge(new Incarnation(leave.id(), before.plant(), before.address(), before.zone(),
                     before.capacity(),
-                    Life.GONE, before.seq(), 0, false), reactor.now());
+                    Incarnation.GONE, before.seq(), 0, false), reactor.now());
             known(leave.id(), from);
         } else if (command instanceof ControlCall.Adjust adjust) {
             ask(0, id -> new Messages.Adjust(id, adjust.body()), from);
@@ -157,9 +157,9 @@
 
     /** A checker that leaves is acknowledged only once another machine knows, too. */
     private void known(String id, Calls from) {
-        Life now = fleet.get(id, reactor.now());
+        Incarnation now = fleet.get(id, reactor.now());
         changed();
-        if (now.phase() == Life.READY || others.isEmpty()) {
+        if (now.phase() == Incarnation.READY || others.isEmpty()) {
             from.answer(GOOD, "{}");
             return;
         }
--- a/src/main/java/reedmux/store/Keeper.java
+++ b/src/main/java/reedmux/store/ReplicaStorage.java
@@ -9,7 +9,7 @@
 import java.util.function.Consumer;
 import reedmux.disk.Journal;
 import reedmux.item.Item;
-import reedmux.item.Shelf;
+import reedmux.item.Replica;
 import reedmux.link.Codec;
 import reedmux.link.Messages.Decided;
 import reedmux.link.Messages.Items;
@@ -17,14 +17,15 @@
 import reedmux.net.Reactor;
 
 /**
- * A shelf's place on disk. One thread waits for the disk, so that nobody else does; one sync covers all that
+ * A replica's place on disk. One thread waits for the disk, so that nobody else does; one sync covers all
+ * that
  * has come meanwhile. What waits is bounded, and beyond that refused like what the disk refuses.
  */
-final class Keeper {
+final class ReplicaStorage {
     private static final int MOST_WAITING = 256;
     private final Reactor reactor;
     private final Codec codec;
-    private final Shelf shelf;
+    private final Replica replica;
     private final Journal journal;
     private volatile long length;
     private volatile boolean spoilt;
@@ -39,25 +40,25 @@
     /** A record that waits to be written, and who hears whether it is safe. */
     private record Waiting(byte[] record, Consumer<Boolean> done) { }
 
-    Keeper(Path dir, Reactor reactor, Codec codec, Shelf shelf) {
+    ReplicaStorage(Path dir, Reactor reactor, Codec codec, Replica replica) {
         this.reactor = reactor;
         this.codec = codec;
-        this.shelf = shelf;
+        this.replica = replica;
         journal = new Journal(reactor.volume(dir));
         disk = reactor.worker("reedmux-disk", MOST_WAITING);
     }
 
-    /** Brings the shelf up to what is on disk; false where what was once there has been lost. */
+    /** Brings the replica up to what is on disk; false where what was once there has been lost. */
     boolean load(boolean firstStart) throws IOException {
         for (byte[] record : journal.read()) {
             Object told = codec.read(record);
             if (told instanceof Items items) {
-                shelf.merge(items.items());
+                replica.merge(items.items());
                 whole |= items.whole();
             } else if (told instanceof Propose propose) {
-                shelf.hold(propose.motion());
+                replica.hold(propose.proposal());
             } else if (told instanceof Decided decided) {
-                shelf.decide(decided.call(), decided.inForce(), decided.items());
+                replica.decide(decided.call(), decided.inForce(), decided.items());
             }
         }
         whole |= firstStart && !journal.found();
@@ -74,8 +75,8 @@
 
     private List<byte[]> state() {
         List<byte[]> records = new ArrayList<>();
-        records.add(codec.write(new Items(0, 0, whole, List.copyOf(shelf.inForce()), List.of())));
-        shelf.held().values().forEach(motion -> records.add(codec.write(new Propose(motion))));
+        records.add(codec.write(new Items(0, 0, whole, List.copyOf(replica.inForce()), List.of())));
+        replica.held().values().forEach(proposal -> records.add(codec.write(new Propose(proposal))));
         return records;
     }
 
@@ -153,7 +154,7 @@
         takeAll().forEach(each -> each.done.accept(false));
     }
 
-    /** Begins the file anew with what the shelf has now. */
+    /** Begins the file anew with what the replica has now. */
     void compact() {
         if (compacting) {
             return;
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -12,10 +12,10 @@
 import reedmux.boot.Program;
 import reedmux.config.Addresses;
 import reedmux.item.Ballot;
-import reedmux.item.Council;
+import reedmux.item.Agreement;
 import reedmux.item.Item;
-import reedmux.item.Motion;
-import reedmux.item.Shelf;
+import reedmux.item.Proposal;
+import reedmux.item.Replica;
 import reedmux.link.Codec;
 import reedmux.link.Dialer;
 import reedmux.link.Link;
@@ -34,9 +34,9 @@
 
 /**
  * Keeps the items of the configuration on this machine's disk and tells them to whoever pulls. What is
- * decided on the operator's calls is {@link Council}'s; here are its links and its disk.
+ * decided on the operator's calls is {@link Agreement}'s; here are its links and its disk.
  */
-public final class Store implements Program, Link.Owner, Council.Effects {
+public final class Store implements Program, Link.Owner, Agreement.Effects {
     private static final String PROGRAM = "store";
     private static final long LOOK = 125_000;
     private static final long COMPACT_AT = 4L * 1024 * 1024;
@@ -47,9 +47,9 @@
     private final int copies;
     private final Codec codec = new Codec();
     private final Hello self;
-    private final Shelf shelf = new Shelf();
-    private final Keeper keeper;
-    private final Council council;
+    private final Replica replica = new Replica();
+    private final ReplicaStorage storage;
+    private final Agreement agreement;
     private final Map<InetSocketAddress, Dialer> others = new HashMap<>();
     /** How far we have come with each of the others. */
     private final Map<String, long[]> vector = new HashMap<>();
@@ -74,13 +74,13 @@
         self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(),
                 reactor.draw() ^ (long) boot.node().hashCode() << 32, core.machines());
         copies = (int) boot.figure("tolerance.machines", 0) + 1;
-        keeper = new Keeper(boot.dataDir(), reactor, codec, shelf);
-        boolean whole = keeper.load(boot.coldStart());
+        storage = new ReplicaStorage(boot.dataDir(), reactor, codec, replica);
+        boolean whole = storage.load(boot.coldStart());
         if (!whole) {
             reactor.log("the disk is empty, and this is not the first start: asking the others");
         }
-        council = new Council(boot.node(), self.life(), shelf, whole, this);
-        council.members(core.size(), copies);
+        agreement = new Agreement(boot.node(), self.life(), replica, whole, this);
+        agreement.members(core.size(), copies);
         core.others(boot.storePort()).forEach(this::dial);
         new Listener(reactor, Addresses.parse(boot.ip() + ':' + boot.storePort()),
                 wire -> Link.of(reactor, codec, self, wire, this));
@@ -95,7 +95,7 @@
     @Override
     public void reload(Boot next) {
         core.learn(new Core(next, false).machines(), boot.storePort()).forEach(this::dial);
-        council.members(core.size(), copies);
+        agreement.members(core.size(), copies);
     }
 
     private void dial(InetSocketAddress other) {
@@ -103,9 +103,9 @@
     }
 
     private void look() {
-        council.look(reactor.now());
-        if (keeper.length() > COMPACT_AT) {
-            keeper.compact();
+        agreement.look(reactor.now());
+        if (storage.length() > COMPACT_AT) {
+            storage.compact();
         }
     }
 
@@ -113,7 +113,7 @@
     @Override
     public void up(Link link) {
         core.learn(link.other().core(), boot.storePort()).forEach(this::dial);
-        council.members(core.size(), copies);
+        agreement.members(core.size(), copies);
         if (dialled(link)) {
             long[] from = vector.getOrDefault(link.other().node(), new long[] {0, 0});
             link.say(new Pull(from[0], from[1]));
@@ -134,7 +134,7 @@
         boolean another = others.values().stream().anyMatch(dialer -> dialer.link() != null
                 && dialer.link().other().node().equals(link.other().node()));
         if (link.other().program().equals(PROGRAM) && !another) {
-            council.lost(link.other().node());
+            agreement.lost(link.other().node());
         }
     }
 
@@ -149,27 +149,27 @@
             take(link, items);
         } else if (message instanceof Propose propose) {
             askedBy.put(link.other().node(), link);
-            council.asked(now, link.other().node(), propose.motion());
+            agreement.asked(now, link.other().node(), propose.proposal());
         } else if (message instanceof Voted voted) {
-            council.counted(now, link.other().node(), voted.call(), voted.ballot(), voted.vote());
+            agreement.counted(now, link.other().node(), voted.call(), voted.ballot(), voted.vote());
         } else if (message instanceof Decided decided) {
-            council.decided(now, decided.call(), decided.ballot(), decided.inForce(), decided.items());
+            agreement.decided(now, decided.call(), decided.ballot(), decided.inForce(), decided.items());
         } else if (message instanceof Adjust adjust) {
-            council.adjust(now, adjust.body(), (status, line) -> link.say(new Outcome(adjust.id(),
+            agreement.adjust(now, adjust.body(), (status, line) -> link.say(new Outcome(adjust.id(),
                     status, line)));
         } else if (message instanceof Read read) {
-            council.read((status, text) -> link.say(new Outcome(read.id(), status, text)));
+            agreement.read((status, text) -> link.say(new Outcome(read.id(), status, text)));
         }
     }
 
     private void answer(Link link) {
         Waiting waiting = link.note();
-        if (waiting != null && (waiting.since() < 0 || shelf.changes() > waiting.since())) {
+        if (waiting != null && (waiting.since() < 0 || replica.changes() > waiting.since())) {
             link.note(null);
             pulling.remove(link);
             if (link.other().program().equals(PROGRAM)) {
-                link.say(new Items(self.life(), shelf.changes(), council.whole(),
-                        shelf.since(Math.max(0, waiting.since())), List.copyOf(shelf.held().values())));
+                link.say(new Items(self.life(), replica.changes(), agreement.whole(),
+                        replica.since(Math.max(0, waiting.since())), List.copyOf(replica.held().values())));
             } else {
                 link.send(news(Math.max(0, waiting.since())));
             }
@@ -179,13 +179,14 @@
     /** What has come into force since a change; all of it is written once for all that ask. */
     private byte[] news(long since) {
         if (since > 0) {
-            return codec.write(new Items(self.life(), shelf.changes(), council.whole(), shelf.since(since),
+            return codec.write(new Items(self.life(), replica.changes(), agreement.whole(),
+                    replica.since(since),
                     List.of()));
         }
-        if (all == null || allOf != shelf.changes() || allWhole != council.whole()) {
-            allOf = shelf.changes();
-            allWhole = council.whole();
-            all = codec.write(new Items(self.life(), allOf, allWhole, shelf.since(0), List.of()));
+        if (all == null || allOf != replica.changes() || allWhole != agreement.whole()) {
+            allOf = replica.changes();
+            allWhole = agreement.whole();
+            all = codec.write(new Items(self.life(), allOf, allWhole, replica.since(0), List.of()));
         }
         return all;
     }
@@ -193,30 +194,30 @@
     /** Another store tells what is in force there. */
     private void take(Link link, Items told) {
         vector.put(link.other().node(), new long[] {told.life(), told.upTo()});
-        List<Item> news = shelf.news(told.items());
-        boolean before = council.whole();
-        council.met(reactor.now(), link.other().node(), told.whole(), told.items(), told.held());
-        if (!before && council.whole()) {
-            keeper.whole();
+        List<Item> news = replica.news(told.items());
+        boolean before = agreement.whole();
+        agreement.met(reactor.now(), link.other().node(), told.whole(), told.items(), told.held());
+        if (!before && agreement.whole()) {
+            storage.whole();
         } else if (!news.isEmpty()) {
-            keeper.merged(news);
+            storage.merged(news);
         }
         link.say(new Pull(told.life(), told.upTo()));
     }
 
-    // ---- What the council calls for ----------------------------------------------------------------
+    // ---- What the agreement calls for ----------------------------------------------------------------
     private void toAll(Object message) {
         others.values().stream().filter(other -> other.link() != null)
                 .forEach(other -> other.link().say(message));
     }
 
     @Override
-    public void propose(Motion motion) {
-        toAll(new Propose(motion));
+    public void propose(Proposal proposal) {
+        toAll(new Propose(proposal));
     }
 
     @Override
-    public void vote(String to, String call, Ballot ballot, Council.Vote vote) {
+    public void vote(String to, String call, Ballot ballot, Agreement.Vote vote) {
         Link link = askedBy.get(to);
         if (link != null) {
             link.say(new Voted(call, ballot, vote));
@@ -229,14 +230,15 @@
     }
 
     @Override
-    public void keepHeld(Motion motion) {
-        keeper.held(new Propose(motion), safe -> council.kept(reactor.now(), motion.call(), motion.ballot(),
+    public void keepHeld(Proposal proposal) {
+        storage.held(new Propose(proposal), safe -> agreement.kept(reactor.now(), proposal.call(),
+                proposal.ballot(),
                 safe));
     }
 
     @Override
     public void keepDecided(String call, Ballot ballot, boolean inForce, List<Item> items) {
-        keeper.decided(new Decided(call, ballot, inForce, items));
+        storage.decided(new Decided(call, ballot, inForce, items));
     }
 
     @Override
--- a/src/test/java/reedmux/attempt/RequestsTest.java
+++ b/src/test/java/reedmux/attempt/RequestsTest.java
@@ -11,7 +11,7 @@
 import org.testng.annotations.Test;
 import reedmux.budget.RetryBudget;
 import reedmux.choice.Roster;
-import reedmux.fleet.Life;
+import reedmux.fleet.Incarnation;
 import reedmux.item.Route;
 import reedmux.message.Head;
 
@@ -36,7 +36,8 @@
         World(int checkers, double slack) {
             budget = new RetryBudget(0.2, slack, false);
             for (int i = 0; i < checkers; i++) {
-                roster.told(new Life("c" + i, "desk", "10.0.0." + (i + 1) + ":80", "here", 3, Life.READY,
+                roster.told(new Incarnation("c" + i, "desk", "10.0.0." + (i + 1) + ":80", "here", 3,
+                        Incarnation.READY,
                         1, 0,
                         false), now);
             }
--- a/src/test/java/reedmux/choice/RosterTest.java
+++ b/src/test/java/reedmux/choice/RosterTest.java
@@ -13,7 +13,7 @@
 import java.util.Set;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import reedmux.fleet.Life;
+import reedmux.fleet.Incarnation;
 import reedmux.member.Session;
 import reedmux.member.View;
 
@@ -22,8 +22,8 @@
     private static final long NOW = 10_000_000;
     private static final String[] ZONES = {"a", "b", "c"};
 
-    private static Life life(String id, String zone, int capacity, int phase) {
-        return new Life(id, "desk", "10.0.0.1:80", zone, capacity, phase, 1, 0, false);
+    private static Incarnation life(String id, String zone, int capacity, int phase) {
+        return new Incarnation(id, "desk", "10.0.0.1:80", zone, capacity, phase, 1, 0, false);
     }
 
     /** Proxies, checkers, slots of each, what may be at one at the most, and its ceiling of connections. */
@@ -46,7 +46,7 @@
             Roster roster = new Roster(member.node(), member.zone(), 1);
             roster.ceiling("desk", ceiling);
             for (int i = 0; i < checkers; i++) {
-                roster.told(life("c-" + i, ZONES[i % 3], slots, Life.READY), NOW);
+                roster.told(life("c-" + i, ZONES[i % 3], slots, Incarnation.READY), NOW);
             }
             roster.view(View.of(members));
             while (true) {
@@ -66,16 +66,16 @@
     @Test
     public void whoLeavesIsNotChosenAndWhoFailsOnlyInNeed() {
         Roster roster = new Roster("me", "a", 1);
-        roster.told(life("one", "a", 3, Life.READY), NOW);
-        roster.told(life("two", "a", 3, Life.READY), NOW);
+        roster.told(life("one", "a", 3, Incarnation.READY), NOW);
+        roster.told(life("two", "a", 3, Incarnation.READY), NOW);
         roster.get("one").failed(NOW);
         for (int i = 0; i < 20; i++) {
             assertEquals(roster.choose("desk", Set.of(), false, 400_000, NOW).id(), "two");
         }
-        roster.told(life("two", "a", 3, Life.DRAINING), NOW);
+        roster.told(life("two", "a", 3, Incarnation.DRAINING), NOW);
         assertEquals(roster.choose("desk", Set.of(), false, 400_000, NOW).id(), "one");
         assertNull(roster.choose("desk", new HashSet<>(Set.of("one")), false, 400_000, NOW));
-        roster.told(life("one", "a", 3, Life.GONE), NOW);
+        roster.told(life("one", "a", 3, Incarnation.GONE), NOW);
         assertNull(roster.choose("desk", Set.of(), false, 400_000, NOW));
     }
 
@@ -83,8 +83,8 @@
     public void largeBodiesStayInTheZoneAsLongAsThatHasRoom() {
         Roster roster = new Roster("me", "a", 1);
         roster.view(View.of(List.of(new Session("me", "10.1.0.1", "a", 1))));
-        roster.told(life("near", "a", 3, Life.READY), NOW);
-        roster.told(life("far", "b", 3, Life.READY), NOW);
+        roster.told(life("near", "a", 3, Incarnation.READY), NOW);
+        roster.told(life("far", "b", 3, Incarnation.READY), NOW);
         assertEquals(roster.choose("desk", Set.of(), true, 400_000, NOW).id(), "near");
         for (int i = 0; i < 6; i++) {
             roster.get("near").begun(NOW);
--- a/src/test/java/reedmux/fleet/FleetTest.java
+++ b/src/test/java/reedmux/fleet/FleetTest.java
@@ -12,21 +12,23 @@
 public class FleetTest {
     private static final long NOW = 5_000_000;
 
-    private static Life life(String id, String address, int phase, long seq) {
-        return new Life(id, "desk", address, "here", 3, phase, seq, 0, false);
+    private static Incarnation life(String id, String address, int phase, long seq) {
+        return new Incarnation(id, "desk", address, "here", 3, phase, seq, 0, false);
     }
 
     @Test
     public void aPhaseNeverGoesBackInAnyOrder() {
-        List<Life> told = List.of(life("a", "10.0.0.1:80", Life.READY, 1), life("a", "10.0.0.1:80",
-                Life.READY, 2),
-                life("a", "10.0.0.1:80", Life.DRAINING, 3), life("a", "10.0.0.1:80", Life.GONE, 3));
+        List<Incarnation> told = List.of(life("a", "10.0.0.1:80", Incarnation.READY, 1), life("a",
+                "10.0.0.1:80",
+                Incarnation.READY, 2),
+                life("a", "10.0.0.1:80", Incarnation.DRAINING, 3), life("a", "10.0.0.1:80",
+                        Incarnation.GONE, 3));
         int plays = Orders.all(1000, orders -> {
             Fleet fleet = new Fleet();
-            List<Life> left = new ArrayList<>(told);
-            int reached = Life.READY;
+            List<Incarnation> left = new ArrayList<>(told);
+            int reached = Incarnation.READY;
             while (!left.isEmpty()) {
-                Life next = left.remove(orders.pick(left.size()));
+                Incarnation next = left.remove(orders.pick(left.size()));
                 fleet.merge(next, NOW);
                 reached = Math.max(reached, next.phase());
                 assertEquals(fleet.get("a", NOW).phase(), reached);
@@ -39,12 +41,13 @@
     /** Two that tell each other end with the same, whoever heard what first. */
     @Test
     public void twoThatTellEachOtherAgree() {
-        List<Life> told = List.of(life("a", "10.0.0.1:80", Life.READY, 1), life("a", "10.0.0.1:80",
-                Life.DRAINING, 4),
-                life("b", "10.0.0.2:80", Life.READY, 7));
+        List<Incarnation> told = List.of(life("a", "10.0.0.1:80", Incarnation.READY, 1), life("a",
+                "10.0.0.1:80",
+                Incarnation.DRAINING, 4),
+                life("b", "10.0.0.2:80", Incarnation.READY, 7));
         Orders.all(1000, orders -> {
             Fleet[] fleets = {new Fleet(), new Fleet()};
-            for (Life life : told) {
+            for (Incarnation life : told) {
                 fleets[orders.pick(2)].merge(life, NOW);
             }
             fleets[0].since(0, NOW).forEach(life -> fleets[1].merge(life, NOW));
@@ -59,16 +62,16 @@
     @Test
     public void aNewLifeAtAnAddressEndsTheOneBefore() {
         Fleet fleet = new Fleet();
-        fleet.merge(life("a", "10.0.0.1:80", Life.READY, 9), NOW);
-        fleet.merge(life("b", "10.0.0.1:80", Life.READY, 1), NOW + 3_000_000);
-        assertEquals(fleet.get("a", NOW).phase(), Life.GONE);
-        assertEquals(fleet.get("b", NOW).phase(), Life.READY);
+        fleet.merge(life("a", "10.0.0.1:80", Incarnation.READY, 9), NOW);
+        fleet.merge(life("b", "10.0.0.1:80", Incarnation.READY, 1), NOW + 3_000_000);
+        assertEquals(fleet.get("a", NOW).phase(), Incarnation.GONE);
+        assertEquals(fleet.get("b", NOW).phase(), Incarnation.READY);
     }
 
     @Test
     public void whoIsNotHeardOfIsSilentUntilItIsHeardAgain() {
         Fleet fleet = new Fleet();
-        fleet.merge(life("a", "10.0.0.1:80", Life.READY, 1), NOW);
+        fleet.merge(life("a", "10.0.0.1:80", Incarnation.READY, 1), NOW);
         long before = fleet.changes();
         fleet.sweep(NOW + 7_000_000, 6_000_000);
         assertTrue(fleet.get("a", NOW).silent() && fleet.changes() > before);
--- a/src/test/java/reedmux/item/CouncilTest.java
+++ b/src/test/java/reedmux/item/AgreementTest.java
@@ -13,7 +13,7 @@
 import org.testng.annotations.Test;
 
 /** Three stores, and every order in which their messages may come in. */
-public class CouncilTest {
+public class AgreementTest {
     private static final long SECOND = 1_000_000;
     private static final String PLANT = item("plants", "desk", 1,
             "{\"probe\":\"/health\",\"connCeiling\":9}");
@@ -35,10 +35,10 @@
         return "{\"apply\":{\"signals\":[" + String.join(",", items) + "]},\"remove\":{}}";
     }
 
-    /** Three councils, the messages between them, and what the operator was told. */
+    /** Three agreements, the messages between them, and what the operator was told. */
     private static final class World {
-        final Council[] councils = new Council[3];
-        final Shelf[] shelves = new Shelf[3];
+        final Agreement[] agreements = new Agreement[3];
+        final Replica[] replicas = new Replica[3];
         final List<Runnable> mail = new ArrayList<>();
         final List<Integer> mailTo = new ArrayList<>();
         final int[] answers = {0, 0, 0, 0};
@@ -48,22 +48,22 @@
 
         World() {
             for (int i = 0; i < 3; i++) {
-                start(i, true, new Shelf());
+                start(i, true, new Replica());
             }
             meet();
             adjust(0, 3, call(PLANT));
             drain();
-            assertEquals(answers[3], Council.GOOD);
+            assertEquals(answers[3], Agreement.GOOD);
         }
 
-        void start(int i, boolean whole, Shelf shelf) {
-            shelves[i] = shelf;
-            councils[i] = new Council("s" + i, now + i, shelf, whole, new Effects(i));
-            councils[i].members(3, 2);
+        void start(int i, boolean whole, Replica replica) {
+            replicas[i] = replica;
+            agreements[i] = new Agreement("s" + i, now + i, replica, whole, new Effects(i));
+            agreements[i].members(3, 2);
         }
 
         void adjust(int at, int number, String body) {
-            councils[at].adjust(now, body, (status, line) -> answers[number] = status);
+            agreements[at].adjust(now, body, (status, line) -> answers[number] = status);
         }
 
         /** Each tells each other all that is in force. */
@@ -72,9 +72,9 @@
                 for (int i = 0; i < 3; i++) {
                     for (int j = 0; j < 3; j++) {
                         if (i != j && !dead.contains(i) && !dead.contains(j)) {
-                            councils[i].met(now, "s" + j, councils[j].whole(),
-                                    List.copyOf(shelves[j].inForce()),
-                                    List.copyOf(shelves[j].held().values()));
+                            agreements[i].met(now, "s" + j, agreements[j].whole(),
+                                    List.copyOf(replicas[j].inForce()),
+                                    List.copyOf(replicas[j].held().values()));
                         }
                     }
                 }
@@ -103,7 +103,7 @@
                 meet();
                 for (int j = 0; j < 3; j++) {
                     if (!dead.contains(j)) {
-                        councils[j].look(now);
+                        agreements[j].look(now);
                     }
                 }
                 drain();
@@ -113,12 +113,12 @@
 
         TreeMap<String, Long> inForce(int at) {
             TreeMap<String, Long> all = new TreeMap<>();
-            shelves[at].inForce().forEach(item -> all.put(item.key() + ' ' + item.body().hashCode(),
+            replicas[at].inForce().forEach(item -> all.put(item.key() + ' ' + item.body().hashCode(),
                     item.revision()));
             return all;
         }
 
-        private final class Effects implements Council.Effects {
+        private final class Effects implements Agreement.Effects {
             private final int self;
 
             Effects(int self) {
@@ -133,31 +133,31 @@
             }
 
             @Override
-            public void propose(Motion motion) {
+            public void propose(Proposal proposal) {
                 for (int i = 0; i < 3; i++) {
                     int to = i;
-                    send(to, () -> councils[to].asked(now, "s" + self, motion));
+                    send(to, () -> agreements[to].asked(now, "s" + self, proposal));
                 }
             }
 
             @Override
-            public void vote(String to, String call, Ballot ballot, Council.Vote vote) {
+            public void vote(String to, String call, Ballot ballot, Agreement.Vote vote) {
                 int other = to.charAt(1) - '0';
-                send(other, () -> councils[other].counted(now, "s" + self, call, ballot, vote));
+                send(other, () -> agreements[other].counted(now, "s" + self, call, ballot, vote));
             }
 
             @Override
             public void tell(String call, Ballot ballot, boolean inForce, List<Item> items) {
                 for (int i = 0; i < 3; i++) {
                     int to = i;
-                    send(to, () -> councils[to].decided(now, call, ballot, inForce, items));
+                    send(to, () -> agreements[to].decided(now, call, ballot, inForce, items));
                 }
             }
 
             @Override
-            public void keepHeld(Motion motion) {
+            public void keepHeld(Proposal proposal) {
                 if (!noDisk.contains(self)) {
-                    councils[self].kept(now, motion.call(), motion.ballot(), true);
+                    agreements[self].kept(now, proposal.call(), proposal.ballot(), true);
                 }
             }
 
@@ -176,17 +176,17 @@
         assertEquals(world.inForce(1), world.inForce(0));
         assertEquals(world.inForce(2), world.inForce(0));
         try {
-            Table.of(world.shelves[0].inForce());
+            Table.of(world.replicas[0].inForce());
         } catch (Invalid e) {
             throw new AssertionError("in force and invalid: " + e.getMessage());
         }
         for (int i = 0; i < 3; i++) {
-            assertTrue(world.shelves[i].held().isEmpty());
+            assertTrue(world.replicas[i].held().isEmpty());
         }
     }
 
     private static boolean has(World world, int at, String key, long revision) {
-        return world.shelves[at].inForce().stream().anyMatch(item -> item.key().equals(key)
+        return world.replicas[at].inForce().stream().anyMatch(item -> item.key().equals(key)
                 && item.revision() == revision);
     }
 
@@ -200,10 +200,10 @@
             world.deliver(orders::pick);
             world.settle();
             assertAgreed(world);
-            assertFalse(world.answers[0] == Council.GOOD && world.answers[1] == Council.GOOD);
-            both[0] += world.answers[0] == Council.GOOD || world.answers[1] == Council.GOOD ? 1 : 0;
+            assertFalse(world.answers[0] == Agreement.GOOD && world.answers[1] == Agreement.GOOD);
+            both[0] += world.answers[0] == Agreement.GOOD || world.answers[1] == Agreement.GOOD ? 1 : 0;
             for (int i = 0; i < 2; i++) {
-                if (world.answers[i] == Council.GOOD) {
+                if (world.answers[i] == Agreement.GOOD) {
                     assertTrue(has(world, 2, i == 0 ? "routes/one" : "routes/two", 2));
                 }
             }
@@ -220,7 +220,7 @@
             world.deliver(orders::pick);
             world.settle();
             assertAgreed(world);
-            assertFalse(world.answers[0] == Council.GOOD && world.answers[1] == Council.GOOD);
+            assertFalse(world.answers[0] == Agreement.GOOD && world.answers[1] == Agreement.GOOD);
         });
     }
 
@@ -233,7 +233,7 @@
                 world.deliver(many -> {
                     // The store that was asked may die before any message comes in, and takes those it has
                     // sent along.
-                    if (world.answers[0] == Council.GOOD && world.dead.isEmpty()) {
+                    if (world.answers[0] == Agreement.GOOD && world.dead.isEmpty()) {
                         world.dead.add(0);
                         if (orders.pick(2) == 0) {
                             world.mail.clear();
@@ -245,21 +245,21 @@
                     }
                     return orders.pick(many);
                 });
-                boolean acknowledged = world.answers[0] == Council.GOOD;
+                boolean acknowledged = world.answers[0] == Agreement.GOOD;
                 world.dead.add(0);
                 world.now += SECOND;
-                world.councils[1].lost("s0");
-                world.councils[2].lost("s0");
+                world.agreements[1].lost("s0");
+                world.agreements[2].lost("s0");
                 world.settle();
                 if (acknowledged) {
                     assertTrue(has(world, 1, "routes/one", 2) && has(world, 2, "routes/one", 2));
                 }
                 world.dead.clear();
-                world.start(0, !wiped, wiped ? new Shelf() : world.shelves[0]);
-                assertFalse(world.councils[0].current());
+                world.start(0, !wiped, wiped ? new Replica() : world.replicas[0]);
+                assertFalse(world.agreements[0].current());
                 world.settle();
                 assertAgreed(world);
-                assertTrue(world.councils[0].whole());
+                assertTrue(world.agreements[0].whole());
             });
         }
     }
@@ -267,11 +267,11 @@
     @Test
     public void aWipedStoreDoesNotVouchBeforeItHasMetTheOthers() {
         World world = new World();
-        world.start(0, false, new Shelf());
+        world.start(0, false, new Replica());
         world.adjust(1, 0, call(route("one", 2, "h.example")));
         world.dead.add(2); // so that only the wiped one could make up the number
         world.drain();
-        assertNotEquals(world.answers[0], Council.GOOD);
+        assertNotEquals(world.answers[0], Agreement.GOOD);
         world.dead.clear();
         world.settle();
         assertAgreed(world);
@@ -286,8 +286,8 @@
         world.drain();
         assertEquals(world.answers[0], 0);
         world.now += SECOND;
-        world.councils[0].look(world.now);
-        assertEquals(world.answers[0], Council.LATER);
+        world.agreements[0].look(world.now);
+        assertEquals(world.answers[0], Agreement.LATER);
     }
 
     @Test
@@ -307,11 +307,11 @@
             World world = new World();
             TreeMap<String, Long> before = world.inForce(0);
             StringBuilder why = new StringBuilder();
-            world.councils[0].adjust(world.now, body, (status, line) -> {
+            world.agreements[0].adjust(world.now, body, (status, line) -> {
                 world.answers[0] = status;
                 why.append(line);
             });
-            assertEquals(world.answers[0], Council.WRONG, body);
+            assertEquals(world.answers[0], Agreement.WRONG, body);
             assertTrue(why.length() > 10, body);
             world.settle();
             assertEquals(world.inForce(2), before);
@@ -327,8 +327,8 @@
         world.adjust(1, 1, call(route("one", 5, "other.example")));
         world.adjust(2, 2, call(route("one", 4, "third.example")));
         world.drain();
-        assertEquals(world.answers[1], Council.GOOD);
-        assertEquals(world.answers[2], Council.GOOD);
+        assertEquals(world.answers[1], Agreement.GOOD);
+        assertEquals(world.answers[2], Agreement.GOOD);
         world.settle();
         assertEquals(world.inForce(1), before);
     }
@@ -343,32 +343,32 @@
         world.adjust(2, 2, call(route("one", 6, "h.example")));
         world.drain();
         StringBuilder read = new StringBuilder();
-        world.councils[2].read((status, text) -> read.append(status).append(text));
+        world.agreements[2].read((status, text) -> read.append(status).append(text));
         assertTrue(read.toString().startsWith("200"));
         assertFalse(read.toString().contains("h.example"));
     }
 
     /** One store of the three, whose votes are collected; its disk keeps all. */
-    private static final class Alone implements Council.Effects {
-        final Shelf shelf = new Shelf();
+    private static final class Alone implements Agreement.Effects {
+        final Replica replica = new Replica();
         final List<String> votes = new ArrayList<>();
-        final Council council = new Council("s0", 1, shelf, true, this);
+        final Agreement agreement = new Agreement("s0", 1, replica, true, this);
 
         Alone() throws Invalid {
-            council.members(5, 2);
-            shelf.merge(Change.read(call(PLANT)));
+            agreement.members(5, 2);
+            replica.merge(Change.read(call(PLANT)));
         }
 
         String asked(String by, long number, String call, String... items) throws Invalid {
-            council.asked(SECOND, by, new Motion(call, new Ballot(number, by), Change.read(call(items))));
+            agreement.asked(SECOND, by, new Proposal(call, new Ballot(number, by), Change.read(call(items))));
             return votes.remove(votes.size() - 1);
         }
 
         @Override
-        public void propose(Motion motion) { }
+        public void propose(Proposal proposal) { }
 
         @Override
-        public void vote(String to, String call, Ballot ballot, Council.Vote vote) {
+        public void vote(String to, String call, Ballot ballot, Agreement.Vote vote) {
             votes.add(vote + " under " + ballot);
         }
 
@@ -376,8 +376,8 @@
         public void tell(String call, Ballot ballot, boolean inForce, List<Item> items) { }
 
         @Override
-        public void keepHeld(Motion motion) {
-            council.kept(SECOND, motion.call(), motion.ballot(), true);
+        public void keepHeld(Proposal proposal) {
+            agreement.kept(SECOND, proposal.call(), proposal.ballot(), true);
         }
 
         @Override
@@ -396,11 +396,11 @@
         Alone store = new Alone();
         assertEquals(store.asked("s1", 1, "x", route("one", 2, "h.example")), "HELD under 1 of s1");
         assertEquals(store.asked("s2", 2, "x", route("one", 2, "h.example")), "HELD under 2 of s2");
-        store.council.decided(SECOND, "x", new Ballot(1, "s1"), false, List.of());
-        assertTrue(store.shelf.holds("x"));
+        store.agreement.decided(SECOND, "x", new Ballot(1, "s1"), false, List.of());
+        assertTrue(store.replica.holds("x"));
         assertEquals(store.asked("s3", 1, "z", route("two", 2, "h.example")), "BUSY under 1 of s3");
-        store.council.decided(SECOND, "x", new Ballot(2, "s2"), false, List.of());
-        assertFalse(store.shelf.holds("x"));
+        store.agreement.decided(SECOND, "x", new Ballot(2, "s2"), false, List.of());
+        assertFalse(store.replica.holds("x"));
     }
 
     /** Who has said no under one ballot says nothing else under one before it, whatever has become free. */
@@ -409,7 +409,7 @@
         Alone store = new Alone();
         store.asked("s3", 1, "z", route("two", 2, "h.example"));
         assertEquals(store.asked("s2", 2, "x", route("one", 2, "h.example")), "BUSY under 2 of s2");
-        store.council.decided(SECOND, "z", new Ballot(1, "s3"), false, List.of());
+        store.agreement.decided(SECOND, "z", new Ballot(1, "s3"), false, List.of());
         assertEquals(store.asked("s1", 1, "x", route("one", 2, "h.example")), "PASSED under 1 of s1");
         assertEquals(store.asked("s1", 3, "x", route("one", 2, "h.example")), "HELD under 3 of s1");
     }
@@ -420,13 +420,13 @@
         Alone other = new Alone();
         other.asked("s1", 1, "x", route("one", 2, "h.example"));
         Alone store = new Alone();
-        Council wiped = new Council("s0", 2, store.shelf, false, store);
+        Agreement wiped = new Agreement("s0", 2, store.replica, false, store);
         wiped.members(3, 2);
-        wiped.met(SECOND, "s1", true, List.copyOf(other.shelf.inForce()), List.of());
-        wiped.met(SECOND, "s2", true, List.copyOf(other.shelf.inForce()),
-                List.copyOf(other.shelf.held().values()));
+        wiped.met(SECOND, "s1", true, List.copyOf(other.replica.inForce()), List.of());
+        wiped.met(SECOND, "s2", true, List.copyOf(other.replica.inForce()),
+                List.copyOf(other.replica.held().values()));
         assertTrue(wiped.whole());
-        wiped.asked(SECOND, "s3", new Motion("z", new Ballot(1, "s3"), Change.read(call(route("two", 2,
+        wiped.asked(SECOND, "s3", new Proposal("z", new Ballot(1, "s3"), Change.read(call(route("two", 2,
                 "h.example")))));
         assertEquals(store.votes, List.of("BUSY under 1 of s3"));
     }
--- a/src/test/java/reedmux/lab/world/WatchTest.java
+++ b/src/test/java/reedmux/lab/world/InvariantCheckerTest.java
@@ -9,20 +9,20 @@
 import reedmux.item.Item;
 
 /** Histories that break one rule each, and beside each its neighbour that does not. */
-public class WatchTest {
+public class InvariantCheckerTest {
     private static final long SECOND = 1_000_000;
     private static final String ROUTE = "routes/r";
-    private Watch watch;
+    private InvariantChecker watch;
 
     @BeforeMethod
     public void begin() {
-        watch = new Watch();
+        watch = new InvariantChecker();
         version(1, "desk", 0);
-        watch.acked(List.of(item(1, "desk")), Watch.Proper.VALID, 0);
+        watch.acked(List.of(item(1, "desk")), InvariantChecker.Proper.VALID, 0);
     }
 
     private static Item item(long revision, String service) {
-        return new Item("routes", "r", revision, service.equals(Watch.NONE) ? ""
+        return new Item("routes", "r", revision, service.equals(InvariantChecker.NONE) ? ""
                 : "{\"host\":\"h\",\"prefix\":\"/r/\",\"kind\":\"effectful\",\"plant\":\"" + service + "\"}");
     }
 
@@ -108,7 +108,7 @@
     @Test
     public void anOldVersionLongAfterANewOne() {
         version(2, "intake", SECOND);
-        watch.acked(List.of(item(2, "intake")), Watch.Proper.VALID, SECOND);
+        watch.acked(List.of(item(2, "intake")), InvariantChecker.Proper.VALID, SECOND);
         watch.showed("edge", "edge#1", ROUTE, "desk", "desk"::equals, 3 * SECOND, 3 * SECOND);
         keeps();
         watch.showed("edge", "edge#1", ROUTE, "desk", "desk"::equals, 3 * SECOND + 1, 4 * SECOND);
@@ -118,7 +118,7 @@
     @Test
     public void whoIsInTroubleIsNotJudged() {
         version(2, "intake", SECOND);
-        watch.acked(List.of(item(2, "intake")), Watch.Proper.VALID, SECOND);
+        watch.acked(List.of(item(2, "intake")), InvariantChecker.Proper.VALID, SECOND);
         watch.trouble("edge", 2 * SECOND, 3 * SECOND);
         watch.showed("edge", "edge#1", ROUTE, "desk", "desk"::equals, 5 * SECOND, 5 * SECOND);
         keeps();
@@ -137,7 +137,7 @@
     @Test
     public void anInvalidCallThatIsAcknowledged() {
         version(2, "nobody", SECOND);
-        watch.acked(List.of(item(2, "nobody")), Watch.Proper.INVALID, SECOND);
+        watch.acked(List.of(item(2, "nobody")), InvariantChecker.Proper.INVALID, SECOND);
         breaks("CONFIG");
     }
 
@@ -156,9 +156,9 @@
     @Test
     public void aValidChangeWithoutAcknowledgement() {
         version(2, "intake", SECOND);
-        watch.refused(List.of(item(2, "intake")), Watch.Proper.VALID, false, SECOND, 4 * SECOND);
+        watch.refused(List.of(item(2, "intake")), InvariantChecker.Proper.VALID, false, SECOND, 4 * SECOND);
         keeps();
-        watch.refused(List.of(item(2, "intake")), Watch.Proper.VALID, false, SECOND, 5 * SECOND);
+        watch.refused(List.of(item(2, "intake")), InvariantChecker.Proper.VALID, false, SECOND, 5 * SECOND);
         breaks("ACKS");
     }
 
--- a/src/test/java/reedmux/lab/world/ProgramsTest.java
+++ b/src/test/java/reedmux/lab/world/ProgramsTest.java
@@ -25,13 +25,13 @@
         deployment = new Deployment(world, 2, 3, log::add);
         deployment.start();
         outside = new Host(world, new Machine(world, "10.9.0.1", "hall-a", false), "outside", 0, line -> { });
-        Watch watch = new Watch();
+        InvariantChecker watch = new InvariantChecker();
         for (int i = 0; i < 4; i++) {
             new CheckerActor(world, new Machine(world, "10.3.0." + (i + 1), "hall-a", false), "i-" + i,
                     Settings.SERVICES[i % 2], deployment.control(), watch, () -> { }, ip -> { });
         }
         new Operator(world, "10.8.0.1", deployment.control(), watch).adjust(
-                new Settings(new java.util.Random(1)).first(), Watch.Proper.VALID, Settings::shows,
+                new Settings(new java.util.Random(1)).first(), InvariantChecker.Proper.VALID, Settings::shows,
                 status -> { });
         world.run(5 * SECOND);
     }
--- a/src/test/java/reedmux/link/CodecTest.java
+++ b/src/test/java/reedmux/link/CodecTest.java
@@ -8,20 +8,21 @@
 import java.util.List;
 import org.testng.annotations.Test;
 import reedmux.fleet.Fleet;
-import reedmux.fleet.Life;
+import reedmux.fleet.Incarnation;
 import reedmux.item.Ballot;
-import reedmux.item.Council.Vote;
+import reedmux.item.Agreement.Vote;
 import reedmux.item.Item;
-import reedmux.item.Motion;
+import reedmux.item.Proposal;
 import reedmux.member.Session;
 import reedmux.quota.Quotas;
 
 /** Each message there and back, and bytes that are none. */
 public class CodecTest {
     private static final Item ITEM = new Item("routes", "r", 7, "{\"host\":\"h\"}");
-    private static final Life LIFE = new Life("i-1", "desk", "10.0.0.1:80", "a", 3, Life.DRAINING, 9,
+    private static final Incarnation LIFE = new Incarnation("i-1", "desk", "10.0.0.1:80", "a", 3,
+            Incarnation.DRAINING, 9,
             100, true);
-    private static final Motion MOTION = new Motion("c", new Ballot(3, "core-1"), List.of(ITEM));
+    private static final Proposal MOTION = new Proposal("c", new Ballot(3, "core-1"), List.of(ITEM));
     private static final Session SESSION = new Session("edge-1", "10.1.0.1", "a", -5);
 
     private static List<Object> all() {
