Quorum: which sets of stores decide, named by ip; counts of members go

Cause: each store counted members as a number, so nothing could say of a change of the core which sets overlap. Behaviour is unchanged.

--- a/src/main/java/reedmux/item/Agreement.java
+++ b/src/main/java/reedmux/item/Agreement.java
@@ -70,8 +70,7 @@
 
     private final String self;
     private final long life;
-    private int members = 1;
-    private int enough = 1;
+    private Quorum quorum;
     private final Replica replica;
     private final Effects effects;
     private final Map<String, Round> rounds = new LinkedHashMap<>();
@@ -95,6 +94,7 @@
     /** {@code replica} has what was found on disk, {@code whole}: that nothing of it was lost. */
     public Agreement(String self, long life, Replica replica, boolean whole, Effects effects) {
         this.self = self;
+        quorum = Quorum.of(List.of(self), 1);
         this.life = life;
         this.replica = replica;
         this.whole = whole;
@@ -106,12 +106,9 @@
         });
     }
 
-    /**
-     * How many stores there are, this one among them, and on how many disks a call has to be at the least.
-     */
-    public void members(int count, int copies) {
-        members = count;
-        enough = Math.max(count / 2 + 1, copies);
+    /** Which stores decide. */
+    public void quorum(Quorum of) {
+        quorum = of;
     }
 
     public boolean whole() {
@@ -131,8 +128,8 @@
         if (itsWhole) {
             merged.add(other);
         }
-        // Whatever was acknowledged with us is on enough - 1 others: of these we have to have met one.
-        if (!whole && merged.size() >= members - enough + 1) {
+        // Whatever was acknowledged with us is on others of a quorum: of these we have to have met one.
+        if (!whole && quorum.blocked(merged)) {
             whole = true;
             effects.log("whole again, with " + replica.inForce().size() + " items");
             effects.changed();
@@ -181,7 +178,12 @@
 
     /** Whether nothing that is acknowledged can be unknown here. */
     public boolean current() {
-        return whole && merged.size() + 1 >= enough;
+        if (!whole) {
+            return false;
+        }
+        Set<String> all = new HashSet<>(merged);
+        all.add(self);
+        return quorum.reached(all);
     }
 
     // ---- The operator's calls ----------------------------------------------------------------------
@@ -299,20 +301,23 @@
             return;
         }
         round.votes.put(by, vote);
-        int good = 0;
-        int against = 0;
-        for (Vote each : round.votes.values()) {
-            good += each == Vote.HELD ? 1 : 0;
-            against += each == Vote.BUSY || each == Vote.INVALID ? 1 : 0;
-        }
-        if (good >= enough) {
+        Set<String> good = new HashSet<>();
+        Set<String> against = new HashSet<>();
+        Set<String> without = new HashSet<>();
+        round.votes.forEach((store, each) -> {
+            (each == Vote.HELD ? good : without).add(store);
+            if (each == Vote.BUSY || each == Vote.INVALID) {
+                against.add(store);
+            }
+        });
+        if (quorum.reached(good)) {
             // Where another holds what cannot stand beside it, that one is decided on first.
             if (!round.votes.containsValue(Vote.BUSY)) {
                 end(call, true, true);
             }
-        } else if (members - against < enough) {
+        } else if (quorum.blocked(against)) {
             end(call, false, true);
-        } else if (members - (round.votes.size() - good) < enough) {
+        } else if (quorum.blocked(without)) {
             end(call, false, false);
         }
     }
--- a/src/main/java/reedmux/store/Core.java
+++ b/src/main/java/reedmux/store/Core.java
@@ -26,10 +26,6 @@
         }
     }
 
-    public int size() {
-        return machines.size();
-    }
-
     /** All of them, to be told to others. */
     public List<String> machines() {
         return new ArrayList<>(machines);
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -15,6 +15,7 @@
 import reedmux.item.Agreement;
 import reedmux.item.Item;
 import reedmux.item.Proposal;
+import reedmux.item.Quorum;
 import reedmux.item.Replica;
 import reedmux.link.Codec;
 import reedmux.link.Dialer;
@@ -79,8 +80,8 @@
         if (!whole) {
             reactor.log("the disk is empty, and this is not the first start: asking the others");
         }
-        agreement = new Agreement(boot.node(), self.life(), replica, whole, this);
-        agreement.members(core.size(), copies);
+        agreement = new Agreement(boot.ip(), self.life(), replica, whole, this);
+        agreement.quorum(Quorum.of(core.machines(), copies));
         core.others(boot.storePort()).forEach(this::dial);
         new Listener(reactor, Addresses.parse(boot.ip() + ':' + boot.storePort()),
                 wire -> Link.of(reactor, codec, self, wire, this));
@@ -95,7 +96,7 @@
     @Override
     public void reload(Boot next) {
         core.learn(new Core(next, false).machines(), boot.storePort()).forEach(this::dial);
-        agreement.members(core.size(), copies);
+        agreement.quorum(Quorum.of(core.machines(), copies));
     }
 
     private void dial(InetSocketAddress other) {
@@ -113,9 +114,9 @@
     @Override
     public void up(Link link) {
         core.learn(link.other().core(), boot.storePort()).forEach(this::dial);
-        agreement.members(core.size(), copies);
+        agreement.quorum(Quorum.of(core.machines(), copies));
         if (dialled(link)) {
-            long[] from = vector.getOrDefault(link.other().node(), new long[] {0, 0});
+            long[] from = vector.getOrDefault(link.other().ip(), new long[] {0, 0});
             link.say(new Pull(from[0], from[1]));
         }
     }
@@ -130,11 +131,11 @@
         if (link.other() == null) {
             return; // it ended before it said who it is
         }
-        askedBy.remove(link.other().node(), link);
+        askedBy.remove(link.other().ip(), link);
         boolean another = others.values().stream().anyMatch(dialer -> dialer.link() != null
-                && dialer.link().other().node().equals(link.other().node()));
+                && dialer.link().other().ip().equals(link.other().ip()));
         if (link.other().program().equals(PROGRAM) && !another) {
-            agreement.lost(link.other().node());
+            agreement.lost(link.other().ip());
         }
     }
 
@@ -148,10 +149,10 @@
         } else if (message instanceof Items items) {
             take(link, items);
         } else if (message instanceof Propose propose) {
-            askedBy.put(link.other().node(), link);
-            agreement.asked(now, link.other().node(), propose.proposal());
+            askedBy.put(link.other().ip(), link);
+            agreement.asked(now, link.other().ip(), propose.proposal());
         } else if (message instanceof Voted voted) {
-            agreement.counted(now, link.other().node(), voted.call(), voted.ballot(), voted.vote());
+            agreement.counted(now, link.other().ip(), voted.call(), voted.ballot(), voted.vote());
         } else if (message instanceof Decided decided) {
             agreement.decided(now, decided.call(), decided.ballot(), decided.inForce(), decided.items());
         } else if (message instanceof Adjust adjust) {
@@ -193,10 +194,10 @@
 
     /** Another store tells what is in force there. */
     private void take(Link link, Items told) {
-        vector.put(link.other().node(), new long[] {told.life(), told.upTo()});
+        vector.put(link.other().ip(), new long[] {told.life(), told.upTo()});
         List<Item> news = replica.news(told.items());
         boolean before = agreement.whole();
-        agreement.met(reactor.now(), link.other().node(), told.whole(), told.items(), told.held());
+        agreement.met(reactor.now(), link.other().ip(), told.whole(), told.items(), told.held());
         if (!before && agreement.whole()) {
             storage.whole();
         } else if (!news.isEmpty()) {
--- a/src/test/java/reedmux/item/AgreementTest.java
+++ b/src/test/java/reedmux/item/AgreementTest.java
@@ -59,7 +59,7 @@
         void start(int i, boolean whole, Replica replica) {
             replicas[i] = replica;
             agreements[i] = new Agreement("s" + i, now + i, replica, whole, new Effects(i));
-            agreements[i].members(3, 2);
+            agreements[i].quorum(Quorum.of(List.of("s0", "s1", "s2"), 2));
         }
 
         void adjust(int at, int number, String body) {
@@ -355,7 +355,7 @@
         final Agreement agreement = new Agreement("s0", 1, replica, true, this);
 
         Alone() throws Invalid {
-            agreement.members(5, 2);
+            agreement.quorum(Quorum.of(List.of("s0", "s1", "s2", "s3", "s4"), 2));
             replica.merge(Change.read(call(PLANT)));
         }
 
@@ -421,7 +421,7 @@
         other.asked("s1", 1, "x", route("one", 2, "h.example"));
         Alone store = new Alone();
         Agreement wiped = new Agreement("s0", 2, store.replica, false, store);
-        wiped.members(3, 2);
+        wiped.quorum(Quorum.of(List.of("s0", "s1", "s2"), 2));
         wiped.met(SECOND, "s1", true, List.copyOf(other.replica.inForce()), List.of());
         wiped.met(SECOND, "s2", true, List.copyOf(other.replica.inForce()),
                 List.copyOf(other.replica.held().values()));
