Fences: an old link's end, or a late account of an address, ends nobody who lives

Cause: a registry kept one session a node, so the end of an overtaken link took the session of the next; and whoever was told late of a checker's predecessor at an address marked the living one as gone, for good, as phases are a ratchet. Ruled out: News of an older incarnation after a newer one (one link a Dialer). Change: Sessions counts links, the newest that stands counts; an address is taken by the checker's own call alone, from one not heard of for 4 s.

--- a/src/main/java/reedmux/fleet/Fleet.java
+++ b/src/main/java/reedmux/fleet/Fleet.java
@@ -15,6 +15,8 @@
     private static final long MILLI = 1000;
     /** Lives that have ended are remembered for so long, so that nothing late brings them back. */
     private static final long REMEMBERED = 600_000_000;
+    /** Who has called within this still has its address, whoever else says so: over two usual periods. */
+    private static final long OWNER = 4_000_000;
 
     /** One life here. */
     private static final class Entry {
@@ -28,7 +30,16 @@
     private final Map<String, String> byAddress = new HashMap<>();
     private long changes;
 
-    /** Takes in what somebody tells; returns whether there was any news in it for others. */
+    /**
+     * Takes in a checker's own call: with it, it holds its address. Returns whether there was any news in it
+     * for others.
+     */
+    public boolean called(Incarnation told, long now) {
+        boolean news = merge(told, now);
+        return takeAddress(entries.get(told.id()).life, now) | news;
+    }
+
+    /** Takes in what somebody else tells; returns whether there was any news in it for others. */
     public boolean merge(Incarnation told, long now) {
         Entry entry = entries.get(told.id());
         if (entry == null) {
@@ -38,7 +49,9 @@
             entry.heardAt = now;
             entry.coldUntil = now + told.coldMs() * MILLI;
             entry.change = ++changes;
-            takeAddress(told, now);
+            if (told.phase() != Incarnation.GONE) {
+                byAddress.putIfAbsent(told.address(), told.id());
+            }
             return true;
         }
         Incarnation had = entry.life;
@@ -59,17 +72,27 @@
         return news;
     }
 
-    /** An address has one life at a time: who had it before is gone. */
-    private void takeAddress(Incarnation told, long now) {
-        if (told.phase() == Incarnation.GONE) {
-            return;
+    /**
+     * An address has one incarnation at a time: who had it before and has not called for a while is gone. By
+     * its own calls alone: what others tell comes in any order, and must not end one that lives for one that
+     * had its address before.
+     */
+    private boolean takeAddress(Incarnation holder, long now) {
+        if (holder.phase() == Incarnation.GONE) {
+            return false;
+        }
+        String before = byAddress.get(holder.address());
+        Entry old = before == null || before.equals(holder.id()) ? null : entries.get(before);
+        if (old != null && old.life.phase() != Incarnation.GONE && now - old.heardAt <= OWNER) {
+            return false;
         }
-        String before = byAddress.put(told.address(), told.id());
-        Entry old = before == null || before.equals(told.id()) ? null : entries.get(before);
-        if (old != null && old.life.phase() != Incarnation.GONE && now - old.heardAt > MILLI * MILLI) {
-            old.life = old.life.with(Incarnation.GONE, old.life.silent(), 0);
-            old.change = ++changes;
+        byAddress.put(holder.address(), holder.id());
+        if (old == null || old.life.phase() == Incarnation.GONE) {
+            return false;
         }
+        old.life = old.life.with(Incarnation.GONE, old.life.silent(), 0);
+        old.change = ++changes;
+        return true;
     }
 
     /** It has been heard of at that time by somebody. */
--- a/src/main/java/reedmux/member/Sessions.java
+++ b/src/main/java/reedmux/member/Sessions.java
@@ -14,7 +14,8 @@
 public final class Sessions {
     private final long linger;
     private final Map<String, Told> told = new HashMap<>();
-    private final Map<String, Session> own = new TreeMap<>();
+    /** By node the sessions of its links with us, which may overlap, in the order in which they began. */
+    private final Map<String, List<Session>> own = new TreeMap<>();
     private long changes;
     private long seen;
 
@@ -29,22 +30,38 @@
         this.linger = linger;
     }
 
-    /** A node has a session with us from now on. */
+    /** A link of a node with us stands from now on. */
     public void begin(Session session) {
-        own.put(session.node(), session);
-        changes++;
+        Session before = newest(session.node());
+        own.computeIfAbsent(session.node(), node -> new ArrayList<>(1)).add(session);
+        changes += session.equals(before) ? 0 : 1;
     }
 
-    /** A session has ended, unless a newer one has taken its place. */
+    /** A link has ended; another one of its node, of the same incarnation or the next, may stand. */
     public void end(Session session) {
-        if (session.equals(own.get(session.node()))) {
-            own.remove(session.node());
-            changes++;
+        List<Session> links = own.get(session.node());
+        Session before = newest(session.node());
+        if (links != null && links.remove(session)) {
+            if (links.isEmpty()) {
+                own.remove(session.node());
+            }
+            changes += before.equals(newest(session.node())) ? 0 : 1;
         }
     }
 
+    /** The session that began last of those that a node has, or null. */
+    private Session newest(String node) {
+        List<Session> links = own.get(node);
+        return links == null ? null : links.get(links.size() - 1);
+    }
+
+    /** One session for each node that has any with us. */
     public Collection<Session> own() {
-        return own.values();
+        List<Session> all = new ArrayList<>(own.size());
+        for (List<Session> links : own.values()) {
+            all.add(links.get(links.size() - 1));
+        }
+        return all;
     }
 
     /** A source tells all the sessions that it knows of. */
@@ -78,7 +95,7 @@
         counted.sort((one, other) -> Long.compare(one.at, other.at));
         List<Session> all = new ArrayList<>();
         counted.forEach(entry -> all.addAll(entry.sessions));
-        all.addAll(own.values());
+        all.addAll(own());
         return View.of(all);
     }
 
--- a/src/main/java/reedmux/registry/Registry.java
+++ b/src/main/java/reedmux/registry/Registry.java
@@ -137,7 +137,7 @@
             return;
         }
         if (command instanceof ControlCall.Heartbeat heartbeat) {
-            fleet.merge(heartbeat.life(), reactor.now());
+            fleet.called(heartbeat.life(), reactor.now());
             known(heartbeat.life().id(), from);
         } else if (command instanceof ControlCall.Leave leave) {
             Incarnation before = fleet.get(leave.id(), reactor.now());
