Contact rounds, one content for one revision, links that were silent are not read

Change: Agreement.contact asks all others; a store that counts itself answers behind all that is in force there, once nothing is held any more of what it held when asked; a quorum of answers makes what is merged complete as of the call. Reads, 200 without a change, 400 and 409 come after it, else 503. A call that was dropped for what a store lacked is brought again after a contact. Ballots are kept 10 s, dropped calls 4,096. Link closes what it finds on a link that was silent too long. Proxies are ready on Messages.Current.

--- a/src/main/java/reedmux/item/Agreement.java
+++ b/src/main/java/reedmux/item/Agreement.java
@@ -1,12 +1,16 @@
 package reedmux.item;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * One store's part in deciding on the operator's calls. A call is acknowledged once {@code enough} stores
@@ -15,8 +19,10 @@
  * that nobody decided on is brought again, under a higher ballot, by whoever holds it: a store that has taken
  * part in one ballot heeds none below it, so that a call which one attempt may have brought into force is not
  * dropped by another. A store that lost its disk counts for nothing until it has met so many of the others
- * that nothing acknowledged can be missing, and then holds what these hold. Pure: what is to be done is told
- * to {@link Effects}.
+ * that nothing acknowledged can be missing, and then holds what these hold. What needs no round of its own (a
+ * read, a call that changes nothing, a refusal) is answered after a contact: a quorum has told, since the call
+ * came, all that is in force there, once nothing was held any more of what it held then. Pure: what is to be
+ * done is told to {@link Effects}.
  */
 public final class Agreement {
     /** A call that was not decided on for so long is brought again, in microseconds. */
@@ -27,10 +33,15 @@
     private static final long ROUND = 800_000;
     public static final int GOOD = 200;
     public static final int WRONG = 400;
+    public static final int CONFLICT = 409;
     public static final int LATER = 503;
 
-    /** Ballots of calls that are over, kept for what is still on its way. */
-    private static final int MOST_BALLOTS = 2048;
+    /** What is said later than a link may be silent is not read, so that ballots matter no longer than that. */
+    private static final long BALLOT = 10_000_000;
+    /** Of calls that were dropped, as a store that was away may bring them again. */
+    private static final int MOST_DROPPED = 4096;
+    /** How often a call is brought under a new name, where it was dropped for what was missing or in its way. */
+    private static final int TRIES = 3;
 
     /** What one store says of a call. */
     public enum Vote {
@@ -43,7 +54,9 @@
         /** The disk refuses, or the store does not count itself. */
         UNABLE,
         /** A higher ballot has gone before. */
-        PASSED
+        PASSED,
+        /** Another content was taken under one of its revisions, so that it can never come into force. */
+        CONFLICT
     }
 
     /** What is to be done. */
@@ -54,6 +67,12 @@
 
         void vote(String to, String call, Ballot ballot, Vote vote);
 
+        /** Asks all others that can be reached for contact; ends as {@link Agreement#confirmed}. */
+        void confirm(long id, boolean settled);
+
+        /** Says that we were asked, behind all that is in force here now. */
+        void confirmed(String to, long id);
+
         /** Tells all others that can be reached what became of a call. */
         void tell(String call, Ballot ballot, boolean inForce, List<Item> items);
 
@@ -77,19 +96,32 @@
     private final Map<String, Long> heldAt = new LinkedHashMap<>();
     /** Calls that are held and on our disk, with the ballot that is there. */
     private final Map<String, Ballot> safe = new HashMap<>();
-    /** The highest ballot that was seen of each call, also of those that we do not hold. */
-    private final Map<String, Ballot> seen = new LinkedHashMap<>();
+    /** The highest ballot that was seen of each call, also of those that we do not hold, and when. */
+    private final Map<String, Ballot> seen = new HashMap<>();
+    private final Map<String, Long> seenAt = new LinkedHashMap<>();
+    private final Set<String> dropped = new LinkedHashSet<>();
+    private final Map<Long, Contact> contacts = new LinkedHashMap<>();
+    private final List<Asked> confirming = new ArrayList<>();
     /** Who has to be told our vote once a call is on disk, and under which ballot. */
     private final Map<String, Map<String, Ballot>> asking = new LinkedHashMap<>();
     /** Others that we are in touch with, and whose items we have merged since. */
     private final Set<String> merged = new HashSet<>();
     private boolean whole;
     private long calls;
+    private long ids;
     private long now;
 
-    /** One call on its way. */
-    private record Round(Proposal proposal, BiConsumer<Integer, String> reply, Map<String, Vote> votes,
-            long since) { }
+    /** What the operator asked for, and since when. */
+    private record Order(List<Item> items, BiConsumer<Integer, String> reply, long since) { }
+
+    /** One call on its way; {@code order}: whose, or null where nobody waits for it. */
+    private record Round(Proposal proposal, Order order, Map<String, Vote> votes, long since, int tries) { }
+
+    /** Who was in touch since it began, and what was held here then and still is. */
+    private record Contact(Set<String> by, Set<String> held, long since, Consumer<Boolean> done) { }
+
+    /** Another store waits until nothing of that is held here any more. */
+    private record Asked(String by, long id, Set<String> held, long since) { }
 
     /** {@code replica} has what was found on disk, {@code whole}: that nothing of it was lost. */
     public Agreement(String self, long life, Replica replica, boolean whole, Effects effects) {
@@ -119,6 +151,7 @@
     /** All that is in force at another store has been told, up to now; {@code itsWhole}: it counts itself. */
     public void met(long time, String other, boolean itsWhole, List<Item> items, List<Proposal> held) {
         now = time;
+        boolean before = current();
         if (!replica.merge(items).isEmpty()) {
             effects.changed();
         }
@@ -134,6 +167,9 @@
             effects.log("whole again, with " + replica.inForce().size() + " items");
             effects.changed();
         }
+        if (!before && current()) {
+            bringAgain(); // what a start has found held waits for nobody
+        }
     }
 
     /**
@@ -159,8 +195,25 @@
         if (had == null || ballot.compareTo(had) > 0) {
             seen.put(call, ballot);
         }
-        if (seen.size() > MOST_BALLOTS) {
-            seen.keySet().removeIf(old -> seen.size() > MOST_BALLOTS / 2 && !replica.holds(old));
+        seenAt.remove(call);
+        seenAt.put(call, now); // the latest last
+    }
+
+    private void forget() {
+        Iterator<Map.Entry<String, Long>> oldest = seenAt.entrySet().iterator();
+        while (oldest.hasNext()) {
+            Map.Entry<String, Long> entry = oldest.next();
+            if (now - entry.getValue() < BALLOT) {
+                break;
+            } else if (!replica.holds(entry.getKey())) {
+                oldest.remove();
+                seen.remove(entry.getKey());
+            }
+        }
+        Iterator<String> first = dropped.iterator();
+        while (dropped.size() > MOST_DROPPED) {
+            first.next();
+            first.remove();
         }
     }
 
@@ -174,6 +227,11 @@
         if (whole) {
             merged.remove(other);
         }
+        if (!current()) {
+            List<Contact> over = List.copyOf(contacts.values());
+            contacts.clear();
+            over.forEach(contact -> contact.done.accept(false));
+        }
     }
 
     /** Whether nothing that is acknowledged can be unknown here. */
@@ -186,6 +244,76 @@
         return quorum.reached(all);
     }
 
+    // ---- Contact with a quorum ---------------------------------------------------------------------
+    /**
+     * {@code done} hears whether a quorum was in touch with us since now; if {@code settled}, all is merged
+     * then that was acknowledged before.
+     */
+    public void contact(long time, boolean settled, Consumer<Boolean> done) {
+        now = time;
+        begin(now, settled, done);
+    }
+
+    private void begin(long since, boolean settled, Consumer<Boolean> done) {
+        if (!current() || now - since > ROUND) {
+            done.accept(false);
+            return;
+        }
+        long id = ++ids;
+        contacts.put(id, new Contact(new HashSet<>(Set.of(self)),
+                settled ? new HashSet<>(replica.held().keySet()) : Set.of(), since, done));
+        effects.confirm(id, settled);
+        reached(id);
+    }
+
+    private void reached(long id) {
+        Contact contact = contacts.get(id);
+        if (contact != null && whole && contact.held.isEmpty() && quorum.reached(contact.by)) {
+            contacts.remove(id);
+            contact.done.accept(true);
+        }
+    }
+
+    /** Another store asks whether we are in touch. */
+    public void confirm(long time, String by, long id, boolean settled) {
+        now = time;
+        if (!whole) {
+            return; // it may lack what was acknowledged
+        }
+        if (!settled || replica.held().isEmpty()) {
+            effects.confirmed(by, id);
+        } else {
+            confirming.add(new Asked(by, id, new HashSet<>(replica.held().keySet()), now));
+        }
+    }
+
+    /** Another store was in touch since we asked, and all is merged that was in force there. */
+    public void confirmed(long time, String by, long id) {
+        now = time;
+        Contact contact = contacts.get(id);
+        if (contact != null) {
+            contact.by.add(by);
+            reached(id);
+        }
+    }
+
+    /** A call is not held any more. */
+    private void released(String call) {
+        Iterator<Asked> waiting = confirming.iterator();
+        while (waiting.hasNext()) {
+            Asked asked = waiting.next();
+            if (asked.held.remove(call) && asked.held.isEmpty()) {
+                waiting.remove();
+                effects.confirmed(asked.by, asked.id);
+            }
+        }
+        for (Map.Entry<Long, Contact> entry : List.copyOf(contacts.entrySet())) {
+            if (entry.getValue().held.remove(call)) {
+                reached(entry.getKey());
+            }
+        }
+    }
+
     // ---- The operator's calls ----------------------------------------------------------------------
     /** A call that changes items; {@code reply} hears the status and a line once. */
     public void adjust(long time, String body, BiConsumer<Integer, String> reply) {
@@ -197,34 +325,55 @@
             reply.accept(WRONG, e.getMessage());
             return;
         }
-        if (!current()) {
+        if (current()) {
+            attempt(new Order(items, reply, now), false, 1);
+        } else {
             reply.accept(LATER, "too few of the others can be reached");
-            return;
         }
-        List<Item> news = replica.news(items);
-        Replica.Verdict verdict = replica.judge("", news);
-        if (verdict == Replica.Verdict.INVALID) {
-            reply.accept(WRONG, replica.problem());
-        } else if (verdict == Replica.Verdict.BUSY) {
-            reply.accept(LATER, "another change is being made");
-        } else if (news.isEmpty()) {
-            reply.accept(GOOD, "{}"); // all of it is in force, or overtaken
+    }
+
+    /** {@code settled}: all is known here that was acknowledged before the order came. */
+    private void attempt(Order order, boolean settled, int tries) {
+        List<Item> news = replica.news(order.items);
+        Replica.Verdict verdict = replica.judge("", order.items);
+        if (verdict == Replica.Verdict.GOOD && !news.isEmpty()) {
+            Proposal proposal = new Proposal(self + '/' + life + '/' + ++calls, new Ballot(1, self), news);
+            bring(proposal, order, order.since, tries);
+        } else if (!settled || verdict == Replica.Verdict.BUSY) {
+            again(order, tries);
+        } else if (verdict == Replica.Verdict.GOOD) {
+            order.reply.accept(GOOD, "{}"); // all of it is in force, or overtaken
+        } else if (verdict == Replica.Verdict.FORGOTTEN) {
+            order.reply.accept(LATER, "a revision is too old to be known");
         } else {
-            bring(new Proposal(self + '/' + life + '/' + ++calls, new Ballot(1, self), news), reply, now);
+            order.reply.accept(verdict == Replica.Verdict.CONFLICT ? CONFLICT : WRONG, replica.problem());
         }
     }
 
+    private void again(Order order, int tries) {
+        begin(order.since, true, reached -> {
+            if (reached) {
+                attempt(order, true, tries);
+            } else {
+                order.reply.accept(LATER, "too few of the others can be reached, or a change is being made");
+            }
+        });
+    }
+
     /** All items that stand, told to {@code reply} with the status. */
-    public void read(BiConsumer<Integer, String> reply) {
-        if (current() && replica.held().isEmpty()) {
-            reply.accept(GOOD, Change.write(replica.inForce()));
-        } else {
-            reply.accept(LATER, "too few of the others can be reached, or a change is being made");
-        }
+    public void read(long time, BiConsumer<Integer, String> reply) {
+        now = time;
+        begin(now, true, reached -> {
+            if (reached) {
+                reply.accept(GOOD, Change.write(replica.inForce()));
+            } else {
+                reply.accept(LATER, "too few of the others can be reached, or a change is being made");
+            }
+        });
     }
 
-    private void bring(Proposal proposal, BiConsumer<Integer, String> reply, long since) {
-        rounds.put(proposal.call(), new Round(proposal, reply, new HashMap<>(), since));
+    private void bring(Proposal proposal, Order order, long since, int tries) {
+        rounds.put(proposal.call(), new Round(proposal, order, new HashMap<>(), since, tries));
         effects.propose(proposal);
         asked(now, self, proposal);
     }
@@ -245,6 +394,9 @@
         } else if (passed(call, ballot)) {
             voted(by, call, ballot, Vote.PASSED);
             return;
+        } else if (dropped.contains(call)) {
+            voted(by, call, ballot, Vote.BUSY);
+            return;
         }
         seen(call, ballot);
         if (ballot.equals(safe.get(call))) {
@@ -253,7 +405,8 @@
         }
         Replica.Verdict verdict = replica.judge(call, proposal.items()); // good where it is held already
         if (verdict != Replica.Verdict.GOOD) {
-            voted(by, call, ballot, verdict == Replica.Verdict.BUSY ? Vote.BUSY : Vote.INVALID);
+            voted(by, call, ballot, verdict == Replica.Verdict.INVALID ? Vote.INVALID
+                    : verdict == Replica.Verdict.CONFLICT ? Vote.CONFLICT : Vote.BUSY);
             return;
         }
         asking.computeIfAbsent(call, name -> new LinkedHashMap<>()).put(by, ballot);
@@ -269,6 +422,7 @@
             } else if (!safe.containsKey(call)) {
                 replica.decide(call, false, List.of());
                 heldAt.remove(call);
+                released(call);
             }
         }
         Map<String, Ballot> who = asking.getOrDefault(call, Map.of());
@@ -310,7 +464,9 @@
                 against.add(store);
             }
         });
-        if (quorum.reached(good)) {
+        if (vote == Vote.CONFLICT) {
+            end(call, false, true);
+        } else if (quorum.reached(good)) {
             // Where another holds what cannot stand beside it, that one is decided on first.
             if (!round.votes.containsValue(Vote.BUSY)) {
                 end(call, true, true);
@@ -331,13 +487,17 @@
         if (clear) {
             List<Item> items = good ? round.proposal.items() : List.of();
             decided(now, call, round.proposal.ballot(), good, items);
-            if (good) {
-                round.reply.accept(GOOD, "{}");
+            if (good && round.order != null) {
+                round.order.reply.accept(GOOD, "{}");
             }
             effects.tell(call, round.proposal.ballot(), good, items);
         }
-        if (!good) {
-            round.reply.accept(LATER, "too few stores could keep the change");
+        if (good || round.order == null) {
+            return;
+        } else if (clear && round.tries < TRIES) {
+            again(round.order, round.tries + 1); // what was missing, or in its way, is known then
+        } else {
+            round.order.reply.accept(LATER, "too few stores could keep the change");
         }
     }
 
@@ -352,10 +512,14 @@
         safe.remove(call);
         long before = replica.changes();
         replica.decide(call, inForce, items);
+        if (!inForce) {
+            dropped.add(call);
+        }
         effects.keepDecided(call, ballot, inForce, items);
         if (replica.changes() != before) {
             effects.changed();
         }
+        released(call);
     }
 
     /** Ends rounds that have no end, and brings again what is held and was not decided on. */
@@ -367,18 +531,28 @@
                 end(entry.getKey(), false, false);
             } else if (round.votes.containsValue(Vote.BUSY) && current()) {
                 // What was in its way may be decided by now.
-                bring(further(round.proposal), round.reply, round.since);
+                bring(further(round.proposal), round.order, round.since, round.tries);
             }
         }
-        if (!current()) {
-            return;
+        for (Map.Entry<Long, Contact> entry : List.copyOf(contacts.entrySet())) {
+            if (now - entry.getValue().since > ROUND && contacts.remove(entry.getKey()) != null) {
+                entry.getValue().done.accept(false);
+            }
+        }
+        confirming.removeIf(asked -> now - asked.since > ROUND);
+        forget();
+        if (current()) {
+            bringAgain();
         }
+    }
+
+    private void bringAgain() {
         long turn = UNDECIDED + TURN * merged.stream().filter(other -> other.compareTo(self) < 0).count();
         for (Map.Entry<String, Long> entry : List.copyOf(heldAt.entrySet())) {
             Proposal proposal = replica.held().get(entry.getKey());
             if (now - entry.getValue() > turn && proposal != null && !rounds.containsKey(proposal.call())) {
                 heldAt.put(proposal.call(), now + ROUND);
-                bring(further(proposal), (status, line) -> { }, now);
+                bring(further(proposal), null, now, TRIES);
             }
         }
     }
--- a/src/main/java/reedmux/item/Change.java
+++ b/src/main/java/reedmux/item/Change.java
@@ -1,6 +1,7 @@
 package reedmux.item;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -30,12 +31,17 @@
                 }
             }
         }
+        Map<String, Item> all = new LinkedHashMap<>();
         for (Item item : items) {
             if (!item.dropped()) {
                 alone(item);
             }
+            Item other = all.put(item.key() + ' ' + item.revision(), item);
+            if (other != null && !other.equals(item)) {
+                throw new Invalid(item.key() + " has two contents with the revision " + item.revision());
+            }
         }
-        return items;
+        return new ArrayList<>(all.values());
     }
 
     private static void alone(Item item) throws Invalid {
--- /dev/null
+++ b/src/main/java/reedmux/item/Mark.java
@@ -0,0 +1,33 @@
+package reedmux.item;
+
+/**
+ * That a revision of an item was taken, and has been overtaken since: what is left of its content is a digest.
+ *
+ * @param digest of the content, or {@link #FLOOR}: nothing is known any more of this revision and those below
+ */
+public record Mark(String key, long revision, long digest) {
+    public static final long FLOOR = 0;
+    private static final long FNV = 0x100000001b3L;
+
+    // Written out, as what a record brings is linked at run time, in the middle of a start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Mark mark && revision == mark.revision && digest == mark.digest
+                && key.equals(mark.key);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * key.hashCode() + Long.hashCode(revision);
+    }
+
+    public static Mark of(Item item) {
+        long digest = 0xcbf29ce484222325L;
+        String body = item.body();
+        for (int i = 0; i < body.length(); i++) {
+            digest = (digest ^ body.charAt(i)) * FNV;
+            digest ^= digest >>> 29;
+        }
+        return new Mark(item.key(), item.revision(), digest == FLOOR ? 1 : digest);
+    }
+}
--- a/src/main/java/reedmux/item/Poll.java
+++ b/src/main/java/reedmux/item/Poll.java
@@ -44,11 +44,6 @@
         return vector.getOrDefault(source, new long[] {0, 0});
     }
 
-    /** Sources that were heard. */
-    public int sources() {
-        return vector.size();
-    }
-
     /** The last that could be used, or null. */
     public Table table() {
         return table;
--- a/src/main/java/reedmux/item/Replica.java
+++ b/src/main/java/reedmux/item/Replica.java
@@ -20,13 +20,18 @@
         GOOD,
         /** It cannot stand beside what is in force. */
         INVALID,
-        /** It cannot stand beside another call that is held. */
-        BUSY
+        /** It cannot stand beside another call that is held, or not without it. */
+        BUSY,
+        /** Another content was taken under one of its revisions. */
+        CONFLICT,
+        /** One of its revisions is so old that it is not known any more whether it was taken. */
+        FORGOTTEN
     }
 
     private final Map<String, Item> inForce = new TreeMap<>();
     private final Map<String, Long> changedAt = new HashMap<>();
     private final Map<String, Proposal> held = new LinkedHashMap<>();
+    private final Marks marks = new Marks();
     private long changes;
     private String problem = "";
 
@@ -35,18 +40,17 @@
         if (held.containsKey(call)) {
             return Verdict.GOOD;
         }
-        List<Item> news = news(items);
-        if (!stands(List.of(news))) {
-            return Verdict.INVALID;
-        }
-        for (Item item : items) { // who brings it does not know yet what has this revision here
-            Item had = inForce.get(item.key());
-            if (had != null && had.revision() == item.revision() && !had.equals(item)) {
-                return Verdict.BUSY;
+        List<Item> unrecorded = new ArrayList<>();
+        for (Item item : items) {
+            Verdict verdict = standing(item);
+            if (verdict == Verdict.GOOD) {
+                unrecorded.add(item);
+            } else if (verdict != null) {
+                return verdict;
             }
         }
         for (Proposal other : held.values()) {
-            for (Item one : news) {
+            for (Item one : unrecorded) {
                 for (Item beside : other.items()) {
                     if (one.key().equals(beside.key()) && one.revision() == beside.revision()
                             && !one.equals(beside)) {
@@ -57,8 +61,32 @@
         }
         List<List<Item>> together = new ArrayList<>();
         held.values().forEach(other -> together.add(other.items()));
-        together.add(news);
-        return held.isEmpty() || stands(together) ? Verdict.GOOD : Verdict.BUSY;
+        together.add(unrecorded);
+        if (stands(List.of(unrecorded))) {
+            return held.isEmpty() || stands(together) ? Verdict.GOOD : Verdict.BUSY;
+        }
+        String alone = problem;
+        boolean later = !held.isEmpty() && stands(together);
+        problem = alone;
+        return later ? Verdict.BUSY : Verdict.INVALID;
+    }
+
+    /** Of one item: null where it was taken with this content, {@link Verdict#GOOD} where it is news. */
+    private Verdict standing(Item item) {
+        Item had = inForce.get(item.key());
+        if (had != null && had.revision() == item.revision()) {
+            return had.equals(item) ? null : conflict(item);
+        }
+        Long digest = marks.digest(item.key(), item.revision());
+        if (digest != null) {
+            return digest == Mark.of(item).digest() ? null : conflict(item);
+        }
+        return item.revision() <= marks.floor(item.key()) ? Verdict.FORGOTTEN : Verdict.GOOD;
+    }
+
+    private Verdict conflict(Item item) {
+        problem = item.key() + " was taken with another content under the revision " + item.revision();
+        return Verdict.CONFLICT;
     }
 
     /** Why the last call was not good. */
@@ -66,11 +94,11 @@
         return problem;
     }
 
-    /** The items of a call that would change something. */
+    /** The items of a call whose revisions were not taken yet, as far as is known here. */
     public List<Item> news(List<Item> items) {
         List<Item> news = new ArrayList<>();
         for (Item item : items) {
-            if (item.over(inForce.get(item.key()))) {
+            if (standing(item) == Verdict.GOOD) {
                 news.add(item);
             }
         }
@@ -114,14 +142,52 @@
         for (Item item : items) {
             Item had = inForce.get(item.key());
             if (had == null || item.compareTo(had) > 0) {
+                if (had != null && had.revision() < item.revision()) {
+                    mark(Mark.of(had));
+                }
                 inForce.put(item.key(), item);
                 changedAt.put(item.key(), ++changes);
                 news.add(item);
+            } else if (item.revision() < had.revision()) {
+                mark(Mark.of(item));
             }
         }
         return news;
     }
 
+    /** Takes in marks of what was taken and overtaken elsewhere; returns those that were news. */
+    public List<Mark> mark(Collection<Mark> told) {
+        List<Mark> news = new ArrayList<>();
+        for (Mark mark : told) {
+            if (mark(mark)) {
+                news.add(mark);
+            }
+        }
+        return news;
+    }
+
+    private boolean mark(Mark mark) {
+        if (!marks.isNews(mark)) {
+            return false;
+        }
+        marks.add(mark, ++changes);
+        Mark floor = marks.due(mark.key());
+        if (floor != null) {
+            marks.add(floor, ++changes);
+        }
+        return true;
+    }
+
+    /** What was taken and overtaken: all that is known of it. */
+    public Collection<Mark> marks() {
+        return marks.all();
+    }
+
+    /** What of that has become known since a change. */
+    public List<Mark> marksSince(long change) {
+        return marks.since(change);
+    }
+
     public boolean holds(String call) {
         return held.containsKey(call);
     }
--- a/src/main/java/reedmux/link/Codec.java
+++ b/src/main/java/reedmux/link/Codec.java
@@ -9,13 +9,18 @@
 import reedmux.item.Ballot;
 import reedmux.item.Agreement.Vote;
 import reedmux.item.Item;
+import reedmux.item.Mark;
 import reedmux.item.Proposal;
 import reedmux.link.Messages.Adjust;
 import reedmux.link.Messages.Beats;
+import reedmux.link.Messages.Confirm;
+import reedmux.link.Messages.Confirmed;
+import reedmux.link.Messages.Current;
 import reedmux.link.Messages.Decided;
 import reedmux.link.Messages.Hello;
 import reedmux.link.Messages.Items;
 import reedmux.link.Messages.Known;
+import reedmux.link.Messages.Marks;
 import reedmux.link.Messages.News;
 import reedmux.link.Messages.Outcome;
 import reedmux.link.Messages.Ping;
@@ -54,6 +59,10 @@
     private static final byte PROPOSE = 15;
     private static final byte DECIDED = 16;
     private static final byte ITEMS = 17;
+    private static final byte MARKS = 40;
+    private static final byte CONFIRM = 41;
+    private static final byte CONFIRMED = 42;
+    private static final byte CURRENT = 43;
     private static final Ballot WITHOUT = new Ballot(1, "");
     private final Output out = new Output(FIRST, Link.MOST);
 
@@ -128,6 +137,18 @@
             out.writeLong(outcome.id());
             out.writeInt(outcome.status());
             out.writeString(outcome.body());
+        } else if (message instanceof Marks told) {
+            out.writeByte(MARKS);
+            marks(told.marks());
+        } else if (message instanceof Confirm confirm) {
+            out.writeByte(CONFIRM);
+            out.writeLong(confirm.id());
+            out.writeBoolean(confirm.settled());
+        } else if (message instanceof Confirmed confirmed) {
+            out.writeByte(CONFIRMED);
+            out.writeLong(confirmed.id());
+        } else if (message instanceof Current) {
+            out.writeByte(CURRENT);
         } else {
             throw new IllegalArgumentException("no message: " + message.getClass());
         }
@@ -167,6 +188,10 @@
             case ADJUST -> new Adjust(in.readLong(), in.readString());
             case READ -> new Read(in.readLong());
             case OUTCOME -> new Outcome(in.readLong(), in.readInt(), in.readString());
+            case MARKS -> new Marks(marks(in));
+            case CONFIRM -> new Confirm(in.readLong(), in.readBoolean());
+            case CONFIRMED -> new Confirmed(in.readLong());
+            case CURRENT -> new Current();
             default -> null;
         };
     }
@@ -234,6 +259,24 @@
         return all;
     }
 
+    private void marks(List<Mark> marks) {
+        out.writeVarInt(marks.size(), true);
+        for (Mark mark : marks) {
+            out.writeString(mark.key());
+            out.writeVarLong(mark.revision(), true);
+            out.writeLong(mark.digest());
+        }
+    }
+
+    private static List<Mark> marks(Input in) {
+        int size = in.readVarInt(true);
+        List<Mark> all = list(size);
+        for (int i = 0; i < size; i++) {
+            all.add(new Mark(in.readString(), in.readVarLong(true), in.readLong()));
+        }
+        return all;
+    }
+
     private void proposal(Proposal proposal) {
         out.writeString(proposal.call());
         ballot(proposal.ballot());
--- a/src/main/java/reedmux/link/Link.java
+++ b/src/main/java/reedmux/link/Link.java
@@ -16,7 +16,7 @@
     static final int MOST = 16 * 1024 * 1024;
     private static final int LENGTH = 4;
     private static final long PACE = 700_000;
-    private static final long SILENCE = 2_200_000;
+    public static final long SILENCE = 2_200_000;
     /** More than this that waits to go out means that the other side does not read. */
     private static final long MOST_WAITING = 32L * 1024 * 1024;
 
@@ -74,7 +74,7 @@
             if (over) {
                 return;
             }
-            if (reactor.now() - heardAt > SILENCE) {
+            if (isStale()) {
                 close();
                 return;
             }
@@ -85,6 +85,14 @@
         });
     }
 
+    /**
+     * Whether the other side has given us up, so that what waits here was said in another time: a process that
+     * was frozen finds it before its timers run.
+     */
+    private boolean isStale() {
+        return reactor.now() - heardAt > SILENCE;
+    }
+
     /** Who is at the other end; null before it is up. */
     public Hello other() {
         return other;
@@ -96,7 +104,7 @@
     }
 
     public boolean isUp() {
-        return other != null && !over;
+        return other != null && !over && !isStale();
     }
 
     @SuppressWarnings("unchecked")
@@ -134,6 +142,10 @@
 
     @Override
     public void input() {
+        if (isStale()) {
+            close();
+            return;
+        }
         heardAt = reactor.now();
         while (!over && wire.available() >= LENGTH) {
             int length = (wire.peek(0) & 0xff) << 24 | (wire.peek(1) & 0xff) << 16 | (wire.peek(
--- a/src/main/java/reedmux/link/Messages.java
+++ b/src/main/java/reedmux/link/Messages.java
@@ -7,6 +7,7 @@
 import reedmux.item.Ballot;
 import reedmux.item.Agreement.Vote;
 import reedmux.item.Item;
+import reedmux.item.Mark;
 import reedmux.item.Proposal;
 import reedmux.member.Session;
 
@@ -92,4 +93,23 @@
             heard = new ArrayList<>(heard);
         }
     }
+
+    /** Revisions that were taken and overtaken, from store to store, ahead of the items; and on disk. */
+    public record Marks(List<Mark> marks) {
+        public Marks {
+            marks = new ArrayList<>(marks);
+        }
+    }
+
+    /**
+     * A store asks another one, over the link on which it pulls, whether they are in touch; {@code settled}: the
+     * answer is to wait until what is held now is decided on.
+     */
+    public record Confirm(long id, boolean settled) { }
+
+    /** The answer, by a store that counts itself, behind all that is in force there. */
+    public record Confirmed(long id) { }
+
+    /** To a proxy: a quorum was in touch since it began to pull, and all that was in force then has been told. */
+    public record Current() { }
 }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -35,6 +35,7 @@
 import reedmux.link.Dialer;
 import reedmux.link.Link;
 import reedmux.link.Messages;
+import reedmux.link.Messages.Current;
 import reedmux.link.Messages.Hello;
 import reedmux.link.Messages.Items;
 import reedmux.link.Messages.News;
@@ -72,6 +73,8 @@
     /** Of further tries, where the settings file does not say. */
     private static final double RATIO = 0.1;
     private static final double SLACK = 10;
+    /** After so long without a store that has a quorum, what the others tell is served. */
+    private static final long ALONE = 4 * SECOND;
     /** By then a start has usually come so far that requests can be served. */
     private static final long STARTS = SECOND / 5;
     /** Of the time that it has left, what a request may wait for that, and the most. */
@@ -103,6 +106,8 @@
     private final long grace;
     private View view = View.of(List.of());
     private boolean ready;
+    /** Whether a store has told all that was in force when it was in touch with a quorum, after our start. */
+    private boolean proved;
     private final long bornAt;
     private long leavingAt = -1;
 
@@ -183,6 +188,9 @@
             }
             pull(link);
             begun();
+        } else if (message instanceof Current) {
+            proved = true;
+            begun();
         } else if (message instanceof News news) {
             vector.put(link.other().node(), new long[] {news.life(), news.upTo()});
             for (Incarnation life : news.lives()) {
@@ -200,9 +208,12 @@
         }
     }
 
-    /** Whether requests can be judged and sent on. */
+    /**
+     * Whether requests can be judged and sent on. Where no store has found a quorum, what any of them has is
+     * served after a while, as it earns what it can; but nobody is refused by it.
+     */
     private boolean serves() {
-        return poll.table() != null && known() && !roster.empty();
+        return poll.table() != null && !roster.empty() && (known() || now() - bornAt > ALONE);
     }
 
     /** A start may have come to its end: then requests that wait for it go on. */
@@ -238,8 +249,7 @@
 
     /** Whether the configuration is as new as was acknowledged before our start. */
     private boolean known() {
-        return poll.table() != null && !poll.empty() && (poll.sources() >= Math.min(2, stores.size())
-                || now() - bornAt > 4 * SECOND);
+        return poll.table() != null && !poll.empty() && proved;
     }
 
     @Override
@@ -331,7 +341,7 @@
         }
         Route route = table.route(head.get("Host"), head.path());
         if (route == null) {
-            return refused(404, "no route leads there", -1);
+            return known() ? refused(404, "no route leads there", -1) : unsure();
         }
         Tenant tenant = null;
         if (table.keyed() && !route.unkeyed()) {
@@ -339,7 +349,7 @@
             tenant = told == null || !told.regionMatches(true, 0, "Bearer ", 0, 7) ? null
                     : table.byKey(told.substring(7).trim());
             if (tenant == null) {
-                return refused(401, "the key is not known", -1);
+                return known() ? refused(401, "the key is not known", -1) : unsure();
             }
         }
         String attempt = head.get("Reedmux-Attempt-Id");
@@ -369,6 +379,10 @@
         return new Reading(null, new Answer.Own(status, text, retryAfter));
     }
 
+    private static Reading unsure() {
+        return refused(503, "the configuration may be old", BACK);
+    }
+
     private static long wait(String told) {
         if (told == null) {
             return 3_600_000;
--- a/src/main/java/reedmux/store/ReplicaStorage.java
+++ b/src/main/java/reedmux/store/ReplicaStorage.java
@@ -9,10 +9,12 @@
 import java.util.function.Consumer;
 import reedmux.disk.Journal;
 import reedmux.item.Item;
+import reedmux.item.Mark;
 import reedmux.item.Replica;
 import reedmux.link.Codec;
 import reedmux.link.Messages.Decided;
 import reedmux.link.Messages.Items;
+import reedmux.link.Messages.Marks;
 import reedmux.link.Messages.Propose;
 import reedmux.net.Reactor;
 
@@ -55,6 +57,8 @@
             if (told instanceof Items items) {
                 replica.merge(items.items());
                 whole |= items.whole();
+            } else if (told instanceof Marks marks) {
+                replica.mark(marks.marks());
             } else if (told instanceof Propose propose) {
                 replica.hold(propose.proposal());
             } else if (told instanceof Decided decided) {
@@ -76,6 +80,9 @@
     private List<byte[]> state() {
         List<byte[]> records = new ArrayList<>();
         records.add(codec.write(new Items(0, 0, whole, List.copyOf(replica.inForce()), List.of())));
+        if (!replica.marks().isEmpty()) {
+            records.add(codec.write(new Marks(List.copyOf(replica.marks()))));
+        }
         replica.held().values().forEach(proposal -> records.add(codec.write(new Propose(proposal))));
         return records;
     }
@@ -93,6 +100,10 @@
         write(codec.write(new Items(0, 0, whole, items, List.of())), safe -> { });
     }
 
+    void marked(List<Mark> marks) {
+        write(codec.write(new Marks(marks)), safe -> { });
+    }
+
     private void write(byte[] record, Consumer<Boolean> done) {
         if (spoilt) {
             compact();
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -14,6 +16,7 @@
 import reedmux.item.Ballot;
 import reedmux.item.Agreement;
 import reedmux.item.Item;
+import reedmux.item.Mark;
 import reedmux.item.Proposal;
 import reedmux.item.Quorum;
 import reedmux.item.Replica;
@@ -22,9 +25,13 @@
 import reedmux.link.Link;
 import reedmux.link.Messages;
 import reedmux.link.Messages.Adjust;
+import reedmux.link.Messages.Confirm;
+import reedmux.link.Messages.Confirmed;
+import reedmux.link.Messages.Current;
 import reedmux.link.Messages.Decided;
 import reedmux.link.Messages.Hello;
 import reedmux.link.Messages.Items;
+import reedmux.link.Messages.Marks;
 import reedmux.link.Messages.Outcome;
 import reedmux.link.Messages.Propose;
 import reedmux.link.Messages.Pull;
@@ -57,13 +64,28 @@
     private final Set<Link> pulling = new LinkedHashSet<>();
     /** Over which link each of the others has asked last. */
     private final Map<String, Link> askedBy = new HashMap<>();
+    /** Over which link each of the others has asked for contact last. */
+    private final Map<String, Link> confirmBy = new HashMap<>();
+    /** Proxies that are to hear of a contact which begins after their first pull. */
+    private final Set<Link> unproven = new LinkedHashSet<>();
+    private boolean proving;
     /** All items as they are told, as of which change, and whether we counted ourselves then. */
     private byte[] all;
     private long allOf;
     private boolean allWhole;
 
-    /** Who pulls, and from where on. */
-    private record Waiting(long since) { }
+    /** Who pulls: from where on, how far it was told, and what it is to hear behind that. */
+    private static final class Puller {
+        private boolean waits;
+        private long since = -1;
+        /** The last change that it has been told by us while we counted ourselves. */
+        private long told = -1;
+        /** Contacts that it asked for, and as of which change they are answered. */
+        private final Deque<long[]> confirms = new ArrayDeque<>();
+        /** For a proxy: as of which change a quorum was in touch; below nought before it was. */
+        private long provenAt = -1;
+        private boolean current;
+    }
 
     public Store(Boot boot, Reactor reactor) throws BootException, IOException {
         this.reactor = reactor;
@@ -105,6 +127,7 @@
 
     private void look() {
         agreement.look(reactor.now());
+        prove();
         if (storage.length() > COMPACT_AT) {
             storage.compact();
         }
@@ -128,10 +151,12 @@
     @Override
     public void down(Link link) {
         pulling.remove(link);
+        unproven.remove(link);
         if (link.other() == null) {
             return; // it ended before it said who it is
         }
         askedBy.remove(link.other().ip(), link);
+        confirmBy.remove(link.other().ip(), link);
         boolean another = others.values().stream().anyMatch(dialer -> dialer.link() != null
                 && dialer.link().other().ip().equals(link.other().ip()));
         if (link.other().program().equals(PROGRAM) && !another) {
@@ -143,9 +168,7 @@
     public void told(Link link, Object message) {
         long now = reactor.now();
         if (message instanceof Pull pull) {
-            link.note(new Waiting(pull.life() == self.life() ? pull.since() : -1));
-            pulling.add(link);
-            answer(link);
+            pulled(link, pull.life() == self.life() ? pull.since() : -1);
         } else if (message instanceof Items items) {
             take(link, items);
         } else if (message instanceof Propose propose) {
@@ -159,20 +182,94 @@
             agreement.adjust(now, adjust.body(), (status, line) -> link.say(new Outcome(adjust.id(),
                     status, line)));
         } else if (message instanceof Read read) {
-            agreement.read((status, text) -> link.say(new Outcome(read.id(), status, text)));
+            agreement.read(now, (status, text) -> link.say(new Outcome(read.id(), status, text)));
+        } else if (message instanceof Marks told) {
+            List<Mark> news = replica.mark(told.marks());
+            if (!news.isEmpty()) {
+                storage.marked(news);
+            }
+        } else if (message instanceof Confirm confirm) {
+            confirmBy.put(link.other().ip(), link);
+            agreement.confirm(now, link.other().ip(), confirm.id(), confirm.settled());
+        } else if (message instanceof Confirmed confirmed) {
+            agreement.confirmed(now, link.other().ip(), confirmed.id());
+        }
+    }
+
+    private static Puller puller(Link link) {
+        Puller puller = link.note();
+        if (puller == null) {
+            puller = new Puller();
+            link.note(puller);
+        }
+        return puller;
+    }
+
+    private void pulled(Link link, long since) {
+        Puller puller = puller(link);
+        puller.waits = true;
+        puller.since = since;
+        puller.told = since;
+        pulling.add(link);
+        answer(link);
+        follow(link);
+        if (!puller.current && puller.provenAt < 0 && !link.other().program().equals(PROGRAM)
+                && unproven.add(link)) {
+            prove();
+        }
+    }
+
+    /** Says what waits behind the changes that were told over a link. */
+    private void follow(Link link) {
+        Puller puller = puller(link);
+        while (!puller.confirms.isEmpty() && puller.confirms.peek()[1] <= puller.told) {
+            link.say(new Confirmed(puller.confirms.poll()[0]));
+        }
+        if (!puller.current && puller.provenAt >= 0 && puller.provenAt <= puller.told) {
+            puller.current = true;
+            link.say(new Current());
+        }
+    }
+
+    /** Seeks contact with a quorum for all proxies that have begun to pull since the last time. */
+    private void prove() {
+        if (proving || unproven.isEmpty() || !agreement.current()) {
+            return;
+        }
+        proving = true;
+        List<Link> asked = List.copyOf(unproven);
+        agreement.contact(reactor.now(), false, reached -> {
+            proving = false;
+            if (reached) {
+                asked.forEach(this::proven);
+            }
+        });
+    }
+
+    private void proven(Link link) {
+        if (unproven.remove(link)) {
+            puller(link).provenAt = replica.changes();
+            answer(link);
+            follow(link);
         }
     }
 
     private void answer(Link link) {
-        Waiting waiting = link.note();
-        if (waiting != null && (waiting.since() < 0 || replica.changes() > waiting.since())) {
-            link.note(null);
+        Puller puller = puller(link);
+        if (puller.waits && (puller.since < 0 || replica.changes() > puller.since)) {
+            puller.waits = false;
             pulling.remove(link);
+            long since = Math.max(0, puller.since);
+            puller.told = agreement.whole() ? replica.changes() : -1;
             if (link.other().program().equals(PROGRAM)) {
+                List<Mark> marks = replica.marksSince(since);
+                if (!marks.isEmpty()) {
+                    link.say(new Marks(marks));
+                }
                 link.say(new Items(self.life(), replica.changes(), agreement.whole(),
-                        replica.since(Math.max(0, waiting.since())), List.copyOf(replica.held().values())));
+                        replica.since(since), List.copyOf(replica.held().values())));
             } else {
-                link.send(news(Math.max(0, waiting.since())));
+                link.send(news(since));
             }
         }
     }
@@ -204,6 +301,7 @@
             storage.merged(news);
         }
         link.say(new Pull(told.life(), told.upTo()));
+        prove();
     }
 
     // ---- What the agreement calls for ----------------------------------------------------------------
@@ -225,6 +323,21 @@
         }
     }
 
+    @Override
+    public void confirm(long id, boolean settled) {
+        toAll(new Confirm(id, settled));
+    }
+
+    @Override
+    public void confirmed(String to, long id) {
+        Link link = confirmBy.get(to);
+        if (link != null) {
+            puller(link).confirms.add(new long[] {id, replica.changes()});
+            answer(link);
+            follow(link);
+        }
+    }
+
     @Override
     public void tell(String call, Ballot ballot, boolean inForce, List<Item> items) {
         toAll(new Decided(call, ballot, inForce, items));
@@ -244,7 +357,10 @@
 
     @Override
     public void changed() {
-        List.copyOf(pulling).forEach(this::answer);
+        List.copyOf(pulling).forEach(link -> {
+            answer(link);
+            follow(link);
+        });
     }
 
     @Override
--- a/src/test/java/reedmux/link/CodecTest.java
+++ b/src/test/java/reedmux/link/CodecTest.java
@@ -12,6 +12,7 @@
 import reedmux.item.Ballot;
 import reedmux.item.Agreement.Vote;
 import reedmux.item.Item;
+import reedmux.item.Mark;
 import reedmux.item.Proposal;
 import reedmux.member.Session;
 import reedmux.quota.Quotas;
@@ -33,6 +34,8 @@
                 new Messages.Read(6), new Messages.Outcome(7, 200, "{}"),
                 new Messages.Propose(MOTION), new Messages.Voted("c", MOTION.ballot(), Vote.BUSY),
                 new Messages.Decided("c", MOTION.ballot(), true, List.of(ITEM)),
+                new Messages.Marks(List.of(new Mark("routes/r", 7, -9))), new Messages.Confirm(4, true),
+                new Messages.Confirmed(4), new Messages.Current(),
                 new Messages.Tell(8, List.of(LIFE)),
                 new Messages.Known(9), new Messages.Beats(List.of(new Fleet.Heard("i-1", 3, 4))),
                 new Quotas.Packet("n", 1, 2, 3, 4, new ArrayList<>(List.of(new Quotas.Entry("t", 1.5, -1)))));
