Frames: no length is taken for granted, and what ends a link is told in a line

Cause: Kryo makes room for as long a text as a frame promises; one datagram of anybody's could end a process with OutOfMemoryError, which no reactor catches. Ruled out: lengths of lists and of frames. Change: Frame looks at lengths first; null texts, phases, parts and numbers out of bounds are no messages; strangers are heard up to 64 KiB; a line says who and what.

--- a/src/main/java/reedmux/link/Codec.java
+++ b/src/main/java/reedmux/link/Codec.java
@@ -157,7 +157,7 @@
     /** Null where the bytes are no message. */
     public Object read(byte[] bytes) {
         try {
-            Input in = new Input(bytes);
+            Input in = new Frame(bytes);
             Object message = message(in);
             return in.position() == bytes.length ? message : null;
         } catch (RuntimeException e) { // Kryo's own, and whatever bytes of no sense lead to
@@ -358,11 +358,12 @@
         long life = in.readLong();
         long generation = in.readVarLong(true);
         long view = in.readLong();
-        int reach = in.readVarInt(true);
+        int reach = (int) Frame.within(0, in.readVarInt(true), 1 << 20);
         int size = in.readVarInt(true);
         ArrayList<Quotas.Entry> all = list(size);
         for (int i = 0; i < size; i++) {
-            all.add(new Quotas.Entry(in.readString(), in.readDouble(), in.readFloat()));
+            all.add(new Quotas.Entry(in.readString(), Frame.finite(in.readDouble()),
+                    Frame.finite(in.readFloat())));
         }
         return new Quotas.Packet(from, life, generation, view, reach, all);
     }
@@ -392,8 +393,9 @@
 
     private static Incarnation life(Input in) {
         return new Incarnation(in.readString(), in.readString(), in.readString(), in.readString(),
-                in.readVarInt(true), in.readByte(), in.readVarLong(true), in.readVarLong(true),
-                        in.readBoolean());
+                (int) Frame.within(1, in.readVarInt(true), Integer.MAX_VALUE),
+                (int) Frame.within(Incarnation.READY, in.readByte(), Incarnation.GONE),
+                in.readVarLong(true), in.readVarLong(true), in.readBoolean());
     }
 
     private static void session(Output out, Session session) {
--- a/src/main/java/reedmux/link/Link.java
+++ b/src/main/java/reedmux/link/Link.java
@@ -15,6 +15,8 @@
 public final class Link implements Wire.Owner {
     static final int MOST = 16 * 1024 * 1024;
     private static final int LENGTH = 4;
+    /** Of whoever has not said who it is no more than this is taken in. */
+    private static final int MOST_HELLO = 64 * 1024;
     private static final long PACE = 700_000;
     public static final long SILENCE = 2_200_000;
     /** More than this that waits to go out means that the other side does not read. */
@@ -151,14 +153,20 @@
             int length = (wire.peek(0) & 0xff) << 24 | (wire.peek(1) & 0xff) << 16 | (wire.peek(
                     2) & 0xff) << 8
                     | wire.peek(3) & 0xff;
-            if (length <= 0 || length > MOST) {
-                close();
+            if (length <= 0 || length > MOST || other == null && length > MOST_HELLO) {
+                refuse("a length of " + length + " is no frame's");
                 return;
             } else if (wire.available() < LENGTH + length) {
                 break;
             }
             wire.skip(LENGTH);
-            take(codec.read(wire.take(length)));
+            byte[] frame = wire.take(length);
+            Object message = codec.read(frame);
+            if (message == null) {
+                refuse("a frame of " + length + " bytes of kind " + frame[0] + " cannot be read");
+                return;
+            }
+            take(message);
         }
         if (!over && wire.ended()) {
             close();
@@ -170,13 +178,23 @@
             other = hello;
             reactor.note("link with " + hello.program() + " of " + hello.node() + " is up");
             owner.up(this);
-        } else if (message == null || other == null || message instanceof Hello) {
-            close();
+        } else if (other == null && message instanceof Hello hello) {
+            refuse(hello.program() + " of " + hello.node() + " speaks form " + hello.form() + ", here "
+                    + Messages.FORM);
+        } else if (other == null || message instanceof Hello) {
+            refuse(other == null ? "a message before it said who it is" : "it says again who it is");
         } else if (!(message instanceof Ping)) {
             owner.told(this, message);
         }
     }
 
+    /** What has come cannot be acted on: a line for operators, and the end of this link alone. */
+    private void refuse(String what) {
+        String who = other == null ? "somebody" : other.program() + " of " + other.node();
+        reactor.complain(who + what, "link with " + who + " at " + wire.remote() + " is ended: " + what);
+        close();
+    }
+
     @Override
     public void closed(String why) {
         close();
--- a/src/main/java/reedmux/net/Environment.java
+++ b/src/main/java/reedmux/net/Environment.java
@@ -44,6 +44,11 @@
 
         void endOutput() throws IOException;
 
+        /** Who is at the other end, for people to read. */
+        default String remote() {
+            return "an unknown address";
+        }
+
         void close() throws IOException;
     }
 
--- a/src/main/java/reedmux/net/Kernel.java
+++ b/src/main/java/reedmux/net/Kernel.java
@@ -191,6 +191,11 @@
             channel.shutdownOutput();
         }
 
+        @Override
+        public String remote() {
+            return String.valueOf(channel.socket().getRemoteSocketAddress()).replace("/", "");
+        }
+
         @Override
         public void close() throws IOException {
             channel.close();
--- a/src/main/java/reedmux/net/Reactor.java
+++ b/src/main/java/reedmux/net/Reactor.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.concurrent.Executor;
 import reedmux.disk.Volume;
@@ -14,6 +16,8 @@
  */
 public final class Reactor implements Executor {
     private static final int CHUNK = 64 * 1024;
+    private static final long QUIET = 30_000_000;
+    private static final int MOST_COMPLAINTS = 200;
 
     /** Something to be done at a time. */
     public static final class Timer implements Comparable<Timer> {
@@ -41,6 +45,8 @@
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Ring log;
     final ByteBuffer chunk = ByteBuffer.allocateDirect(CHUNK);
+    /** When what was complained of last. */
+    private final Map<String, Long> complaints = new HashMap<>();
     private long now;
     private long numbers;
     private volatile boolean ended;
@@ -137,6 +143,19 @@
         log.note(line);
     }
 
+    /** Writes a line on what others do, of the same kind at most one in a while: they may do it all the time. */
+    public void complain(String kind, String line) {
+        Long before = complaints.get(kind);
+        if (before == null && complaints.size() >= MOST_COMPLAINTS) {
+            note(line);
+        } else if (before == null || now - before > QUIET) {
+            complaints.put(kind, now);
+            log.tell(line);
+        } else {
+            note(line);
+        }
+    }
+
     /** Something has gone wrong: writes a line, and what was noted before. */
     public void wrong(String line) {
         log.wrong(line);
--- a/src/main/java/reedmux/net/Wire.java
+++ b/src/main/java/reedmux/net/Wire.java
@@ -83,6 +83,11 @@
         owner = told;
     }
 
+    /** Who is at the other end, for people to read. */
+    public String remote() {
+        return line.remote();
+    }
+
     public boolean isOpen() {
         return !closed;
     }
--- a/src/test/java/reedmux/link/CodecTest.java
+++ b/src/test/java/reedmux/link/CodecTest.java
@@ -59,4 +59,41 @@
         }
         assertNull(codec.read(new byte[] {99, 1, 2}));
     }
+
+    /** Bytes in place of any text of a message that promise a text of any length, or none. */
+    @Test
+    public void whatALengthPromisesIsNotTakenForGranted() {
+        Codec codec = new Codec();
+        for (int length : new int[] {Integer.MAX_VALUE, 1 << 29, 1 << 20, 1000, 3, 0, -1}) {
+            com.esotericsoftware.kryo.io.Output out = new com.esotericsoftware.kryo.io.Output(64);
+            out.writeByte(codec.write(new Messages.Adjust(5, "x"))[0]);
+            out.writeLong(5);
+            out.writeVarIntFlag(true, length, true);
+            assertNull(codec.read(out.toBytes()), "a text of " + length);
+        }
+    }
+
+    /** All flips of one bit in all messages: a message or none, and never more than that. */
+    @Test
+    public void aBitThatFlipsEndsNothing() {
+        Codec codec = new Codec();
+        int plays = 0;
+        for (Object message : all()) {
+            byte[] bytes = codec.write(message);
+            for (int bit = 0; bit < 8 * bytes.length; bit++) {
+                byte[] flipped = bytes.clone();
+                flipped[bit / 8] ^= (byte) (1 << bit % 8);
+                Object read = codec.read(flipped);
+                if (read instanceof Quotas.Packet packet) {
+                    packet.entries().forEach(entry -> assertEquals(entry.total() - entry.total(), 0.0));
+                    assertEquals(packet.reach() < 0, false);
+                } else if (read instanceof Messages.Tell tell) {
+                    tell.lives().forEach(life -> assertEquals(life.phase() >= Incarnation.READY
+                            && life.phase() <= Incarnation.GONE && life.capacity() > 0, true));
+                }
+                plays++;
+            }
+        }
+        assertEquals(plays > 3000, true, plays + " flips");
+    }
 }
