Sessions are told as differences, and what many are told is written once

Cause: each session that began or ended made a registry tell all sessions to all that pull, a square for one restart.

Ruled out: gathering for longer (delays drains as well).

What is due to many with the same knowledge is written once; news are gathered for 0.2 s at most (2 ms for each proxy before, 14.8 s at 7,400). The view is made only when it changes. A source whose link comes back counts again although it has nothing to tell. An older session that a source repeats no longer outdoes a newer one told since. Messages have form 3.

--- a/src/main/java/reedmux/cli/Lab.java
+++ b/src/main/java/reedmux/cli/Lab.java
@@ -33,6 +33,9 @@
     @Option(name = "--vs", metaVar = "JAR", usage = "for cost: the build to compare with, else this one")
     private Path other;
 
+    @Option(name = "--most", metaVar = "N", usage = "for capacity: the largest size to play")
+    private int most = 1000;
+
     @Override
     int run() throws IOException, InterruptedException {
         Matcher range = SEEDS.matcher(seeds);
@@ -52,7 +55,7 @@
         if (last < first) {
             return bad("--seeds ends before it begins: " + seeds);
         }
-        return Scenes.run(scene, new Scenes.Asked(first, last, jar, other), out, System.out,
+        return Scenes.run(scene, new Scenes.Asked(first, last, jar, other, most, out), out, System.out,
                 line -> System.err.println("lab: " + line)) ? 0
                 : FAILED;
     }
--- /dev/null
+++ b/src/main/java/reedmux/fleet/Counter.java
@@ -0,0 +1,14 @@
+package reedmux.fleet;
+
+/** Numbers the changes of all that one process tells to those that pull, in one row. */
+public final class Counter {
+    private long last;
+
+    public long next() {
+        return ++last;
+    }
+
+    public long last() {
+        return last;
+    }
+}
--- a/src/main/java/reedmux/fleet/Fleet.java
+++ b/src/main/java/reedmux/fleet/Fleet.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,12 +24,26 @@
         private Incarnation life;
         private long heardAt;
         private long coldUntil;
-        private long change;
+        private final Recent.Node<Entry> place = new Recent.Node<>(this);
     }
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<String, String> byAddress = new HashMap<>();
-    private long changes;
+    private final Recent<Entry> recent = new Recent<>();
+    private final Counter counter;
+
+    /** Whose changes have the numbers of a row that others share. */
+    public Fleet(Counter counter) {
+        this.counter = counter;
+    }
+
+    public Fleet() {
+        this(new Counter());
+    }
+
+    private void changed(Entry entry) {
+        recent.changed(entry.place, counter.next());
+    }
 
     /**
      * Takes in a checker's own call: with it, it holds its address. Returns whether there was any news in it
@@ -48,7 +63,7 @@
             entry.life = told;
             entry.heardAt = now;
             entry.coldUntil = now + told.coldMs() * MILLI;
-            entry.change = ++changes;
+            changed(entry);
             if (told.phase() != Incarnation.GONE) {
                 byAddress.putIfAbsent(told.address(), told.id());
             }
@@ -67,7 +82,7 @@
         boolean news = phase != had.phase() || silent != had.silent() || !base.address().equals(had.address())
                 || base.capacity() != had.capacity();
         if (news) {
-            entry.change = ++changes;
+            changed(entry);
         }
         return news;
     }
@@ -91,7 +106,7 @@
             return false;
         }
         old.life = old.life.with(Incarnation.GONE, old.life.silent(), 0);
-        old.change = ++changes;
+        changed(old);
         return true;
     }
 
@@ -107,20 +122,26 @@
             }
             if (entry.life.silent()) {
                 entry.life = entry.life.with(entry.life.phase(), false, 0);
-                entry.change = ++changes;
+                changed(entry);
             }
         }
     }
 
     /** Notes who has not been heard of for {@code silence}, and forgets whose end is long ago. */
     public void sweep(long now, long silence) {
-        entries.values().removeIf(entry -> entry.life.phase() == Incarnation.GONE
-                && now - entry.heardAt > REMEMBERED);
+        for (Iterator<Entry> all = entries.values().iterator(); all.hasNext();) {
+            Entry entry = all.next();
+            if (entry.life.phase() == Incarnation.GONE && now - entry.heardAt > REMEMBERED) {
+                all.remove();
+                recent.remove(entry.place);
+                byAddress.remove(entry.life.address(), entry.life.id());
+            }
+        }
         for (Entry entry : entries.values()) {
             if (!entry.life.silent() && entry.life.phase() != Incarnation.GONE && now - entry.heardAt >
                     silence) {
                 entry.life = entry.life.with(entry.life.phase(), true, 0);
-                entry.change = ++changes;
+                changed(entry);
             }
         }
     }
@@ -137,16 +158,14 @@
 
     /** The number of the last change. */
     public long changes() {
-        return changes;
+        return recent.last();
     }
 
     /** What has changed since. */
     public List<Incarnation> since(long change, long now) {
         List<Incarnation> news = new ArrayList<>();
-        for (Entry entry : entries.values()) {
-            if (entry.change > change) {
-                news.add(told(entry, now));
-            }
+        for (Recent.Node<Entry> at = recent.firstSince(change); at != null; at = recent.after(at)) {
+            news.add(told(at.thing(), now));
         }
         return news;
     }
--- a/src/main/java/reedmux/lab/Scenes.java
+++ b/src/main/java/reedmux/lab/Scenes.java
@@ -27,8 +27,10 @@
      * @param last  of the seeds; a scene in real time plays the first only
      * @param jar   the build to measure, or null for this one
      * @param other the build to compare it with, or null for this one
+     * @param most  the largest size
+     * @param folder where tables are kept, or null
      */
-    public record Asked(long first, long last, Path jar, Path other) { }
+    public record Asked(long first, long last, Path jar, Path other, int most, Path folder) { }
 
     private static final int ROUNDS = 5;
 
@@ -54,6 +56,9 @@
                 (asked, progress) -> UpgradeScene.run(Files.createTempDirectory("rx"), progress)));
         ALL.put("sizes", new Known("14 and 100 gatekeepers: mass restart, lost zone, replacement; 1 min",
                 (asked, progress) -> SizeScenes.sweep(asked.first, asked.last, progress)));
+        ALL.put("capacity", new Known("the control side at growing sizes, in virtual time: powers and the sum at"
+                + " the operators' size, 2 min; --most, --out", (asked, progress) -> CapacityScene.run(
+                        asked.most, asked.folder, progress)));
         ALL.put("region-storms", new Known("faults of all kinds against the rules, in virtual time",
                 (asked, progress) -> RegionTables.storms(asked.first, asked.last, progress)));
     }
--- a/src/main/java/reedmux/lab/world/Host.java
+++ b/src/main/java/reedmux/lab/world/Host.java
@@ -26,6 +26,9 @@
     /** What one thing to do takes. */
     private final long cost;
     private final Reactor reactor;
+    private final Load load;
+    /** Whether it is one of the system's programs, and no stand-in. */
+    private final boolean program;
     private final Deque<Runnable> posted = new ArrayDeque<>();
     private final Deque<Runnable> frozen = new ArrayDeque<>();
     private final Map<Integer, SimPort> ports = new HashMap<>();
@@ -44,6 +47,8 @@
         this.machine = machine;
         this.name = name;
         this.cost = cost;
+        load = machine.load(name);
+        program = name.indexOf('/') >= 0;
         machine.begun(this);
         reactor = new Reactor(new Ring(name, 200, log, () -> world.now() * 1000), this);
     }
@@ -89,8 +94,11 @@
             enter(event);
         } else {
             busyUntil = world.now() + cost;
+            long begin = world.measures() ? System.nanoTime() : 0;
             event.run();
             turn();
+            load.events++;
+            load.nanos += world.measures() ? System.nanoTime() - begin : 0;
         }
     }
 
@@ -208,6 +216,15 @@
         return boxes.get(number);
     }
 
+    /** Bytes go to a peer; counted is what the system's own programs tell each other. */
+    void wrote(Host to, int many) {
+        if (program && to.program) {
+            load.sent += many;
+            load.messages++;
+            to.load.got += many;
+        }
+    }
+
     void opened(SimLine line) {
         lines.add(line);
     }
--- a/src/main/java/reedmux/lab/world/Machine.java
+++ b/src/main/java/reedmux/lab/world/Machine.java
@@ -1,7 +1,9 @@
 package reedmux.lab.world;
 
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** A machine: its address, its processes, and a disk if it has one. */
@@ -11,6 +13,7 @@
     private final String zone;
     private final SimDisk disk;
     private final Set<Host> hosts = new LinkedHashSet<>();
+    private final Map<String, Load> loads = new LinkedHashMap<>();
     private boolean power = true;
 
     Machine(World world, String ip, String zone, boolean withDisk) {
@@ -37,6 +40,11 @@
         return power;
     }
 
+    /** What all lives of a process of that name have done. */
+    Load load(String ofName) {
+        return loads.computeIfAbsent(ofName, name -> new Load());
+    }
+
     void begun(Host host) {
         hosts.add(host);
     }
--- a/src/main/java/reedmux/lab/world/SimLine.java
+++ b/src/main/java/reedmux/lab/world/SimLine.java
@@ -225,6 +225,7 @@
         from.get(some);
         inFlight += many;
         SimLine to = peer;
+        host.wrote(to.host, many);
         carry(() -> to.take(some));
         return many;
     }
--- a/src/main/java/reedmux/lab/world/World.java
+++ b/src/main/java/reedmux/lab/world/World.java
@@ -20,6 +20,7 @@
     private long numbers;
     private long digest = 0xcbf29ce484222325L;
     private long events;
+    private boolean measures;
 
     private record Due(long at, long number, Runnable task) implements Comparable<Due> {
         @Override
@@ -72,6 +73,15 @@
         return digest;
     }
 
+    /** Whether the time that programs take on the processor is measured; the digest is the same. */
+    boolean measures() {
+        return measures;
+    }
+
+    void measure() {
+        measures = true;
+    }
+
     long events() {
         return events;
     }
--- a/src/main/java/reedmux/link/Codec.java
+++ b/src/main/java/reedmux/link/Codec.java
@@ -29,6 +29,7 @@
 import reedmux.link.Messages.Read;
 import reedmux.link.Messages.Tell;
 import reedmux.link.Messages.Voted;
+import reedmux.member.Differences;
 import reedmux.member.Session;
 import reedmux.quota.Quotas;
 
@@ -45,7 +46,6 @@
     private static final byte PULL = 2;
     /** These three as they were written on disk before there were ballots. */
     private static final byte ITEMS_WITHOUT = 3;
-    private static final byte NEWS = 4;
     private static final byte ADJUST = 5;
     private static final byte READ = 6;
     private static final byte OUTCOME = 7;
@@ -63,6 +63,7 @@
     private static final byte CONFIRM = 41;
     private static final byte CONFIRMED = 42;
     private static final byte CURRENT = 43;
+    private static final byte NEWS = 18;
     private static final Ballot WITHOUT = new Ballot(1, "");
     private final Output out = new Output(FIRST, Link.MOST);
 
@@ -172,7 +173,7 @@
             case PULL -> new Pull(in.readLong(), in.readLong());
             case ITEMS -> new Items(in.readLong(), in.readLong(), in.readBoolean(), items(in),
                     proposals(in));
-            case NEWS -> new News(in.readLong(), in.readLong(), lives(in), in.readBoolean(), sessions(in));
+            case NEWS -> new News(in.readLong(), in.readLong(), lives(in), differences(in));
             case BEATS -> beats(in);
             case HELLO -> new Hello(in.readInt(), in.readString(), in.readString(), in.readString(),
                     in.readString(), in.readLong(), texts(in));
@@ -203,9 +204,13 @@
         out.writeString(hello.ip());
         out.writeString(hello.zone());
         out.writeLong(hello.life());
-        out.writeVarInt(hello.core().size(), true);
-        for (String machine : hello.core()) {
-            out.writeString(machine);
+        texts(hello.core());
+    }
+
+    private void texts(List<String> texts) {
+        out.writeVarInt(texts.size(), true);
+        for (String text : texts) {
+            out.writeString(text);
         }
     }
 
@@ -227,20 +232,23 @@
         out.writeLong(news.life());
         out.writeLong(news.upTo());
         lives(news.lives());
-        out.writeBoolean(news.told());
-        out.writeVarInt(news.sessions().size(), true);
-        for (Session session : news.sessions()) {
+        Differences sessions = news.sessions();
+        out.writeBoolean(sessions.whole());
+        out.writeVarInt(sessions.begun().size(), true);
+        for (Session session : sessions.begun()) {
             session(out, session);
         }
+        texts(sessions.ended());
     }
 
-    private static List<Session> sessions(Input in) {
+    private static Differences differences(Input in) {
+        boolean whole = in.readBoolean();
         int size = in.readVarInt(true);
-        List<Session> all = list(size);
+        List<Session> begun = list(size);
         for (int i = 0; i < size; i++) {
-            all.add(session(in));
+            begun.add(session(in));
         }
-        return all;
+        return new Differences(whole, begun, texts(in));
     }
 
     private void items(List<Item> items) {
--- a/src/main/java/reedmux/link/Messages.java
+++ b/src/main/java/reedmux/link/Messages.java
@@ -9,12 +9,12 @@
 import reedmux.item.Item;
 import reedmux.item.Mark;
 import reedmux.item.Proposal;
-import reedmux.member.Session;
+import reedmux.member.Differences;
 
 /** What the system's own processes tell each other. */
 public final class Messages {
     /** The form of the messages; who speaks another one is turned away. */
-    public static final int FORM = 2;
+    public static final int FORM = 3;
 
     private Messages() { }
 
@@ -46,13 +46,12 @@
     }
 
     /**
-     * What has changed at a registry: lives of checkers, and sessions if {@code told}: its own for another
-     * registry, all that it knows of for a proxy.
+     * What has changed at a registry: lives of checkers, and sessions: its own for another registry, the view
+     * for a proxy.
      */
-    public record News(long life, long upTo, List<Incarnation> lives, boolean told, List<Session> sessions) {
+    public record News(long life, long upTo, List<Incarnation> lives, Differences sessions) {
         public News {
             lives = new ArrayList<>(lives);
-            sessions = new ArrayList<>(sessions);
         }
     }
 
--- a/src/main/java/reedmux/member/Sessions.java
+++ b/src/main/java/reedmux/member/Sessions.java
@@ -3,9 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import reedmux.fleet.Counter;
 
 /**
  * Who holds a session, as one process knows it: with whom it has sessions itself, and what others have
@@ -16,43 +19,71 @@
     private final Map<String, Told> told = new HashMap<>();
     /** By node the sessions of its links with us, which may overlap, in the order in which they began. */
     private final Map<String, List<Session>> own = new TreeMap<>();
-    private long changes;
-    private long seen;
+    private final Counter counter;
+    private final Numbered ownNumbered;
+    private final Numbered viewNumbered;
+    private View view;
+    /** The view that the numbers are of. */
+    private View numbered = View.of(List.of());
+    /** When the next source that is lost ceases to count. */
+    private long standsUntil;
 
     private static final class Told {
-        private List<Session> sessions = List.of();
+        private final Map<String, Session> sessions = new TreeMap<>();
+        /** When each was told first. */
+        private final Map<String, Long> at = new HashMap<>();
         private long lostAt = -1;
-        private long at;
+
+        private void take(Session session, long now) {
+            if (!session.equals(sessions.put(session.node(), session))) {
+                at.put(session.node(), now);
+            }
+        }
+
+        private void drop(String node) {
+            sessions.remove(node);
+            at.remove(node);
+        }
     }
 
-    /** {@code linger}: how long a lost source still counts, in microseconds. */
-    public Sessions(long linger) {
+    /**
+     * One that tells others.
+     *
+     * @param linger how long a lost source still counts, in microseconds
+     * @param counter numbers what is told
+     */
+    public Sessions(long linger, Counter counter) {
         this.linger = linger;
+        this.counter = counter;
+        ownNumbered = new Numbered(counter);
+        viewNumbered = new Numbered(counter);
+    }
+
+    public Sessions(long linger) {
+        this(linger, new Counter());
     }
 
     /** A link of a node with us stands from now on. */
     public void begin(Session session) {
-        Session before = newest(session.node());
         own.computeIfAbsent(session.node(), node -> new ArrayList<>(1)).add(session);
-        changes += session.equals(before) ? 0 : 1;
+        if (ownNumbered.begin(session)) {
+            view = null;
+        }
     }
 
     /** A link has ended; another one of its node, of the same incarnation or the next, may stand. */
     public void end(Session session) {
         List<Session> links = own.get(session.node());
-        Session before = newest(session.node());
-        if (links != null && links.remove(session)) {
-            if (links.isEmpty()) {
-                own.remove(session.node());
-            }
-            changes += before.equals(newest(session.node())) ? 0 : 1;
+        if (links == null || !links.remove(session)) {
+            return;
+        }
+        if (links.isEmpty()) {
+            own.remove(session.node());
+            ownNumbered.end(session.node());
+            view = null;
+        } else if (ownNumbered.begin(links.get(links.size() - 1))) {
+            view = null;
         }
-    }
-
-    /** The session that began last of those that a node has, or null. */
-    private Session newest(String node) {
-        List<Session> links = own.get(node);
-        return links == null ? null : links.get(links.size() - 1);
     }
 
     /** One session for each node that has any with us. */
@@ -64,14 +95,20 @@
         return all;
     }
 
-    /** A source tells all the sessions that it knows of. */
-    public void told(String source, Collection<Session> sessions, long now) {
+    /** A source tells how the sessions that it knows of have changed since it told last. */
+    public void told(String source, Differences news, long now) {
         Told entry = told.computeIfAbsent(source, name -> new Told());
-        List<Session> before = entry.lostAt < 0 ? entry.sessions : null;
-        entry.sessions = List.copyOf(sessions);
+        if (news.whole()) {
+            Set<String> left = new HashSet<>(entry.sessions.keySet());
+            news.begun().forEach(session -> left.remove(session.node()));
+            left.forEach(entry::drop);
+        }
+        news.begun().forEach(session -> entry.take(session, now));
+        news.ended().forEach(entry::drop);
+        if (!news.none() || entry.lostAt >= 0) {
+            view = null;
+        }
         entry.lostAt = -1;
-        entry.at = now;
-        changes += entry.sessions.equals(before) ? 0 : 1;
     }
 
     /** A source cannot be heard any more. */
@@ -79,6 +116,16 @@
         Told entry = told.get(source);
         if (entry != null && entry.lostAt < 0) {
             entry.lostAt = now;
+            view = null;
+        }
+    }
+
+    /** A source can be heard again, and has told all up to what it will tell from now on. */
+    public void found(String source) {
+        Told entry = told.get(source);
+        if (entry != null && entry.lostAt >= 0) {
+            entry.lostAt = -1;
+            view = null;
         }
     }
 
@@ -87,32 +134,78 @@
      * left, as somebody who is cut off from all of them has to go on with what was last known.
      */
     public View view(long now) {
+        if (view != null && now <= standsUntil) {
+            return view;
+        }
         List<Told> standing = new ArrayList<>();
         List<Told> lost = new ArrayList<>();
-        told.values().forEach(entry -> (entry.lostAt < 0 || now - entry.lostAt <= linger ? standing : lost)
-                .add(entry));
+        standsUntil = Long.MAX_VALUE;
+        for (Told entry : told.values()) {
+            if (entry.lostAt < 0) {
+                standing.add(entry);
+            } else if (now - entry.lostAt <= linger) {
+                standing.add(entry);
+                standsUntil = Math.min(standsUntil, entry.lostAt + linger);
+            } else {
+                lost.add(entry);
+            }
+        }
         List<Told> counted = standing.isEmpty() ? lost : standing;
-        counted.sort((one, other) -> Long.compare(one.at, other.at));
-        List<Session> all = new ArrayList<>();
-        counted.forEach(entry -> all.addAll(entry.sessions));
-        all.addAll(own());
-        return View.of(all);
+        Map<String, Session> latest = new HashMap<>();
+        Map<String, Long> at = new HashMap<>();
+        for (Told entry : counted) {
+            for (Session session : entry.sessions.values()) {
+                long then = entry.at.get(session.node());
+                if (then >= at.getOrDefault(session.node(), Long.MIN_VALUE)) {
+                    at.put(session.node(), then);
+                    latest.put(session.node(), session);
+                }
+            }
+        }
+        own().forEach(session -> latest.put(session.node(), session));
+        view = View.of(latest.values());
+        return view;
     }
 
-    /** Takes note of members whose time has run out, so that others are told. */
+    /** Numbers what has changed of the view, so that others are told. */
     public void look(long now) {
-        long tag = view(now).tag();
-        changes += tag == seen ? 0 : 1;
-        seen = tag;
+        View next = view(now);
+        if (next == numbered || next.tag() == numbered.tag()) {
+            return;
+        }
+        for (Session session : next.members()) {
+            viewNumbered.begin(session);
+        }
+        for (Session session : numbered.members()) {
+            if (next.place(session.node()) < 0) {
+                viewNumbered.end(session.node());
+            }
+        }
+        numbered = next;
     }
 
-    /** Whether no source can be heard. */
-    public boolean alone() {
-        return told.values().stream().allMatch(entry -> entry.lostAt >= 0);
+    /** How many nodes have a session with us. */
+    public int ownSize() {
+        return own.size();
     }
 
-    /** Rises with each change of what is told to others. */
+    /** The number of the last change. */
     public long changes() {
-        return changes;
+        return counter.last();
+    }
+
+    /** How our own sessions have changed since; for those who count them with others'. */
+    public Differences ownSince(long change) {
+        return ownNumbered.since(change);
+    }
+
+    /** How the view has changed since, as of the last look. */
+    public Differences viewSince(long change) {
+        return viewNumbered.since(change);
+    }
+
+    /** Whether no source can be heard. */
+    public boolean alone() {
+        return told.values().stream().allMatch(entry -> entry.lostAt >= 0);
     }
 }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -175,6 +175,9 @@
         String source = link.other().node();
         long[] from = link.other().program().equals("store") ? poll.from(source)
                 : vector.getOrDefault(source, new long[] {0, 0});
+        if (from[0] == link.other().life() && link.other().program().equals("registry")) {
+            sessions.found(source);
+        }
         link.say(new Pull(from[0], from[1]));
     }
 
@@ -198,9 +201,7 @@
                     roster.told(fleet.get(life.id(), now()), now());
                 }
             }
-            if (news.told()) {
-                sessions.told(link.other().node(), news.sessions(), now());
-            }
+            sessions.told(link.other().node(), news.sessions(), now());
             members();
             requests.on(now(), new Event.Room());
             pull(link);
--- a/src/main/java/reedmux/registry/Registry.java
+++ b/src/main/java/reedmux/registry/Registry.java
@@ -13,6 +13,7 @@
 import reedmux.boot.BootException;
 import reedmux.boot.Program;
 import reedmux.config.Addresses;
+import reedmux.fleet.Counter;
 import reedmux.fleet.Fleet;
 import reedmux.fleet.Incarnation;
 import reedmux.link.Codec;
@@ -52,6 +53,7 @@
     private static final int MISSED = 4;
     /** So long for each that pulls, news are gathered before they are told. */
     private static final long GATHER = 2_000;
+    private static final long MOST_GATHER = 200_000;
     private static final int GOOD = 200;
     private static final int LATER = 503;
 
@@ -60,8 +62,10 @@
     private final Codec codec = new Codec();
     private final Core core;
     private final Hello self;
-    private final Fleet fleet = new Fleet();
-    private final Sessions sessions = new Sessions(LINGER);
+    /** Numbers each change of lives and of sessions. */
+    private final Counter counter = new Counter();
+    private final Fleet fleet = new Fleet(counter);
+    private final Sessions sessions = new Sessions(LINGER, counter);
     private final List<Dialer> others = new ArrayList<>();
     private final List<Dialer> stores = new ArrayList<>();
     private final Map<String, long[]> vector = new HashMap<>();
@@ -69,12 +73,8 @@
     private final Map<Long, Consumer<Outcome>> asked = new HashMap<>();
     private final Map<Long, Runnable> telling = new HashMap<>();
     private long ids;
-    /** Rises with each change of lives or sessions. */
-    private long changes;
-    private long fleetSeen;
-    private long sessionsSeen;
-    /** Changes that were told, each with how far lives and sessions had come. */
-    private final List<long[]> log = new ArrayList<>();
+    /** The last change that those who pull were or are about to be told of. */
+    private long seen;
     private boolean flushing;
 
     private record Waiting(long since) { }
@@ -121,7 +121,6 @@
 
     private void beats(long silence) {
         fleet.sweep(reactor.now(), silence);
-        sessions.look(reactor.now());
         Beats beats = new Beats(fleet.heardWithin(2 * SECOND, reactor.now()));
         others.stream().filter(other -> other.link() != null).forEach(other -> other.link().say(beats));
         changed();
@@ -211,6 +210,9 @@
         learn(link.other().core());
         if (program.equals(PROGRAM) && others.stream().anyMatch(other -> other.link() == link)) {
             long[] from = vector.getOrDefault(link.other().node(), new long[] {0, 0});
+            if (from[0] == link.other().life()) {
+                sessions.found(link.other().node());
+            }
             link.say(new Pull(from[0], from[1]));
         } else if (program.equals(PROXY)) {
             sessions.begin(session(link));
@@ -240,13 +242,15 @@
         if (message instanceof Pull pull) {
             link.note(new Waiting(pull.life() == self.life() ? pull.since() : -1));
             pulling.add(link);
-            answer(link);
+            if (pull.life() != self.life()) { // it knows nothing of us
+                answer(link, null);
+            } else if (counter.last() > pull.since()) {
+                soon();
+            }
         } else if (message instanceof News news) {
             vector.put(link.other().node(), new long[] {news.life(), news.upTo()});
             news.lives().forEach(life -> fleet.merge(life, reactor.now()));
-            if (news.told()) {
-                sessions.told(link.other().node(), news.sessions(), reactor.now());
-            }
+            sessions.told(link.other().node(), news.sessions(), reactor.now());
             link.say(new Pull(news.life(), news.upTo()));
             changed();
         } else if (message instanceof Tell tell) {
@@ -272,51 +276,50 @@
 
     /** What has changed is numbered in one row, whether it is of lives or of sessions. */
     private void changed() {
-        if (fleet.changes() != fleetSeen || sessions.changes() != sessionsSeen) {
-            fleetSeen = fleet.changes();
-            sessionsSeen = sessions.changes();
-            changes = fleetSeen + sessionsSeen;
-            if (!flushing) {
-                // Where many pull, as when all of them start, changes that come together are told together.
-                flushing = true;
-                reactor.after(pulling.size() * GATHER, () -> {
-                    flushing = false;
-                    List.copyOf(pulling).forEach(this::answer);
-                });
-            }
+        sessions.look(reactor.now());
+        if (counter.last() != seen) {
+            seen = counter.last();
+            soon();
         }
     }
 
-    private void answer(Link link) {
+    /** Where many pull, as when all of them start, changes that come together are told together. */
+    private void soon() {
+        if (!flushing) {
+            flushing = true;
+            reactor.after(Math.min(sessions.ownSize() * GATHER, MOST_GATHER), this::flush);
+        }
+    }
+
+    private void flush() {
+        flushing = false;
+        Map<Long, byte[]> written = new HashMap<>();
+        List.copyOf(pulling).forEach(link -> answer(link, written));
+    }
+
+    /** {@code written}: what others who know as much were just told, by what they know; may be null. */
+    private void answer(Link link, Map<Long, byte[]> written) {
         Waiting waiting = link.note();
-        if (waiting == null || waiting.since() >= 0 && changes <= waiting.since()) {
+        if (waiting == null || waiting.since() >= counter.last()) {
             return;
         }
-        link.note(null);
-        pulling.remove(link);
-        long[] known = known(waiting.since());
-        boolean tell = known[1] != sessions.changes();
         boolean registry = link.other().program().equals(PROGRAM);
-        link.say(new News(self.life(), changes, fleet.since(known[0], reactor.now()), tell, !tell ? List.of()
-                : registry ? List.copyOf(sessions.own()) : sessions.view(reactor.now()).members()));
-        if (log.isEmpty() || log.get(log.size() - 1)[0] != changes) {
-            log.add(new long[] {changes, fleetSeen, sessionsSeen});
-        }
-        if (log.size() > 512) {
-            log.subList(0, 256).clear();
-        }
-    }
-
-    /**
-     * How far lives and sessions were told to one who knows that change; from the beginning if that is long
-     * ago.
-     */
-    private long[] known(long change) {
-        for (int i = log.size() - 1; i >= 0 && change >= 0; i--) {
-            if (log.get(i)[0] == change) {
-                return new long[] {log.get(i)[1], log.get(i)[2]};
+        byte[] told = registry || written == null ? null : written.get(waiting.since());
+        if (told == null) {
+            sessions.look(reactor.now());
+            News news = new News(self.life(), counter.last(), fleet.since(waiting.since(), reactor.now()),
+                    registry ? sessions.ownSince(waiting.since()) : sessions.viewSince(waiting.since()));
+            if (news.lives().isEmpty() && news.sessions().none()) { // what has changed is not for it
+                link.note(new Waiting(counter.last()));
+                return;
+            }
+            told = codec.write(news);
+            if (!registry && written != null) {
+                written.put(waiting.since(), told);
             }
         }
-        return new long[] {0, -1};
+        link.note(null);
+        pulling.remove(link);
+        link.send(told);
     }
 }
--- a/src/test/java/reedmux/link/CodecTest.java
+++ b/src/test/java/reedmux/link/CodecTest.java
@@ -14,6 +14,7 @@
 import reedmux.item.Item;
 import reedmux.item.Mark;
 import reedmux.item.Proposal;
+import reedmux.member.Differences;
 import reedmux.member.Session;
 import reedmux.quota.Quotas;
 
@@ -30,7 +31,8 @@
         return List.of(new Messages.Hello(1, "store", "n", "10.0.0.1", "a", 77, List.of("10.0.0.1")),
                 new Messages.Ping(), new Messages.Pull(-3, 4),
                 new Messages.Items(1, 2, true, List.of(ITEM), List.of(MOTION)),
-                new Messages.News(1, 2, List.of(LIFE), true, List.of(SESSION)), new Messages.Adjust(5, "x"),
+                new Messages.News(1, 2, List.of(LIFE), new Differences(true, List.of(SESSION),
+                        List.of("edge-2"))), new Messages.Adjust(5, "x"),
                 new Messages.Read(6), new Messages.Outcome(7, 200, "{}"),
                 new Messages.Propose(MOTION), new Messages.Voted("c", MOTION.ballot(), Vote.BUSY),
                 new Messages.Decided("c", MOTION.ballot(), true, List.of(ITEM)),
