What is reported safe is in the generation that a start reads; a full disk ends no store

Cause: a state waited for the disk's thread while records that came after it was taken were written to the generation before and reported safe; and each record of a store said "whole", also where the state that made it so was not on disk. At a start a full disk ended the process.

Ruled out: taking the state on the disk's thread, as the replica belongs to the reactor's.

Change: one queue for records and states; `whole` only in a state, tried again; bounds that grow with the state; states in pieces; starts on full and damaged disks; lines with file and offset; a form. Items of one revision that merge() takes by their content are written, too (Replica.lacking). JournalTest asks more: the whole record behind a torn one is found as well, and where it is torn is told.

--- a/src/main/java/reedmux/disk/Folder.java
+++ b/src/main/java/reedmux/disk/Folder.java
@@ -21,8 +21,10 @@
 
     @Override
     public List<String> names() throws IOException {
-        Files.createDirectories(dir);
         List<String> names = new ArrayList<>();
+        if (Files.notExists(dir)) {
+            return names;
+        }
         try (DirectoryStream<Path> all = Files.newDirectoryStream(dir)) {
             all.forEach(path -> names.add(path.getFileName().toString()));
         }
@@ -36,6 +38,7 @@
 
     @Override
     public File create(String name) throws IOException {
+        Files.createDirectories(dir);
         return new Open(FileChannel.open(dir.resolve(name), StandardOpenOption.CREATE,
                 StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING));
     }
--- a/src/main/java/reedmux/disk/Journal.java
+++ b/src/main/java/reedmux/disk/Journal.java
@@ -3,83 +3,169 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.TreeMap;
 import java.util.zip.CRC32C;
 
 /**
- * Records in a file, each with its length and a checksum. A generation of the file begins with a whole
- * state and an empty record, written, synced and renamed before it counts; the one before is kept until
+ * Records in a file, each with its length and a checksum. A generation of the file begins with its form, a
+ * whole state and an empty record, written, synced and renamed before it counts; the one before is kept until
  * there is a third. What was synced is found again, whatever became of later writes. For one thread, which
  * waits for the disk.
  */
 public final class Journal implements AutoCloseable {
+    /** The form of the files; what has a higher one is of a later program, and is left as it is. */
+    static final int FORM = 1;
+    private static final byte[] MARK = {'r', 'e', 'e', 'd', 'm', 'u', 'x'};
     private static final String PREFIX = "items-";
     private static final String FRESH = "fresh";
+    private static final int MOST_DIGITS = 18;
     private static final int HEAD = 8;
     private static final int MOST = 64 * 1024 * 1024;
     private final Volume volume;
     private Volume.File file;
+    /** Files that are there, by their generation; null until the folder could be read. */
+    private TreeMap<Long, String> files;
     private long generation;
     private long length;
-    private boolean broken;
+    private boolean broken = true;
     private boolean found;
+    private boolean damaged;
+    private String newer;
+    private final List<String> problems = new ArrayList<>();
+    private final List<String> places = new ArrayList<>();
 
     public Journal(Volume volume) {
         this.volume = volume;
     }
 
-    /** All records that can be read, the oldest first; none where there is no file. */
-    public List<byte[]> read() throws IOException {
-        TreeMap<Long, String> files = new TreeMap<>();
-        for (String name : volume.names()) {
-            String number = name.startsWith(PREFIX) ? name.substring(PREFIX.length()) : "";
-            if (number.chars().allMatch(c -> c >= '0' && c <= '9') && !number.isEmpty()) {
-                files.put(Long.parseLong(number), name);
+    private void list() throws IOException {
+        if (files == null) {
+            TreeMap<Long, String> all = new TreeMap<>();
+            for (String name : volume.names()) {
+                String number = name.startsWith(PREFIX) ? name.substring(PREFIX.length()) : "";
+                if (number.chars().allMatch(c -> c >= '0' && c <= '9') && !number.isEmpty()
+                        && number.length() <= MOST_DIGITS) {
+                    all.put(Long.parseLong(number), name);
+                }
             }
+            generation = all.isEmpty() ? 0 : all.lastKey();
+            files = all;
         }
-        generation = files.isEmpty() ? 0 : files.lastKey();
+    }
+
+    /**
+     * All records that can be read, the oldest first; none where there is no file. What cannot be read is
+     * told by {@link #problems()}.
+     */
+    public List<byte[]> read() {
+        try {
+            list();
+        } catch (IOException e) {
+            problems.add("the folder cannot be read: " + e.getMessage());
+            found = true;
+            damaged = true;
+            return List.of();
+        }
+        List<byte[]> all = new ArrayList<>();
         for (String name : files.descendingMap().values()) {
-            List<byte[]> records = records(name);
-            if (records != null) {
-                found = true;
-                return records;
+            found = true;
+            try {
+                if (records(name, volume.read(name), all)) {
+                    return all;
+                }
+            } catch (IOException e) {
+                problems.add(name + " cannot be read: " + e.getMessage());
             }
+            damaged = true; // what was added to this one may be in none before it
         }
-        return List.of();
+        return all;
     }
 
-    /** Whether {@link #read()} has found a file whose beginning is whole. */
+    /** Whether {@link #read()} has found anything of ours. */
     public boolean found() {
         return found;
     }
 
+    /** Whether something that was safe may be missing from what {@link #read()} has found. */
+    public boolean damaged() {
+        return damaged;
+    }
+
+    /** What could not be read, each with its file and offset. */
+    public List<String> problems() {
+        return problems;
+    }
+
+    /** The file and offset of a record that {@link #read()} has returned. */
+    public String place(int record) {
+        return places.get(record);
+    }
+
     /**
-     * The records of one file without the empty one, or null if the whole state at its beginning is not
-     * there.
+     * Puts the records of one file without its form and the empty one before those that newer ones had, and
+     * returns whether the whole state at its beginning is there.
      */
-    private List<byte[]> records(String name) throws IOException {
-        ByteBuffer in = ByteBuffer.wrap(volume.read(name));
+    private boolean records(String name, byte[] bytes, List<byte[]> into) {
+        ByteBuffer in = ByteBuffer.wrap(bytes);
         List<byte[]> records = new ArrayList<>();
+        List<String> at = new ArrayList<>();
         boolean whole = false;
+        boolean intact = true;
         while (in.remaining() >= HEAD) {
+            int start = in.position();
             int size = in.getInt();
             int sum = in.getInt();
             if (size < 0 || size > in.remaining()) {
+                problem(name, start, "a record of " + size + " bytes where " + in.remaining() + " are left");
+                in.position(in.limit());
                 break;
             }
             byte[] record = new byte[size];
             in.get(record);
-            if (sum(record) != sum) {
-                break;
-            }
-            if (size == 0) {
-                whole = true;
+            if (sum(record) != sum) { // one behind it may be whole, as writes survive one by one
+                problem(name, start, "the checksum of a record of " + size + " bytes is wrong");
+                intact = false;
+                if (size == 0) {
+                    in.position(in.limit());
+                }
+            } else if (size == 0) {
+                whole = whole || intact;
+            } else if (start == 0 && isForm(record)) {
+                if (record[MARK.length] > FORM) {
+                    newer = name + " is of form " + record[MARK.length] + ", and this program knows forms up"
+                            + " to " + FORM + ": nothing is written here";
+                    problems.add(newer);
+                    return false;
+                }
             } else {
                 records.add(record);
+                at.add(name + " at " + start);
             }
         }
-        return whole ? records : null;
+        if (!whole) {
+            problem(name, 0, "the state it begins with is not whole");
+        } else if (in.hasRemaining()) {
+            problem(name, in.position(), "a record is cut");
+        }
+        into.addAll(0, records);
+        places.addAll(0, at);
+        return whole;
+    }
+
+    private void problem(String name, int at, String what) {
+        problems.add(name + " at " + at + ": " + what);
+    }
+
+    private static boolean isForm(byte[] record) {
+        return record.length == MARK.length + 1 && Arrays.mismatch(record, MARK) == MARK.length;
+    }
+
+    private static byte[] form() {
+        byte[] record = Arrays.copyOf(MARK, MARK.length + 1);
+        record[MARK.length] = FORM;
+        return record;
     }
 
     private static int sum(byte[] record) {
@@ -97,12 +183,20 @@
     }
 
     /** Begins a new generation with a whole state; when it returns that is safe. */
-    public void begin(List<byte[]> state) throws IOException {
+    public void begin(Iterable<byte[]> state) throws IOException {
+        list();
+        if (newer != null) {
+            throw new IOException(newer);
+        }
+        problems.clear();
+        places.clear();
         long next = generation + 1;
         String named = PREFIX + next;
+        volume.delete(FRESH); // a name that a crash has left, perhaps of a file that has another one, too
         Volume.File made = volume.create(FRESH);
         long size = 0;
         try {
+            size += put(made, form());
             for (byte[] record : state) {
                 size += put(made, record);
             }
@@ -111,9 +205,10 @@
             // From here on a start may find this generation, so that none before it can be added to.
             broken = true;
             generation = next;
+            files.put(next, named);
             volume.rename(FRESH, named);
             volume.forceNames();
-            if (records(named) == null) {
+            if (!records(named, volume.read(named), new ArrayList<>())) {
                 throw new IOException("what was written to " + named + " does not read back");
             }
         } catch (IOException e) {
@@ -126,7 +221,9 @@
         file = made;
         length = size;
         broken = false;
-        volume.delete(PREFIX + (next - 2));
+        while (files.firstKey() < next - 1) {
+            volume.delete(files.pollFirstEntry().getValue());
+        }
     }
 
     /** Appends a record; it is safe once {@link #sync()} has returned. */
--- a/src/main/java/reedmux/disk/Volume.java
+++ b/src/main/java/reedmux/disk/Volume.java
@@ -20,7 +20,7 @@
         void close() throws IOException;
     }
 
-    /** The names of all files; the folder is made where there is none. */
+    /** The names of all files; none where there is no folder, which {@link #create} makes. */
     List<String> names() throws IOException;
 
     byte[] read(String name) throws IOException;
--- a/src/main/java/reedmux/item/Replica.java
+++ b/src/main/java/reedmux/item/Replica.java
@@ -155,6 +155,19 @@
         return news;
     }
 
+    /** The items of which {@link #merge} would keep something. */
+    public List<Item> lacking(Collection<Item> items) {
+        List<Item> news = new ArrayList<>();
+        for (Item item : items) {
+            Item had = inForce.get(item.key());
+            if (had == null || item.compareTo(had) > 0
+                    || item.revision() < had.revision() && marks.isNews(Mark.of(item))) {
+                news.add(item);
+            }
+        }
+        return news;
+    }
+
     /** Takes in marks of what was taken and overtaken elsewhere; returns those that were news. */
     public List<Mark> mark(Collection<Mark> told) {
         List<Mark> news = new ArrayList<>();
--- a/src/main/java/reedmux/registry/Memory.java
+++ b/src/main/java/reedmux/registry/Memory.java
@@ -19,11 +19,14 @@
  */
 final class Memory {
     private static final long PACE = 300_000;
+    /** After a failure it is tried again so much later. */
+    private static final long PAUSE = 2_000_000;
     private final Reactor reactor;
     private final Codec codec;
     private final Fleet fleet;
     private final Journal journal;
     private long kept;
+    private long tryAt;
     private boolean writing;
     private final Executor disk;
 
@@ -33,34 +36,42 @@
         this.fleet = fleet;
         journal = new Journal(reactor.volume(dir));
         disk = reactor.worker("reedmux-disk", 4);
-        try {
-            for (byte[] record : journal.read()) {
-                if (codec.read(record) instanceof Tell told) {
-                    told.lives().forEach(life -> fleet.merge(life, reactor.now()));
-                }
+        List<byte[]> records = journal.read();
+        journal.problems().forEach(line -> reactor.wrong("disk: " + line));
+        for (int i = 0; i < records.size(); i++) {
+            if (codec.read(records.get(i)) instanceof Tell told) {
+                told.lives().forEach(life -> fleet.merge(life, reactor.now()));
+            } else {
+                reactor.wrong("disk: " + journal.place(i) + ": a record that this program does not know, of "
+                        + records.get(i).length + " bytes");
             }
-            kept = fleet.changes();
-        } catch (IOException e) {
-            reactor.wrong("disk: " + e.getMessage());
         }
+        kept = fleet.changes();
         reactor.every(PACE, this::keep);
     }
 
     private void keep() {
-        if (writing || fleet.changes() == kept) {
+        if (writing || fleet.changes() == kept || reactor.now() < tryAt) {
             return;
         }
         writing = true;
-        kept = fleet.changes();
+        long changes = fleet.changes();
         List<Incarnation> lives = new ArrayList<>(fleet.all(reactor.now()));
         byte[] record = codec.write(new Tell(0, lives));
         disk.execute(() -> {
+            boolean done = false;
             try {
                 journal.begin(List.of(record));
+                done = true;
             } catch (IOException e) {
                 reactor.wrong("disk: " + e.getMessage());
             }
-            reactor.execute(() -> writing = false);
+            boolean safe = done;
+            reactor.execute(() -> {
+                writing = false;
+                kept = safe ? changes : kept;
+                tryAt = safe ? 0 : reactor.now() + PAUSE;
+            });
         });
     }
 }
--- a/src/main/java/reedmux/store/ReplicaStorage.java
+++ b/src/main/java/reedmux/store/ReplicaStorage.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
@@ -10,6 +11,7 @@
 import reedmux.disk.Journal;
 import reedmux.item.Item;
 import reedmux.item.Mark;
+import reedmux.item.Proposal;
 import reedmux.item.Replica;
 import reedmux.link.Codec;
 import reedmux.link.Messages.Decided;
@@ -20,27 +22,49 @@
 
 /**
  * A replica's place on disk. One thread waits for the disk, so that nobody else does; one sync covers all
- * that
- * has come meanwhile. What waits is bounded, and beyond that refused like what the disk refuses.
+ * that has come meanwhile. What is to be written, and the state that a new generation begins with, go through
+ * one queue: a record that comes after a state was taken is written behind it. What waits is bounded, and
+ * beyond that refused like what the disk refuses.
  */
 final class ReplicaStorage {
     private static final int MOST_WAITING = 256;
+    private static final long LOOK = 125_000;
+    /** A generation is begun anew once it has this size, and twice that with which it began. */
+    private static final long COMPACT_AT = 4L * 1024 * 1024;
+    /** After a failure the next generation is tried so much later, and twice that after each further one. */
+    private static final long PAUSE = 125_000;
+    private static final long LONGEST_PAUSE = 2_000_000;
+    /** How many items, and about how many bytes of them, a record of the state has. */
+    private static final int PIECE = 512;
+    private static final int PIECE_BYTES = 256 * 1024;
     private final Reactor reactor;
     private final Codec codec;
+    /** For the disk's thread. */
+    private final Codec encoder = new Codec();
     private final Replica replica;
     private final Journal journal;
-    private volatile long length;
-    private volatile boolean spoilt;
+    private final Executor disk;
+    private final List<Waiting> waiting = new ArrayList<>();
+    /** As the disk's thread has told: bytes of the generation now and at its beginning. */
+    private long length;
+    private long begun;
+    private boolean spoilt;
+    /** Whether a state is on its way to the disk. */
     private boolean compacting;
+    private long tryAt;
+    private long pause = PAUSE;
     /**
      * Whether what is here is all that we ever held: false after a disk was lost, until it is made up for.
      */
     private boolean whole;
-    private final Executor disk;
-    private final List<Waiting> waiting = new ArrayList<>();
+    /** Whether a generation that stands says so. */
+    private boolean wholeOnDisk;
 
-    /** A record that waits to be written, and who hears whether it is safe. */
-    private record Waiting(byte[] record, Consumer<Boolean> done) { }
+    /** A record that waits to be written, or a state; and who hears whether it is safe. */
+    private record Waiting(byte[] record, State state, Consumer<Boolean> done) { }
+
+    /** What a generation begins with, as of one moment; encoded on the disk's thread. */
+    private record State(boolean whole, List<Item> items, List<Mark> marks, List<Proposal> held) { }
 
     ReplicaStorage(Path dir, Reactor reactor, Codec codec, Replica replica) {
         this.reactor = reactor;
@@ -50,10 +74,15 @@
         disk = reactor.worker("reedmux-disk", MOST_WAITING);
     }
 
-    /** Brings the replica up to what is on disk; false where what was once there has been lost. */
-    boolean load(boolean firstStart) throws IOException {
-        for (byte[] record : journal.read()) {
-            Object told = codec.read(record);
+    /**
+     * Brings the replica up to what can be read of the disk; false where what was once there has been lost.
+     * Where nothing can be written the store starts all the same, and refuses what it can't keep.
+     */
+    boolean load(boolean firstStart) {
+        List<byte[]> records = journal.read();
+        journal.problems().forEach(line -> reactor.wrong("disk: " + line));
+        for (int i = 0; i < records.size(); i++) {
+            Object told = codec.read(records.get(i));
             if (told instanceof Items items) {
                 replica.merge(items.items());
                 whole |= items.whole();
@@ -63,11 +92,22 @@
                 replica.hold(propose.proposal());
             } else if (told instanceof Decided decided) {
                 replica.decide(decided.call(), decided.inForce(), decided.items());
+            } else {
+                reactor.wrong("disk: " + journal.place(i) + ": a record that this program does not know, of "
+                        + records.get(i).length + " bytes");
             }
         }
         whole |= firstStart && !journal.found();
-        journal.begin(state());
-        length = journal.length();
+        whole &= !journal.damaged();
+        State state = state();
+        try {
+            journal.begin(records(state));
+        } catch (IOException e) {
+            reactor.wrong("disk: " + e.getMessage());
+        }
+        spoilt = journal.broken();
+        begun(state.whole, spoilt, journal.length());
+        reactor.every(LOOK, this::look);
         return whole;
     }
 
@@ -77,14 +117,43 @@
         compact();
     }
 
-    private List<byte[]> state() {
-        List<byte[]> records = new ArrayList<>();
-        records.add(codec.write(new Items(0, 0, whole, List.copyOf(replica.inForce()), List.of())));
-        if (!replica.marks().isEmpty()) {
-            records.add(codec.write(new Marks(List.copyOf(replica.marks()))));
-        }
-        replica.held().values().forEach(proposal -> records.add(codec.write(new Propose(proposal))));
-        return records;
+    private State state() {
+        return new State(whole, List.copyOf(replica.inForce()), List.copyOf(replica.marks()),
+                List.copyOf(replica.held().values()));
+    }
+
+    /** The records of a state, each made as it is written. */
+    private Iterable<byte[]> records(State state) {
+        return () -> new Iterator<>() {
+            private int mark;
+            private int item;
+            private int held = -1;
+
+            @Override
+            public boolean hasNext() {
+                return held < state.held.size();
+            }
+
+            @Override
+            public byte[] next() {
+                if (held >= 0) {
+                    return encoder.write(new Propose(state.held.get(held++)));
+                }
+                if (mark < state.marks.size()) {
+                    int from = mark;
+                    mark = Math.min(from + PIECE, state.marks.size());
+                    return encoder.write(new Marks(state.marks.subList(from, mark)));
+                }
+                int from = item;
+                for (int bytes = 0; item < state.items.size() && item - from < PIECE && bytes < PIECE_BYTES;
+                        item++) {
+                    bytes += state.items.get(item).body().length();
+                }
+                held = item == state.items.size() ? 0 : -1;
+                return encoder.write(new Items(0, 0, state.whole, state.items.subList(from, item),
+                        List.of()));
+            }
+        };
     }
 
     /** Keeps a call that is held; {@code done} hears whether it is safe. */
@@ -96,8 +165,9 @@
         write(codec.write(decided), safe -> { });
     }
 
+    /** Only a state says that it is whole, as only that has all. */
     void merged(List<Item> items) {
-        write(codec.write(new Items(0, 0, whole, items, List.of())), safe -> { });
+        write(codec.write(new Items(0, 0, false, items, List.of())), safe -> { });
     }
 
     void marked(List<Mark> marks) {
@@ -108,18 +178,27 @@
         if (spoilt) {
             compact();
         }
+        add(new Waiting(record, null, done));
+    }
+
+    private void add(Waiting one) {
         boolean idle;
         synchronized (waiting) {
             if (waiting.size() >= MOST_WAITING) {
                 reactor.wrong("disk: too much waits for it");
-                reactor.execute(() -> done.accept(false));
+                reactor.execute(() -> one.done.accept(false));
                 return;
             }
             idle = waiting.isEmpty();
-            waiting.add(new Waiting(record, done));
+            waiting.add(one);
         }
         if (idle) {
-            task(this::writeAll, this::refuseAll);
+            try {
+                disk.execute(this::writeAll);
+            } catch (RejectedExecutionException e) {
+                reactor.wrong("disk: too much waits for it");
+                reactor.execute(this::refuseAll);
+            }
         }
     }
 
@@ -131,70 +210,96 @@
         }
     }
 
-    /** One sync for all that waits. */
+    private void refuseAll() {
+        takeAll().forEach(each -> each.done.accept(false));
+    }
+
+    /** All that waits, in its order; one sync for the records between two states. */
     private void writeAll() {
         List<Waiting> written = new ArrayList<>();
-        List<Waiting> lost = new ArrayList<>();
         for (Waiting each : takeAll()) {
-            try {
-                journal.append(each.record);
-                written.add(each);
-            } catch (IOException e) {
-                lost.add(each);
-                reactor.wrong("disk: " + e.getMessage());
+            if (each.state == null) {
+                append(each, written);
+            } else {
+                sync(written);
+                begin(each);
             }
         }
+        sync(written);
+    }
+
+    private void append(Waiting one, List<Waiting> written) {
         try {
-            if (!written.isEmpty()) {
+            journal.append(one.record);
+            written.add(one);
+        } catch (IOException e) {
+            told(List.of(one), e);
+        }
+    }
+
+    private void sync(List<Waiting> written) {
+        if (!written.isEmpty()) {
+            IOException failure = null;
+            try {
                 journal.sync();
+            } catch (IOException e) {
+                failure = e;
             }
-        } catch (IOException e) {
-            lost.addAll(written);
+            told(List.copyOf(written), failure);
             written.clear();
-            reactor.wrong("disk: " + e.getMessage());
         }
-        length = journal.length();
-        spoilt = journal.broken();
-        reactor.execute(() -> {
-            written.forEach(each -> each.done.accept(true));
-            lost.forEach(each -> each.done.accept(false));
-        });
     }
 
-    private void refuseAll() {
-        takeAll().forEach(each -> each.done.accept(false));
+    private void begin(Waiting one) {
+        IOException failure = null;
+        try {
+            journal.begin(records(one.state));
+        } catch (IOException e) {
+            failure = e;
+        }
+        told(List.of(one), failure);
+    }
+
+    /** The reactor's thread hears what became of some of what waited. */
+    private void told(List<Waiting> some, IOException failure) {
+        long now = journal.length();
+        boolean broken = journal.broken();
+        if (failure != null) {
+            reactor.wrong("disk: " + failure.getMessage());
+        }
+        reactor.execute(() -> {
+            length = now;
+            spoilt = broken;
+            some.forEach(each -> each.done.accept(failure == null));
+        });
     }
 
-    /** Begins the file anew with what the replica has now. */
+    // ---- New generations -----------------------------------------------------------------------------
+    /** Begins the file anew with what the replica has now, unless that has failed a moment ago. */
     void compact() {
-        if (compacting) {
-            return;
+        if (!compacting && reactor.now() >= tryAt) {
+            compacting = true;
+            State state = state();
+            add(new Waiting(null, state, safe -> begun(state.whole, !safe, length)));
         }
-        compacting = true;
-        List<byte[]> state = state();
-        task(() -> {
-            try {
-                journal.begin(state);
-                length = journal.length();
-                spoilt = false;
-            } catch (IOException e) {
-                spoilt = journal.broken();
-                reactor.wrong("disk: " + e.getMessage());
-            }
-            reactor.execute(() -> compacting = false);
-        }, () -> compacting = false);
     }
 
-    long length() {
-        return length;
+    private void begun(boolean saysWhole, boolean failed, long size) {
+        compacting = false;
+        if (failed) {
+            tryAt = reactor.now() + pause;
+            pause = Math.min(LONGEST_PAUSE, 2 * pause);
+        } else {
+            pause = PAUSE;
+            wholeOnDisk = saysWhole;
+            length = size;
+            begun = size;
+        }
     }
 
-    private void task(Runnable task, Runnable refused) {
-        try {
-            disk.execute(task);
-        } catch (RejectedExecutionException e) {
-            reactor.wrong("disk: too much waits for it");
-            reactor.execute(refused);
+    private void look() {
+        if (spoilt || whole && !wholeOnDisk || length > Math.max(COMPACT_AT, 2 * begun)) {
+            compact();
         }
     }
 }
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -47,7 +47,6 @@
 public final class Store implements Program, Link.Owner, Agreement.Effects {
     private static final String PROGRAM = "store";
     private static final long LOOK = 125_000;
-    private static final long COMPACT_AT = 4L * 1024 * 1024;
 
     private final Boot boot;
     private final Reactor reactor;
@@ -128,9 +127,6 @@
     private void look() {
         agreement.look(reactor.now());
         prove();
-        if (storage.length() > COMPACT_AT) {
-            storage.compact();
-        }
     }
 
     // ---- Links -------------------------------------------------------------------------------------
@@ -292,13 +288,14 @@
     /** Another store tells what is in force there. */
     private void take(Link link, Items told) {
         vector.put(link.other().ip(), new long[] {told.life(), told.upTo()});
-        List<Item> news = replica.news(told.items());
+        List<Item> news = replica.lacking(told.items());
         boolean before = agreement.whole();
         agreement.met(reactor.now(), link.other().ip(), told.whole(), told.items(), told.held());
+        if (!news.isEmpty()) {
+            storage.merged(news);
+        }
         if (!before && agreement.whole()) {
             storage.whole();
-        } else if (!news.isEmpty()) {
-            storage.merged(news);
         }
         link.say(new Pull(told.life(), told.upTo()));
         prove();
--- a/src/test/java/reedmux/disk/JournalTest.java
+++ b/src/test/java/reedmux/disk/JournalTest.java
@@ -45,7 +45,10 @@
         assertFalse(journal.found());
     }
 
-    /** The file ends at every byte, or has one that is wrong there: what comes before is found, no more. */
+    /**
+     * The file ends at every byte, or has one that is wrong there: what comes before is found, and what is
+     * whole behind it, but nothing that was never written; and it is told where something is wrong.
+     */
     @Test
     public void whatWasSyncedIsFoundWhateverBecameOfTheRest() throws IOException {
         try (Journal journal = new Journal(new Folder(dir))) {
@@ -64,11 +67,21 @@
                         image[end] ^= 0x55;
                     }
                     Files.write(file, image);
-                    List<byte[]> found = new Journal(new Folder(dir)).read();
-                    assertTrue(found.size() >= 2 && found.size() < 4, "at " + end);
-                    for (int i = 0; i < found.size(); i++) {
+                    Journal next = new Journal(new Folder(dir));
+                    List<byte[]> found = next.read();
+                    boolean third = end >= synced + 8 + record(2).length;
+                    assertTrue(found.size() >= (third ? 3 : 2) && found.size() < 4, "at " + end);
+                    for (int i = 0; i < 2; i++) {
                         assertEquals(found.get(i), record(i));
                     }
+                    if (found.size() == 3) {
+                        boolean skipped = !cut && !third;
+                        assertEquals(found.get(2), record(skipped ? 3 : 2), "at " + end);
+                    }
+                    assertFalse(next.damaged());
+                    boolean between = cut && (end == synced || third && end == synced + 8 + record(2).length);
+                    assertEquals(next.problems().size(), between ? 0 : 1, "at " + end + next.problems());
+                    assertTrue(between || next.problems().get(0).startsWith("items-1 at "));
                 }
             }
         }
