Validity by host, plant and key; since by change number; a proxy's table changes in place

Cause: each call built the table of all items anew (Replica.stands), each pull scanned all items, and a proxy read all anew for one change.

Change: Table keeps what does not stand as counts and is changed item by item, back again where it does not stand; Replica.since is an index; Poll puts in what is pending once all of it stands.

--- a/src/main/java/reedmux/item/Poll.java
+++ b/src/main/java/reedmux/item/Poll.java
@@ -11,6 +11,8 @@
  */
 public final class Poll {
     private final Map<String, Item> items = new TreeMap<>();
+    /** Those of them that are not in the table yet. */
+    private final Map<String, Item> pending = new TreeMap<>();
     private final Map<String, long[]> vector = new HashMap<>();
     private Table table;
     private String problem;
@@ -18,25 +20,25 @@
     /** Takes in what a source tells; returns whether the table has changed. */
     public boolean take(String source, long life, long upTo, Collection<Item> told) {
         vector.put(source, new long[] {life, upTo});
-        boolean news = false;
         for (Item item : told) {
             Item had = items.get(item.key());
             if (had == null || item.compareTo(had) > 0) {
                 items.put(item.key(), item);
-                news = true;
+                pending.put(item.key(), item);
             }
         }
-        if (!news && problem == null && table != null) {
+        if (pending.isEmpty() && table != null) {
             return false;
         }
-        try {
-            table = Table.of(items.values());
-            problem = null;
-            return true;
-        } catch (Invalid e) {
-            problem = e.getMessage(); // half of what belongs together has come; the rest is on its way
+        Table next = table == null ? new Table() : table;
+        if (!next.take(pending.values())) {
+            problem = next.problem(); // half of what belongs together has come; the rest is on its way
             return false;
         }
+        pending.clear();
+        problem = null;
+        table = next;
+        return true;
     }
 
     /** The life of a source that is known, and the last change of it: two numbers. */
--- a/src/main/java/reedmux/item/Replica.java
+++ b/src/main/java/reedmux/item/Replica.java
@@ -29,7 +29,11 @@
     }
 
     private final Map<String, Item> inForce = new TreeMap<>();
+    /** The number of the change that brought each, and each by that number. */
     private final Map<String, Long> changedAt = new HashMap<>();
+    private final TreeMap<Long, Item> byChange = new TreeMap<>();
+    /** What is in force, as it is used; null until the first call is judged, as a start does without. */
+    private Table table;
     private final Map<String, Proposal> held = new LinkedHashMap<>();
     private final Marks marks = new Marks();
     private long changes;
@@ -106,21 +110,26 @@
     }
 
     private boolean stands(List<List<Item>> calls) {
-        Map<String, Item> all = new TreeMap<>(inForce);
+        Map<String, Item> changed = new LinkedHashMap<>();
         for (List<Item> call : calls) {
             for (Item item : call) {
-                if (item.over(all.get(item.key()))) {
-                    all.put(item.key(), item);
+                Item had = changed.get(item.key());
+                if (item.over(had != null ? had : inForce.get(item.key()))) {
+                    changed.put(item.key(), item);
                 }
             }
         }
-        try {
-            Table.of(all.values());
+        if (table == null) {
+            table = new Table();
+            for (Item item : inForce.values()) {
+                table.put(item);
+            }
+        }
+        if (table.stands(changed.values())) {
             return true;
-        } catch (Invalid e) {
-            problem = e.getMessage();
-            return false;
         }
+        problem = table.problem();
+        return false;
     }
 
     /** Holds a call that was judged good, or goes on holding it under another ballot. */
@@ -146,7 +155,14 @@
                     mark(Mark.of(had));
                 }
                 inForce.put(item.key(), item);
-                changedAt.put(item.key(), ++changes);
+                Long before = changedAt.put(item.key(), ++changes);
+                if (before != null) {
+                    byChange.remove(before);
+                }
+                byChange.put(changes, item);
+                if (table != null) {
+                    table.put(item);
+                }
                 news.add(item);
             } else if (item.revision() < had.revision()) {
                 mark(Mark.of(item));
@@ -221,12 +237,6 @@
 
     /** What has come into force since that change. */
     public List<Item> since(long change) {
-        List<Item> news = new ArrayList<>();
-        inForce.forEach((key, item) -> {
-            if (changedAt.get(key) > change) {
-                news.add(item);
-            }
-        });
-        return news;
+        return new ArrayList<>(byChange.tailMap(change, false).values());
     }
 }
