--- a/src/main/java/reedmux/lab/Scenes.java
+++ b/src/main/java/reedmux/lab/Scenes.java
@@ -59,6 +59,8 @@
         ALL.put("capacity", new Known("the control side at growing sizes, in virtual time: powers and the sum at"
                 + " the operators' size, 2 min; --most, --out", (asked, progress) -> CapacityScene.run(
                         asked.most, asked.folder, progress)));
+        ALL.put("items", new Known("what one change costs at 30 to 100,000 items, 10 s",
+                (asked, progress) -> ItemScene.run(progress)));
         ALL.put("region-storms", new Known("faults of all kinds against the rules, in virtual time",
                 (asked, progress) -> RegionTables.storms(asked.first, asked.last, progress)));
     }
