--- a/src/main/java/reedmux/item/Agreement.java
+++ b/src/main/java/reedmux/item/Agreement.java
@@ -19,10 +19,10 @@
  * that nobody decided on is brought again, under a higher ballot, by whoever holds it: a store that has taken
  * part in one ballot heeds none below it, so that a call which one attempt may have brought into force is not
  * dropped by another. A store that lost its disk counts for nothing until it has met so many of the others
- * that nothing acknowledged can be missing, and then holds what these hold. What needs no round of its own (a
- * read, a call that changes nothing, a refusal) is answered after a contact: a quorum has told, since the call
- * came, all that is in force there, once nothing was held any more of what it held then. Pure: what is to be
- * done is told to {@link Effects}.
+ * that nothing acknowledged can be missing, and then holds what these hold. What needs no round of its own
+ * (a read, a call that changes nothing, a refusal) is answered after a contact: a quorum has told, since the
+ * call came, all that is in force there, once nothing was held any more of what it held then. Pure: what is
+ * to be done is told to {@link Effects}.
  */
 public final class Agreement {
     /** A call that was not decided on for so long is brought again, in microseconds. */
@@ -36,11 +36,11 @@
     public static final int CONFLICT = 409;
     public static final int LATER = 503;
 
-    /** What is said later than a link may be silent is not read, so that ballots matter no longer than that. */
+    /** What is said later than a link may be silent is not read: ballots matter no longer than that. */
     private static final long BALLOT = 10_000_000;
     /** Of calls that were dropped, as a store that was away may bring them again. */
     private static final int MOST_DROPPED = 4096;
-    /** How often a call is brought under a new name, where it was dropped for what was missing or in its way. */
+    /** How often a call is brought, where it was dropped for what was missing or in its way. */
     private static final int TRIES = 3;
 
     /** What one store says of a call. */
--- a/src/main/java/reedmux/item/Mark.java
+++ b/src/main/java/reedmux/item/Mark.java
@@ -1,7 +1,7 @@
 package reedmux.item;
 
 /**
- * That a revision of an item was taken, and has been overtaken since: what is left of its content is a digest.
+ * That a revision of an item was taken, and has been overtaken since: a digest is left of its content.
  *
  * @param digest of the content, or {@link #FLOOR}: nothing is known any more of this revision and those below
  */
--- a/src/main/java/reedmux/link/Link.java
+++ b/src/main/java/reedmux/link/Link.java
@@ -88,8 +88,8 @@
     }
 
     /**
-     * Whether the other side has given us up, so that what waits here was said in another time: a process that
-     * was frozen finds it before its timers run.
+     * Whether the other side has given us up, so that what waits here was said in another time: a process
+     * that was frozen finds it before its timers run.
      */
     private boolean isStale() {
         return reactor.now() - heardAt > SILENCE;
--- a/src/main/java/reedmux/link/Messages.java
+++ b/src/main/java/reedmux/link/Messages.java
@@ -101,14 +101,14 @@
     }
 
     /**
-     * A store asks another one, over the link on which it pulls, whether they are in touch; {@code settled}: the
-     * answer is to wait until what is held now is decided on.
+     * A store asks another one, over the link on which it pulls, whether they are in touch;
+     * {@code settled}: the answer is to wait until what is held now is decided on.
      */
     public record Confirm(long id, boolean settled) { }
 
     /** The answer, by a store that counts itself, behind all that is in force there. */
     public record Confirmed(long id) { }
 
-    /** To a proxy: a quorum was in touch since it began to pull, and all that was in force then has been told. */
+    /** To a proxy: a quorum was in touch since it began to pull, and what was in force then has been told. */
     public record Current() { }
 }
--- a/src/test/java/reedmux/item/AgreementTest.java
+++ b/src/test/java/reedmux/item/AgreementTest.java
@@ -18,25 +18,25 @@
     private static final String PLANT = item("plants", "desk", 1,
             "{\"probe\":\"/health\",\"connCeiling\":9}");
 
-    private static String item(String kind, String name, int revision, String body) {
+    static String item(String kind, String name, int revision, String body) {
         return "{\"signalKind\":\"" + kind + "\",\"heading\":{\"name\":\"" + name + "\",\"revision\":"
                 + revision
                 + "},\"reference\":" + body + '}';
     }
 
-    private static String route(String name, int revision, String host) {
+    static String route(String name, int revision, String host) {
         String body = """
                 {"host":"%s","prefix":"/a/","kind":"effectful","cutoffMs":1000,"setpointMs":100,"priority":1,
                  "plant":"desk","attempts":1}""";
         return item("routes", name, revision, String.format(body, host));
     }
 
-    private static String call(String... items) {
+    static String call(String... items) {
         return "{\"apply\":{\"signals\":[" + String.join(",", items) + "]},\"remove\":{}}";
     }
 
     /** Three agreements, the messages between them, and what the operator was told. */
-    private static final class World {
+    static final class World {
         final Agreement[] agreements = new Agreement[3];
         final Replica[] replicas = new Replica[3];
         final List<Runnable> mail = new ArrayList<>();
@@ -194,7 +194,7 @@
         }
     }
 
-    private static void assertAgreed(World world) {
+    static void assertAgreed(World world) {
         assertEquals(world.inForce(1), world.inForce(0));
         assertEquals(world.inForce(2), world.inForce(0));
         try {
@@ -207,7 +207,7 @@
         }
     }
 
-    private static boolean has(World world, int at, String key, long revision) {
+    static boolean has(World world, int at, String key, long revision) {
         return world.replicas[at].inForce().stream().anyMatch(item -> item.key().equals(key)
                 && item.revision() == revision);
     }
--- a/src/test/java/reedmux/item/Orders.java
+++ b/src/test/java/reedmux/item/Orders.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.function.Consumer;
 
 /** Plays something once for each order of its choices, one by one, until there is none left. */
 public final class Orders {
     private final List<int[]> taken = new ArrayList<>();
     private int at;
+    private Random random;
 
     private Orders() { }
 
@@ -16,6 +18,9 @@
         if (many == 1) {
             return 0;
         }
+        if (random != null) {
+            return random.nextInt(many);
+        }
         if (at == taken.size()) {
             taken.add(new int[] {0, many});
         }
@@ -38,4 +43,15 @@
             orders.taken.get(last)[0]++;
         }
     }
+
+    /** Plays as {@link #all}, and where there are more orders than that, so many drawn ones, too. */
+    public static int allOrDrawn(int most, Consumer<Orders> play) {
+        int plays = all(most, play);
+        for (int i = 0; plays >= most && i < most; i++) {
+            Orders orders = new Orders();
+            orders.random = new Random(i);
+            play.accept(orders);
+        }
+        return plays < most ? plays : 2 * most;
+    }
 }
