--- a/src/main/java/reedmux/cli/PlayWorld.java
+++ b/src/main/java/reedmux/cli/PlayWorld.java
@@ -17,6 +17,7 @@
     private static final Pattern SEEDS = Pattern.compile("([0-9]{1,9})(?:\\.\\.([0-9]{1,9}))?");
     private static final int BROKEN = 1;
     private static final int BAD_USAGE = 2;
+    private static final int POINTS = 5;
 
     @AirlineModule
     private HelpOption<PlayWorld> help;
@@ -37,6 +38,13 @@
             description = "changes that cannot stand together, while the core is in trouble")
     private boolean storm;
 
+    @Option(name = "--point", title = "1..5",
+            description = "days full of what the operators' point of that number tells of")
+    private int point;
+
+    @Option(name = "--same-addresses", description = "no core machine is replaced at another address")
+    private boolean sameAddresses;
+
     @Option(name = "--jobs", title = "N", description = "days that are played side by side")
     private int jobs = Runtime.getRuntime().availableProcessors();
 
@@ -49,14 +57,16 @@
             return 0;
         }
         Matcher range = SEEDS.matcher(seeds);
-        if (!range.matches() || proxies < 1 || cores < 1 || jobs < 1 || !(pace > 0)) {
-            System.err.println("reedmux: world: --seeds is A..B, the others are numbers above 0");
+        if (!range.matches() || proxies < 1 || cores < 1 || jobs < 1 || !(pace > 0) || point < 0
+                || point > POINTS) {
+            System.err.println("reedmux: world: --seeds is A..B, --point 1 to 5, the others are numbers above 0");
             return BAD_USAGE;
         }
         long first = Long.parseLong(range.group(1));
         long last = range.group(2) == null ? first : Long.parseLong(range.group(2));
         long begin = System.nanoTime();
-        Days days = new Days(new Day.Shape(proxies, cores, pace, storm));
+        Days days = new Days(new Day.Shape(proxies, cores, pace, storm, point,
+                !sameAddresses));
         Days.Sum sum = days.play(first, last, log ? 1 : jobs, log ? System.out::println : line -> { },
                 PlayWorld::tell);
         double wall = (System.nanoTime() - begin) / 1e9;
--- a/src/main/java/reedmux/lab/world/CheckerActor.java
+++ b/src/main/java/reedmux/lab/world/CheckerActor.java
@@ -38,6 +38,7 @@
     private int calls;
     /** Of its answers, how many are lost after it has run. */
     private double loses;
+    private double misbehaves;
 
     CheckerActor(World world, Machine machine, String id, String service, List<InetSocketAddress> control,
             InvariantChecker watch, Runnable onEnd, java.util.function.Consumer<String> onDrain) {
@@ -80,6 +81,11 @@
         loses = share;
     }
 
+    /** A share of its answers comes late, twice, in part or not at all. */
+    void misbehaves(double share) {
+        misbehaves = share;
+    }
+
     // ---- Requests ----------------------------------------------------------------------------------
     private void serve(Calls.Call call, Calls from) {
         Head head = call.head();
@@ -108,10 +114,10 @@
         host.reactor().after(40_000 + world.random().nextInt(80_000), () -> {
             if (world.random().nextDouble() < loses) {
                 from.raw(new byte[0]);
+            } else if (misbehaves > 0 && world.random().nextDouble() < misbehaves) {
+                misbehave(attempt, from);
             } else {
-                from.answer(Head.answer(200).add("Reedmux-Attempt-Id", attempt)
-                        .add("Reedmux-Server-Seal", id), (id + ' ' + service + ' ' + attempt)
-                        .getBytes(StandardCharsets.UTF_8));
+                answer(attempt, from);
             }
             busy--;
             if (!queue.isEmpty()) {
@@ -120,6 +126,43 @@
         });
     }
 
+    private void answer(String attempt, Calls from) {
+        from.answer(Head.answer(200).add("Reedmux-Attempt-Id", attempt).add("Reedmux-Server-Seal", id),
+                content(attempt));
+    }
+
+    private byte[] content(String attempt) {
+        return (id + ' ' + service + ' ' + attempt).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void misbehave(String attempt, Calls from) {
+        byte[] whole = whole(attempt);
+        switch (world.random().nextInt(6)) {
+            case 0 -> host.reactor().after(500_000 + world.random().nextInt(2_500_000), () ->
+                    answer(attempt, from));
+            case 1 -> from.raw(java.util.Arrays.copyOf(whole, 1 + world.random().nextInt(whole.length - 1)));
+            case 2, 3 -> { // once more, at once or when the connection may carry another request
+                answer(attempt, from);
+                host.reactor().after(world.random().nextInt(3) == 0 ? 0 : world.random().nextInt(60_000), () ->
+                        from.unasked(whole));
+            }
+            case 4 -> {
+                from.unasked("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+                answer(attempt, from);
+            }
+            default -> { }
+        }
+    }
+
+    private byte[] whole(String attempt) {
+        byte[] content = content(attempt);
+        byte[] head = Head.answer(200).add("Reedmux-Attempt-Id", attempt).add("Reedmux-Server-Seal", id)
+                .add("Content-Length", Integer.toString(content.length)).bytes();
+        byte[] all = java.util.Arrays.copyOf(head, head.length + content.length);
+        System.arraycopy(content, 0, all, head.length, content.length);
+        return all;
+    }
+
     // ---- What it says of itself --------------------------------------------------------------------
     private void beat(int failed) {
         if (!host.alive()) {
@@ -142,6 +185,7 @@
                 return;
             } else if (said && !drainAcked) {
                 if (host.now() - drainingAt > UNHEARD) {
+                    watch.drainUnheard(drainingAt, host.now());
                     leave(0);
                     return;
                 }
--- a/src/main/java/reedmux/lab/world/Clients.java
+++ b/src/main/java/reedmux/lab/world/Clients.java
@@ -48,8 +48,12 @@
     private void platform() {
         for (Deployment.Node edge : deployment.edges()) {
             ask(() -> new Asker(host.reactor(), deployment.ready(edge),
-                    Asker.request("GET", "/v1/readiness", "ready", ""), SECOND, (status, head, text) ->
-                    missed.merge(edge.name(), 1, (had, one) -> status == 200 ? 0 : had + 1)));
+                    Asker.request("GET", "/v1/readiness", "ready", ""), SECOND, (status, head, text) -> {
+                        missed.merge(edge.name(), 1, (had, one) -> status == 200 ? 0 : had + 1);
+                        if (status == 200) {
+                            watch.ready(edge.name(), edge.bornAt(), world.now());
+                        }
+                    }));
         }
         world.after(SECOND, this::platform);
     }
--- a/src/main/java/reedmux/lab/world/Day.java
+++ b/src/main/java/reedmux/lab/world/Day.java
@@ -10,6 +10,7 @@
     private static final long SECOND = 1_000_000;
     private static final long LEAD = 6 * SECOND;
     private static final long LENGTH = 26 * SECOND;
+    private static final long STORM_LENGTH = 60 * SECOND;
     private static final long AFTER = 19 * SECOND;
     private static final long RECOVERY = 15 * SECOND;
     private static final int CHECKERS = 12;
@@ -49,8 +50,16 @@
      * @param pace  requests a second for each proxy
      * @param storm operators change things that cannot stand together, all the time, while the core is in
      *              trouble
+     * @param point 1 to 5: a long day full of what the operators' point of that number tells of; 0: a day of
+     *              the usual kind
+     * @param readdresses whether core machines are replaced at other addresses, too
      */
-    public record Shape(int proxies, int cores, double pace, boolean storm) { }
+    public record Shape(int proxies, int cores, double pace, boolean storm, int point, boolean readdresses) {
+
+        public Shape(int proxies, int cores, double pace, boolean storm) {
+            this(proxies, cores, pace, storm, 0, false);
+        }
+    }
 
     private Day(long seed, Shape shape, Consumer<String> log) {
         this.log = log;
@@ -61,6 +70,7 @@
         settings = new Settings(random);
         clients = new Clients(world, deployment, watch);
         watch.quota(Settings.RATE, Settings.BURST);
+        deployment.onEnd(watch::endedByItself);
         for (int i = 0; i < 2; i++) {
             operators.add(new Operator(world, "10.8.0." + (i + 1), deployment.control(), watch));
         }
@@ -71,7 +81,7 @@
         return new Day(seed, shape, log).play(seed);
     }
 
-    private void tell(String what) {
+    void tell(String what) {
         String line = String.format("%.3f %s", (world.now() - begin) / 1e6, what);
         story.add(line);
         log.accept("day: " + line);
@@ -90,12 +100,18 @@
         operators.get(0).adjust(settings.first(), InvariantChecker.Proper.VALID, Settings::shows, status ->
                 { });
         world.run(LEAD);
-        long end = begin + LENGTH;
+        long length = shape.point() > 0 ? STORM_LENGTH : LENGTH;
+        long end = begin + length;
         traffic(end + AFTER + SECOND);
         probes(end + AFTER);
-        changes(end - SECOND);
-        troubles(end - 2 * SECOND);
-        world.run(LENGTH);
+        if (shape.point() > 0) {
+            new Storm(this, shape.point(), shape.readdresses(), world, deployment, watch, settings, operators,
+                    random).begin(end);
+        } else {
+            changes(end - SECOND);
+            troubles(end - 2 * SECOND);
+        }
+        world.run(length);
         String rule = "CONFIG";
         if (random.nextInt(3) == 0 && world.now() >= coreFreeAt) {
             rule = "LOST";
@@ -213,7 +229,7 @@
     }
 
     /** A core machine is in trouble for so long; no other is to be before it is whole again. */
-    private void coreTrouble(Deployment.Node node, long length, boolean half) {
+    void coreTrouble(Deployment.Node node, long length, boolean half) {
         watch.coreTrouble(world.now(), world.now() + length, half);
         if (node != null) {
             watch.trouble(node.name(), world.now(), world.now() + length);
@@ -221,6 +237,20 @@
         coreFreeAt = Math.max(coreFreeAt, world.now() + length + 5 * SECOND);
     }
 
+    /** Whether the core has been whole for so long that more may be lost. */
+    boolean coreFree() {
+        return world.now() >= coreFreeAt;
+    }
+
+    /** The core is as good as whole so long after it is back. */
+    void coreFreeAt(long time) {
+        coreFreeAt = time;
+    }
+
+    List<CheckerActor> checkers() {
+        return checkers;
+    }
+
     private void core(int kind) {
         Deployment.Node node = any(deployment.cores());
         long length = SECOND + random.nextInt(3_500_000);
--- a/src/main/java/reedmux/lab/world/Deployment.java
+++ b/src/main/java/reedmux/lab/world/Deployment.java
@@ -25,15 +25,22 @@
     private static final long COST = 25;
     private static final long AGAIN = 500_000;
     private static final long GRACE = 6_000_000;
+    private static final long LIST_LAG = 3_000_000;
+    private static final int SEEDS = 3;
     private final World world;
     private final Consumer<String> log;
     private final List<Node> edges = new ArrayList<>();
     private final List<Node> cores = new ArrayList<>();
+    private final List<InetSocketAddress> control = new ArrayList<>();
+    private final List<String> first = new ArrayList<>();
+    private Consumer<String> byItself = process -> { };
 
     /** A machine with its programs. */
     final class Node {
         private final String name;
-        private final Machine machine;
+        private Machine machine;
+        private List<String> seeds;
+        private long bornAt;
         private final boolean core;
         private final Map<String, Host> hosts = new LinkedHashMap<>();
         private final Map<String, Program> programs = new LinkedHashMap<>();
@@ -41,6 +48,7 @@
         private boolean down;
         private boolean leaving;
         private long lives;
+        private int falls;
 
         private Node(String name, Machine machine, boolean core) {
             this.name = name;
@@ -61,6 +69,16 @@
             return name + '#' + lives;
         }
 
+        /** When its processes were started last. */
+        long bornAt() {
+            return bornAt;
+        }
+
+        /** What its settings file says from the next start on; addresses without ports. */
+        void seeds(List<String> ips) {
+            seeds = ips;
+        }
+
         boolean leaving() {
             return leaving;
         }
@@ -70,6 +88,7 @@
             down = false;
             leaving = false;
             lives++;
+            bornAt = world.now();
             for (String role : core ? List.of("store", "registry") : List.of("proxy")) {
                 start(role);
             }
@@ -89,8 +108,12 @@
                 programs.put(role, program);
                 host.onEnd(() -> world.after(AGAIN, () -> {
                     if (hosts.get(role) == host && !down) {
+                        if (!leaving) {
+                            byItself.accept(name + '/' + role);
+                        }
                         leaving = false;
                         lives++;
+                        bornAt = world.now();
                         start(role);
                     }
                 }));
@@ -99,6 +122,7 @@
                 throw new IllegalStateException(name + ": " + e.getMessage(), e);
             } catch (IOException e) { // as when the disk refuses: it is tried again
                 log.accept(name + '/' + role + " does not start: " + e.getMessage());
+                byItself.accept(name + '/' + role);
                 world.after(AGAIN, () -> {
                     if (!down) {
                         start(role);
@@ -109,10 +133,17 @@
 
         /** Its processes are killed, and started again after a while. */
         void kill(long downFor) {
-            down = true;
             hosts.values().forEach(Host::die);
+            startAfter(downFor);
+        }
+
+        /** Whatever has ended it, what came last says when it is back. */
+        private void startAfter(long downFor) {
+            down = true;
+            int fall = ++falls;
             world.after(downFor, () -> {
-                if (machine.powered()) {
+                if (fall == falls) {
+                    machine.powerBack();
                     start();
                 }
             });
@@ -120,15 +151,27 @@
 
         /** It loses power, and with {@code wiped} its disk. */
         void losePower(long downFor, boolean wiped) {
-            down = true;
             machine.losePower();
             if (wiped) {
                 machine.disk().wipe();
             }
+            startAfter(downFor);
+        }
+
+        /** Another machine takes its place and its name, at another address, perhaps with its disk. */
+        void replace(String ip, boolean withDisk, long downFor) {
+            machine.losePower();
+            down = true;
+            int fall = ++falls;
+            int place = cores.indexOf(this);
             world.after(downFor, () -> {
-                machine.powerBack();
-                start();
+                machine = new Machine(world, ip, machine.zone(), withDisk ? machine.disk()
+                        : new SimDisk(world));
+                if (fall == falls) {
+                    start();
+                }
             });
+            world.after(downFor + LIST_LAG, () -> control.set(place, Addresses.parse(ip + ':' + CONTROL)));
         }
 
         /** It is told to end, and started again. */
@@ -157,6 +200,10 @@
             String zone = ZONES[i % ZONES.length];
             cores.add(new Node("core-" + zone + '-' + i, new Machine(world, "10.1." + i + ".10", zone, true),
                     true));
+            control.add(Addresses.parse("10.1." + i + ".10:" + CONTROL));
+            if (i < SEEDS) {
+                first.add("10.1." + i + ".10");
+            }
         }
         for (int i = 0; i < proxies; i++) {
             String zone = ZONES[i % ZONES.length];
@@ -165,6 +212,11 @@
         }
     }
 
+    /** Hears which process has ended, or does not start, though nobody has told it to end. */
+    void onEnd(Consumer<String> hears) {
+        byItself = hears;
+    }
+
     void start() {
         cores.forEach(Node::start);
         edges.forEach(Node::start);
@@ -178,11 +230,9 @@
         return cores;
     }
 
-    /** Where the operator and checkers call. */
+    /** Where the operator and checkers call, as a list that lags says; it changes with time. */
     List<InetSocketAddress> control() {
-        List<InetSocketAddress> all = new ArrayList<>();
-        cores.forEach(core -> all.add(Addresses.parse(core.machine.ip() + ':' + CONTROL)));
-        return all;
+        return control;
     }
 
     InetSocketAddress front(Node edge) {
@@ -195,8 +245,8 @@
 
     private Boot boot(Node node, String role) throws BootException {
         List<String> seeds = new ArrayList<>();
-        for (int i = 0; i < Math.min(3, cores.size()); i++) {
-            seeds.add('"' + cores.get(i).machine.ip() + ':' + CONTROL + '"');
+        for (String seed : node.seeds == null ? first : node.seeds) {
+            seeds.add('"' + seed + ':' + CONTROL + '"');
         }
         String ip = node.machine.ip();
         return Boot.read(node.name + '/' + role, "node = \"" + node.name + "\"\nip = \"" + ip
--- a/src/main/java/reedmux/lab/world/Host.java
+++ b/src/main/java/reedmux/lab/world/Host.java
@@ -31,6 +31,7 @@
     private final boolean program;
     private final Deque<Runnable> posted = new ArrayDeque<>();
     private final Deque<Runnable> frozen = new ArrayDeque<>();
+    private final Deque<Runnable> frozenWork = new ArrayDeque<>();
     private final Map<Integer, SimPort> ports = new HashMap<>();
     private final Map<Integer, SimBox> boxes = new HashMap<>();
     private final Set<SimLine> lines = new LinkedHashSet<>();
@@ -159,16 +160,20 @@
 
     @Override
     public Executor worker(String ofName, int most) {
-        return task -> world.at(machine.disk().clock(), () -> {
-            if (alive) {
-                onDisk = true;
-                try {
-                    task.run();
-                } finally {
-                    onDisk = false;
-                }
+        return task -> world.at(machine.disk().clock(), () -> work(task));
+    }
+
+    private void work(Runnable task) {
+        if (froze) {
+            frozenWork.add(task);
+        } else if (alive) {
+            onDisk = true;
+            try {
+                task.run();
+            } finally {
+                onDisk = false;
             }
-        });
+        }
     }
 
     void freeze() {
@@ -180,6 +185,10 @@
         while (!frozen.isEmpty()) {
             enter(frozen.poll());
         }
+        while (!frozenWork.isEmpty()) {
+            Runnable task = frozenWork.poll();
+            world.at(machine.disk().clock(), () -> work(task));
+        }
     }
 
     // ---- Its end -----------------------------------------------------------------------------------
--- a/src/main/java/reedmux/lab/world/InvariantChecker.java
+++ b/src/main/java/reedmux/lab/world/InvariantChecker.java
@@ -35,6 +35,8 @@
     private static final double BUDGET_RATIO = 0.2;
     private static final double BUDGET_SLACK = 56;
     private static final int MOST_BROKEN = 40;
+    private static final int UNHEARD_LEAST = 3;
+    private static final int UNHEARD_PART = 5;
 
     /** What a version of an item lets be seen: a service, a sign that a key is known, or nothing. */
     static final String NONE = "none";
@@ -83,7 +85,7 @@
     }
 
     private final List<String> broken = new ArrayList<>();
-    private final Map<String, TreeMap<Long, Version>> versions = new LinkedHashMap<>();
+    private final Map<String, TreeMap<Item, Version>> versions = new LinkedHashMap<>();
     private final Map<String, Sent> sent = new LinkedHashMap<>();
     private final Map<String, Long> drained = new HashMap<>();
     private final Map<String, Deque<Long>> quota = new HashMap<>();
@@ -94,6 +96,9 @@
     private final Map<String, List<long[]>> troubles = new HashMap<>();
     private final List<long[]> coreTroubles = new ArrayList<>();
     private final List<long[]> halfLost = new ArrayList<>();
+    private final Map<String, List<long[]>> minorities = new HashMap<>();
+    private int drains;
+    private int drainsUnheard;
     private double rate;
     private double burst;
     private long served;
@@ -112,8 +117,9 @@
     }
 
     private void broke(String rule, String what) {
-        if (broken.size() < MOST_BROKEN) {
-            broken.add(rule + ": " + what);
+        String line = rule + ": " + what;
+        if (broken.size() < MOST_BROKEN && !broken.contains(line)) {
+            broken.add(line);
         }
     }
 
@@ -152,39 +158,97 @@
     /** A version was sent for the first time; {@code shows}: what requests under it come to. */
     void sentVersion(Item item, String shows, long now) {
         versions.computeIfAbsent(item.key(), key -> {
-            TreeMap<Long, Version> all = new TreeMap<>();
-            all.put(0L, new Version(new Item(item.kind(), item.name(), 0, ""), NONE, 0));
+            TreeMap<Item, Version> all = new TreeMap<>();
+            Item none = new Item(item.kind(), item.name(), 0, "");
+            all.put(none, new Version(none, NONE, 0));
             return all;
-        }).putIfAbsent(item.revision(), new Version(item, shows, now));
+        }).putIfAbsent(item, new Version(item, shows, now));
     }
 
-    /** A call was acknowledged. */
-    void acked(List<Item> items, Proper proper, long now) {
+    private Version version(Item item) {
+        return versions.get(item.key()).get(item);
+    }
+
+    /**
+     * A call was acknowledged, also where the answer was lost on its way; the operator had waited for it
+     * since {@code sentAt}.
+     */
+    void acked(List<Item> items, Proper proper, long sentAt, long now) {
         for (Item item : items) {
-            Version version = versions.get(item.key()).get(item.revision());
+            Version version = version(item);
             if (proper == Proper.INVALID) {
                 broke("CONFIG", "an invalid call is acknowledged: " + item);
             } else if (version.ackedAt < 0) {
                 version.ackedAt = now;
+                for (Version other : versions.get(item.key()).values()) {
+                    if (other != version && other.ackedAt >= 0 && other.item.revision() == item.revision()) {
+                        broke("CONFIG", "two contents are acknowledged under one number: " + item + " and "
+                                + other.item);
+                    }
+                }
             }
         }
+        waited(items, proper, sentAt, now);
     }
 
     /** A call was refused, or given up by the operator. */
     void refused(List<Item> items, Proper proper, boolean clear, long sentAt, long now) {
-        for (Item item : items) {
-            Version version = versions.get(item.key()).get(item.revision());
-            version.refused |= clear;
+        if (clear) {
+            if (!items.isEmpty() && items.stream().allMatch(item -> version(item).ackedAt >= 0)) {
+                broke("CONFIG", "a change that was acknowledged is sent again and refused: " + items);
+            } else if (proper == Proper.VALID) {
+                broke("DUTY", "a valid change is refused: " + items);
+            }
+            items.forEach(item -> version(item).refused = true);
+        } else {
+            waited(items, proper, sentAt, now);
         }
-        if (proper == Proper.VALID && (clear || now - sentAt >= ACK) && settled(sentAt, now)) {
+    }
+
+    private void waited(List<Item> items, Proper proper, long sentAt, long now) {
+        if (proper == Proper.VALID && settledStretch(sentAt, now) >= ACK) {
             broke("ACKS", "a valid change has no acknowledgement: " + items);
         }
     }
 
+    /** The longest time within a span in which the core was settled. */
+    private long settledStretch(long from, long to) {
+        long longest = 0;
+        long begin = from;
+        List<long[]> spans = new ArrayList<>(coreTroubles);
+        spans.sort((one, other) -> Long.compare(one[0], other[0]));
+        for (long[] span : spans) {
+            longest = Math.max(longest, Math.min(to, span[0]) - begin);
+            begin = Math.max(begin, span[1] + CONTACT);
+        }
+        return Math.max(longest, to - begin);
+    }
+
+    /** A process that was started out of reach of more than half of the core. */
+    void minority(String machine, long from, long to) {
+        minorities.computeIfAbsent(machine, name -> new ArrayList<>()).add(new long[] {from, to});
+    }
+
+    /** A process that began at {@code bornAt} was asked and says that it is ready. */
+    void ready(String machine, long bornAt, long now) {
+        for (long[] span : minorities.getOrDefault(machine, List.of())) {
+            if (span[0] <= bornAt && now <= span[1]) {
+                broke("CONTACT", machine + " is ready " + (now - bornAt) / 1000
+                        + " ms after a start on the word of a minority");
+                return;
+            }
+        }
+    }
+
+    /** A process has ended, or does not start, and nobody has told it to. */
+    void endedByItself(String process) {
+        broke("FAULT", process + " ends by itself");
+    }
+
     /** What a request sent to one proxy has shown of an item; {@code fits}: the versions that show it. */
     void showed(String proxy, String life, String key, String shows, Predicate<String> fits, long sentAt,
             long now) {
-        TreeMap<Long, Version> all = versions.get(key);
+        TreeMap<Item, Version> all = versions.get(key);
         if (all == null || !inTouch(proxy, sentAt, now)) {
             return;
         }
@@ -198,7 +262,8 @@
         long least = -1;
         long most = -1;
         for (Version version : all.values()) {
-            if (fits.test(version.shows) && version.sentAt <= now && !version.refused) {
+            if (fits.test(version.shows) && version.sentAt <= now && !version.refused
+                    && !overruled(version, all)) {
                 least = least < 0 ? version.item.revision() : least;
                 most = version.item.revision();
             }
@@ -221,12 +286,27 @@
         }
     }
 
+    /** Another content was acknowledged under its number. */
+    private static boolean overruled(Version version, Map<Item, Version> all) {
+        return version.ackedAt < 0 && all.values().stream().anyMatch(other -> other.ackedAt >= 0
+                && other.item.revision() == version.item.revision());
+    }
+
     /** What the operator reads back at the end; null: no answer at all. */
     void readBack(String text, String rule) {
         if (text == null) {
             broke(rule, "no answer to the operator who reads back");
-            return;
+        } else {
+            read(text, rule, Long.MAX_VALUE);
         }
+    }
+
+    /** What a machine has answered in the midst of the day to a read that was sent at {@code sentAt}. */
+    void read(String text, long sentAt) {
+        read(text, "CONFIG", sentAt);
+    }
+
+    private void read(String text, String rule, long sentAt) {
         Map<String, Item> found = new HashMap<>();
         try {
             List<Item> items = Change.read("{\"apply\":" + text + "}");
@@ -236,18 +316,20 @@
             broke("CONFIG", "what is in force is invalid: " + e.getMessage());
         }
         versions.forEach((key, all) -> {
-            long acked = -1;
+            Item acked = null;
             for (Version version : all.values()) {
-                acked = version.ackedAt >= 0 ? version.item.revision() : acked;
+                acked = version.ackedAt >= 0 && version.ackedAt <= sentAt ? version.item : acked;
             }
             Item has = found.remove(key);
-            Version told = has == null ? null : all.get(has.revision());
+            Version told = has == null ? null : all.get(has);
             boolean droppedLater = false;
-            for (Version version : all.tailMap(acked, true).values()) {
-                droppedLater |= version.item.dropped() && !version.refused;
+            for (Version version : all.values()) {
+                droppedLater |= acked != null && version.item.revision() >= acked.revision()
+                        && version.item.dropped() && !version.refused;
             }
-            if (has == null ? acked >= 0 && !droppedLater : has.revision() < acked) {
-                broke(rule, key + " was acknowledged with " + acked + " and reads "
+            if (acked != null && (has == null ? !droppedLater : has.revision() < acked.revision()
+                    || has.revision() == acked.revision() && !has.equals(acked))) {
+                broke(rule, key + " was acknowledged with " + acked.revision() + " and reads "
                         + (has == null ? "missing" : has.revision()));
             } else if (has != null && (told == null || told.refused || !told.item.equals(has))) {
                 broke("CONFIG", key + " reads as nobody sent it, or as it was refused: " + has);
@@ -350,11 +432,22 @@
 
     /** A checker's word that it leaves was acknowledged, or was not within its patience. */
     void drainAcked(String checker, long now) {
-        drained.putIfAbsent(checker, now);
+        drains += drained.putIfAbsent(checker, now) == null ? 1 : 0;
+    }
+
+    /** A checker has said since {@code saidAt} that it leaves, and nobody has acknowledged it. */
+    void drainUnheard(long saidAt, long now) {
+        if (settledStretch(saidAt, now) >= ACK) {
+            drains++;
+            drainsUnheard++;
+        }
     }
 
     /** After the last event: the windows that are judged as a whole. */
     void end() {
+        if (drainsUnheard >= UNHEARD_LEAST && drainsUnheard * UNHEARD_PART > drains) {
+            broke("ACKS", drainsUnheard + " of " + drains + " checkers that leave were not acknowledged");
+        }
         mostOfQuota.forEach((tenant, most) -> broke("QUOTA", most + " of " + tenant + " in 5 s, "
                 + (long) ((rate * QUOTA_WINDOW / SECOND + burst) * OVERSHOOT + QUOTA_SLACK) + " allowed"));
         budget.forEach((service, seconds) -> {
--- a/src/main/java/reedmux/lab/world/Machine.java
+++ b/src/main/java/reedmux/lab/world/Machine.java
@@ -17,10 +17,15 @@
     private boolean power = true;
 
     Machine(World world, String ip, String zone, boolean withDisk) {
+        this(world, ip, zone, withDisk ? new SimDisk(world) : null);
+    }
+
+    /** One that may have another's disk. */
+    Machine(World world, String ip, String zone, SimDisk disk) {
         this.world = world;
         this.ip = ip;
         this.zone = zone;
-        disk = withDisk ? new SimDisk(world) : null;
+        this.disk = disk;
         world.add(this);
     }
 
--- a/src/main/java/reedmux/lab/world/Operator.java
+++ b/src/main/java/reedmux/lab/world/Operator.java
@@ -15,9 +15,17 @@
     private static final long LONGEST = 12_000_000;
     private static final long PAUSE = 100_000;
     private static final long MOST_PAUSE = 800_000;
+    private static final byte[] READ = Asker.request("GET", "/v1/Config.Read", "control", "");
     private final Host host;
     private final InvariantChecker watch;
     private final List<InetSocketAddress> control;
+    /** Of clear answers, how many are lost on their way, and how much later such a call is sent again. */
+    private double loses;
+    private long again;
+    private int underWay;
+    private String lastAcked = "";
+    /** Hears of each call of the operator whom it is sent to. */
+    private Consumer<String> onSent = ip -> { };
 
     Operator(World world, String ip, List<InetSocketAddress> control, InvariantChecker watch) {
         host = new Host(world, new Machine(world, ip, Deployment.ZONES[0], false), "operator " + ip, 0,
@@ -30,6 +38,25 @@
         return host.machine();
     }
 
+    void loses(double share, long sentAgainAfter) {
+        loses = share;
+        again = sentAgainAfter;
+    }
+
+    void onSent(Consumer<String> hears) {
+        onSent = hears;
+    }
+
+    /** The address of who has acknowledged the last call. */
+    String lastAcked() {
+        return lastAcked;
+    }
+
+    /** Calls that have no clear answer yet. */
+    int underWay() {
+        return underWay;
+    }
+
     /** How a version shows in requests. */
     interface Shows {
         String of(Item item);
@@ -45,7 +72,11 @@
         }
         long now = host.now();
         items.forEach(item -> watch.sentVersion(item, shows.of(item), now));
-        send(body, items, proper, now, PAUSE, done);
+        underWay++;
+        send(body, items, proper, now, PAUSE, status -> {
+            underWay--;
+            done.accept(status);
+        });
     }
 
     private InetSocketAddress any() {
@@ -54,12 +85,23 @@
 
     private void send(String body, List<Item> items, InvariantChecker.Proper proper, long since, long pause,
             Consumer<Integer> done) {
-        ask(Asker.post("/v1/Config.Adjust", body), (status, text) -> {
+        InetSocketAddress to = any();
+        onSent.accept(to.getAddress().getHostAddress());
+        ask(to, Asker.post("/v1/Config.Adjust", body), (status, text) -> {
             host.world().saw("adjust " + status);
-            if (status == 200) {
-                watch.acked(items, proper, host.now());
+            lastAcked = status == 200 ? to.getAddress().getHostAddress() : lastAcked;
+            boolean clear = status == 200 || status >= 400 && status < 500 && status != 408 && status != 429;
+            if (clear && loses > 0 && host.world().random().nextDouble() < loses) {
+                if (status == 200) {
+                    watch.acked(items, proper, since, host.now());
+                } else {
+                    watch.refused(items, proper, true, since, host.now());
+                }
+                host.reactor().after(again, () -> send(body, items, proper, host.now(), PAUSE, done));
+            } else if (status == 200) {
+                watch.acked(items, proper, since, host.now());
                 done.accept(status);
-            } else if (status >= 400 && status < 500 && status != 408 && status != 429) {
+            } else if (clear) {
                 watch.refused(items, proper, true, since, host.now());
                 done.accept(status);
             } else if (host.now() - since > LONGEST) {
@@ -76,10 +118,10 @@
         void told(int status, String text);
     }
 
-    private void ask(byte[] call, Told told) {
+    private void ask(InetSocketAddress to, byte[] call, Told told) {
         host.reactor().execute(() -> {
             try {
-                new Asker(host.reactor(), any(), call, PATIENCE, (status, head, text) ->
+                new Asker(host.reactor(), to, call, PATIENCE, (status, head, text) ->
                         told.told(status, text));
             } catch (IOException e) {
                 told.told(0, e.getMessage());
@@ -87,9 +129,20 @@
         });
     }
 
+    /** Asks one machine once for all items, in the midst of the day. */
+    void look() {
+        long sentAt = host.now();
+        ask(any(), READ, (status, text) -> {
+            host.world().saw("read " + status);
+            if (status == 200) {
+                watch.read(text, sentAt);
+            }
+        });
+    }
+
     /** Asks for all items again and again, for so long; null where no answer came. */
     void read(long until, Consumer<String> done) {
-        ask(Asker.request("GET", "/v1/Config.Read", "control", ""), (status, text) -> {
+        ask(any(), READ, (status, text) -> {
             if (status == 200) {
                 done.accept(text);
             } else if (host.now() > until) {
--- a/src/main/java/reedmux/lab/world/Settings.java
+++ b/src/main/java/reedmux/lab/world/Settings.java
@@ -15,6 +15,7 @@
     static final String[] SERVICES = {"desk", "intake"};
     private static final int ROUTES = 6;
     private static final int TENANTS = 3;
+    private static final int LARGE = 400;
     static final double RATE = 60;
     static final double BURST = 60;
     private final Random random;
@@ -165,6 +166,53 @@
         }
     }
 
+    /** Two calls with other contents under one number: one of them at most may be confirmed. */
+    List<String> sameNumber() {
+        String any = "r" + random.nextInt(ROUTES);
+        long at = next();
+        boolean repeats = Integer.parseInt(any.substring(1)) % 3 != 0;
+        if (random.nextInt(3) == 0) {
+            String name = "t" + random.nextInt(TENANTS);
+            String one = tenant(name, at);
+            keysOf.get(name).add("key-" + name + "-" + keys++ + '.');
+            return List.of(call(List.of(one), ""), call(List.of(tenant(name, at)), ""));
+        }
+        return List.of(call(List.of(route(any, "/" + any + "/", SERVICES[0], repeats, at)), ""),
+                call(List.of(route(any, "/" + any + "/", SERVICES[1], repeats, at)), ""));
+    }
+
+    /** Two valid calls, of which the second is valid only once the first is in force. */
+    List<String> chain() {
+        int number = added++;
+        long at = next();
+        if (random.nextBoolean()) {
+            return List.of(call(List.of(signal("plants", "p" + number, at,
+                    "\"probe\":\"/health\",\"connCeiling\":110,\"protocol\":\"h1\",\"tls\":false")), ""),
+                    call(List.of(route("c" + number, "/c" + number + "/", "p" + number, true, next())), ""));
+        }
+        String key = "\"key-handed-" + keys++ + ".\"";
+        String body = "\"priority\":1,\"flowPerS\":" + RATE + ",\"burst\":" + BURST + ",\"keys\":[";
+        String giver = "g" + number;
+        return List.of(call(List.of(signal("tenants", giver, at, body + key + ']')), ""),
+                call(List.of(signal("tenants", giver, next(), body + ']'),
+                        signal("tenants", "h" + number, next(), body + key + ']')), ""),
+                call(List.of(signal("tenants", "h" + number, next(), body + ']'),
+                        signal("tenants", giver, next(), body + key + ']')), ""));
+    }
+
+    /** A valid call of many bytes. */
+    String large() {
+        String name = "big" + random.nextInt(4);
+        long at = next();
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < LARGE; i++) {
+            many.append(i == 0 ? "\"" : ",\"").append("key-of-").append(name).append("-with-a-long-name-")
+                    .append(at).append('-').append(i).append('"');
+        }
+        return call(List.of(signal("tenants", name, at, "\"priority\":1,\"flowPerS\":" + RATE
+                + ",\"burst\":" + BURST + ",\"keys\":[" + many + ']')), "");
+    }
+
     /** A call that is invalid. */
     String invalid() {
         String name = "bad" + added++;
--- a/src/main/java/reedmux/message/Calls.java
+++ b/src/main/java/reedmux/message/Calls.java
@@ -99,6 +99,13 @@
         reactor.after(500_000, wire::close);
     }
 
+    /** Bytes that nobody has asked for, beside the answers: for stand-ins that misbehave. */
+    public void unasked(byte[] bytes) {
+        if (wire.isOpen()) {
+            wire.write(bytes);
+        }
+    }
+
     /** An answer of a type. */
     public void answer(int status, String type, String text) {
         answer(Head.answer(status).add("Content-Type", type), text.getBytes(StandardCharsets.UTF_8));
--- a/src/test/java/reedmux/lab/world/DaysTest.java
+++ b/src/test/java/reedmux/lab/world/DaysTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Whole days with the production programs, in virtual time. */
@@ -42,4 +43,25 @@
         long again = new Days(new Day.Shape(5, 3, 6, false)).play(7, 9, 3, line -> { }, day -> { }).digest();
         assertEquals(again, once);
     }
+
+    @DataProvider
+    public Object[][] points() {
+        return new Object[][] {{1, 3}, {1, 5}, {2, 3}, {2, 4}, {3, 3}, {3, 5}, {4, 3}, {5, 3}};
+    }
+
+    /** Days full of what the operators' points tell of: see {@link Storm}. */
+    @Test(dataProvider = "points")
+    public void aStormBreaksNoRule(int point, int cores) throws InterruptedException {
+        List<String> broken = new ArrayList<>();
+        new Days(new Day.Shape(6, cores, 1, false, point, false)).play(1, 4, 4, line -> { },
+                day -> day.broken().forEach(line -> broken.add("seed " + day.seed() + ": " + line)));
+        assertEquals(broken, List.of());
+    }
+
+    @Test
+    public void aStormPlayedAgainGivesTheSameDigest() throws InterruptedException {
+        Day.Shape shape = new Day.Shape(5, 5, 1, false, 2, true);
+        long once = new Days(shape).play(5, 6, 1, line -> { }, day -> { }).digest();
+        assertEquals(new Days(shape).play(5, 6, 2, line -> { }, day -> { }).digest(), once);
+    }
 }
--- a/src/test/java/reedmux/lab/world/InvariantCheckerTest.java
+++ b/src/test/java/reedmux/lab/world/InvariantCheckerTest.java
@@ -12,13 +12,14 @@
 public class InvariantCheckerTest {
     private static final long SECOND = 1_000_000;
     private static final String ROUTE = "routes/r";
+    private static final String PLANT = "{\"probe\":\"/\",\"connCeiling\":9,\"protocol\":\"h1\",\"tls\":false}";
     private InvariantChecker watch;
 
     @BeforeMethod
     public void begin() {
         watch = new InvariantChecker();
         version(1, "desk", 0);
-        watch.acked(List.of(item(1, "desk")), InvariantChecker.Proper.VALID, 0);
+        watch.acked(List.of(item(1, "desk")), InvariantChecker.Proper.VALID, 0, 0);
     }
 
     private static Item item(long revision, String service) {
@@ -108,7 +109,7 @@
     @Test
     public void anOldVersionLongAfterANewOne() {
         version(2, "intake", SECOND);
-        watch.acked(List.of(item(2, "intake")), InvariantChecker.Proper.VALID, SECOND);
+        watch.acked(List.of(item(2, "intake")), InvariantChecker.Proper.VALID, SECOND, SECOND);
         watch.showed("edge", "edge#1", ROUTE, "desk", "desk"::equals, 3 * SECOND, 3 * SECOND);
         keeps();
         watch.showed("edge", "edge#1", ROUTE, "desk", "desk"::equals, 3 * SECOND + 1, 4 * SECOND);
@@ -118,7 +119,7 @@
     @Test
     public void whoIsInTroubleIsNotJudged() {
         version(2, "intake", SECOND);
-        watch.acked(List.of(item(2, "intake")), InvariantChecker.Proper.VALID, SECOND);
+        watch.acked(List.of(item(2, "intake")), InvariantChecker.Proper.VALID, SECOND, SECOND);
         watch.trouble("edge", 2 * SECOND, 3 * SECOND);
         watch.showed("edge", "edge#1", ROUTE, "desk", "desk"::equals, 5 * SECOND, 5 * SECOND);
         keeps();
@@ -137,7 +138,7 @@
     @Test
     public void anInvalidCallThatIsAcknowledged() {
         version(2, "nobody", SECOND);
-        watch.acked(List.of(item(2, "nobody")), InvariantChecker.Proper.INVALID, SECOND);
+        watch.acked(List.of(item(2, "nobody")), InvariantChecker.Proper.INVALID, SECOND, SECOND);
         breaks("CONFIG");
     }
 
@@ -209,4 +210,116 @@
         watch.recovered(100, 24);
         breaks("RECOVER");
     }
+
+    private void refused(long revision, String service, InvariantChecker.Proper proper) {
+        watch.refused(List.of(item(revision, service)), proper, true, SECOND, SECOND);
+    }
+
+    @Test
+    public void anAcknowledgedChangeThatIsRefusedWhenItIsSentAgain() {
+        version(2, "intake", SECOND);
+        refused(2, "intake", InvariantChecker.Proper.EITHER);
+        keeps();
+        refused(1, "desk", InvariantChecker.Proper.EITHER);
+        breaks("CONFIG");
+    }
+
+    @Test
+    public void aValidChangeThatIsRefused() {
+        watch.coreTrouble(0, SECOND, false);
+        version(2, "intake", SECOND);
+        refused(2, "intake", InvariantChecker.Proper.INVALID);
+        keeps();
+        version(3, "intake", SECOND);
+        refused(3, "intake", InvariantChecker.Proper.VALID);
+        breaks("DUTY");
+    }
+
+    @Test
+    public void twoContentsUnderOneNumber() {
+        version(2, "desk", SECOND);
+        version(2, "intake", SECOND);
+        version(3, "desk", SECOND);
+        watch.acked(List.of(item(2, "intake")), InvariantChecker.Proper.EITHER, SECOND, SECOND);
+        watch.acked(List.of(item(2, "intake")), InvariantChecker.Proper.EITHER, SECOND, SECOND);
+        watch.acked(List.of(item(3, "desk")), InvariantChecker.Proper.EITHER, SECOND, SECOND);
+        keeps();
+        watch.acked(List.of(item(2, "desk")), InvariantChecker.Proper.EITHER, SECOND, SECOND);
+        breaks("CONFIG");
+    }
+
+    @Test
+    public void whatIsInForceUnderANumberThatAnotherHas() {
+        version(2, "desk", SECOND);
+        version(2, "intake", SECOND);
+        watch.showed("edge", "edge#1", ROUTE, "intake", "intake"::equals, SECOND, SECOND);
+        keeps();
+        watch.acked(List.of(item(2, "desk")), InvariantChecker.Proper.EITHER, SECOND, SECOND);
+        watch.showed("edge", "edge#2", ROUTE, "intake", "intake"::equals, SECOND, SECOND);
+        breaks("CONFIG");
+    }
+
+    private static String read(long revision, String service) {
+        return "{\"signals\":[{\"signalKind\":\"plants\",\"heading\":{\"name\":\"" + service
+                + "\",\"revision\":1},\"reference\":" + PLANT + "},{\"signalKind\":\"routes\","
+                + "\"heading\":{\"name\":\"r\",\"revision\":" + revision + "},\"reference\":"
+                + item(revision, service).body() + "}]}";
+    }
+
+    @Test
+    public void anOldReadAfterAnAcknowledgement() {
+        for (String service : List.of("desk", "intake")) {
+            watch.sentVersion(new Item("plants", service, 1, PLANT), "", 0);
+        }
+        version(2, "intake", SECOND);
+        watch.acked(List.of(item(2, "intake")), InvariantChecker.Proper.VALID, SECOND, 2 * SECOND);
+        watch.read(read(2, "intake"), 3 * SECOND);
+        watch.read(read(1, "desk"), 2 * SECOND - 1);
+        keeps();
+        watch.read(read(1, "desk"), 2 * SECOND);
+        breaks("CONFIG");
+    }
+
+    @Test
+    public void aChangeThatWaitsInASettledStretch() {
+        watch.coreTrouble(2 * SECOND, 3 * SECOND, false); // settled again at 6
+        version(2, "intake", SECOND);
+        watch.acked(List.of(item(2, "intake")), InvariantChecker.Proper.VALID, SECOND, 10 * SECOND - 1);
+        keeps();
+        version(3, "intake", SECOND);
+        watch.acked(List.of(item(3, "intake")), InvariantChecker.Proper.VALID, SECOND, 10 * SECOND);
+        breaks("ACKS");
+    }
+
+    @Test
+    public void aStartThatIsReadyOnAMinoritysWord() {
+        watch.minority("edge", 2 * SECOND, 22 * SECOND);
+        watch.ready("edge", SECOND, 5 * SECOND); // it began before
+        watch.ready("edge", 3 * SECOND, 22 * SECOND + 1);
+        watch.ready("another", 3 * SECOND, 5 * SECOND);
+        keeps();
+        watch.ready("edge", 3 * SECOND, 22 * SECOND);
+        breaks("CONTACT");
+    }
+
+    @Test
+    public void checkersThatNobodyHears() {
+        for (int i = 0; i < 12; i++) {
+            watch.drainAcked("c" + i, SECOND);
+        }
+        for (int i = 0; i < 3; i++) { // a fifth of fifteen
+            watch.drainUnheard(SECOND, 6 * SECOND);
+        }
+        watch.end();
+        keeps();
+        watch.drainUnheard(SECOND, 6 * SECOND);
+        watch.end();
+        breaks("ACKS");
+    }
+
+    @Test
+    public void aProcessThatEndsByItself() {
+        watch.endedByItself("core/store");
+        breaks("FAULT");
+    }
 }
