--- a/src/main/java/reedmux/lab/world/Day.java
+++ b/src/main/java/reedmux/lab/world/Day.java
@@ -127,13 +127,13 @@
             watch.recovered(clients.askedSince(), clients.servedSince());
         }
         String[] read = {null};
-        boolean[] done = {false};
-        operators.get(0).read(world.now() + 3 * SECOND, text -> {
+        long[] sentAt = {0};
+        operators.get(0).read(world.now() + 3 * SECOND, (text, since) -> {
             read[0] = text;
-            done[0] = true;
+            sentAt[0] = since;
         });
         world.run(6 * SECOND);
-        watch.readBack(done[0] ? read[0] : null, rule);
+        watch.readBack(read[0], rule, sentAt[0]);
         watch.end();
         world.saw(String.valueOf(read[0]));
         return new Outcome(seed, watch.broken(), story, world.digest(), watch.asked(), watch.served(),
--- a/src/main/java/reedmux/lab/world/InvariantChecker.java
+++ b/src/main/java/reedmux/lab/world/InvariantChecker.java
@@ -293,11 +293,11 @@
     }
 
     /** What the operator reads back at the end; null: no answer at all. */
-    void readBack(String text, String rule) {
+    void readBack(String text, String rule, long sentAt) {
         if (text == null) {
             broke(rule, "no answer to the operator who reads back");
         } else {
-            read(text, rule, Long.MAX_VALUE);
+            read(text, rule, sentAt);
         }
     }
 
