--- a/src/main/java/reedmux/lab/world/SimDisk.java
+++ b/src/main/java/reedmux/lab/world/SimDisk.java
@@ -11,7 +11,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import reedmux.disk.Volume;
 
 /**
@@ -90,16 +92,15 @@
     }
 
     /**
-     * Steps that were not over have not been; where the power is lost, what was not synced is drawn:
-     * some losses take all of it.
+     * Steps that were not over have not been; where the power is lost, what was not synced is drawn, each name
+     * by itself, too: some losses take all of it.
      */
     void crash(boolean power) {
         Map<String, Content> seen = restored();
-        Map<String, Content> lasting = restored();
+        Map<String, Content> last = new TreeMap<>(seen);
         Map<Content, Content> synced = new LinkedHashMap<>();
         Map<Content, List<Step>> unsynced = new LinkedHashMap<>();
         Map<Content, Content> live = new LinkedHashMap<>();
-        Map<String, String> moved = new HashMap<>();
         boolean all = world.random().nextInt(3) == 0;
         for (Step step : steps) {
             if (step.over > world.now()) {
@@ -120,37 +121,17 @@
                     unsynced.computeIfAbsent(step.file, f -> new ArrayList<>()).add(step);
                 }
                 case SYNC -> {
-                    Content now = synced.computeIfAbsent(step.file, f -> new Content());
-                    now.bytes = file.bytes.clone();
+                    synced.computeIfAbsent(step.file, f -> new Content()).bytes = file.bytes.clone();
                     unsynced.remove(step.file);
-                    for (Map.Entry<String, Content> name : seen.entrySet()) {
-                        if (name.getValue() == file && !moved.containsKey(name.getKey())) {
-                            lasting.put(name.getKey(), now);
-                        }
-                    }
-                }
-                case RENAME -> {
-                    moved.put(step.other, step.name);
-                    seen.put(step.other, seen.remove(step.name));
                 }
+                case RENAME -> seen.put(step.other, seen.remove(step.name));
                 case DELETE -> seen.remove(step.name);
-                default -> {
-                    moved.clear();
-                    lasting.clear();
-                    for (Map.Entry<String, Content> name : seen.entrySet()) {
-                        lasting.put(name.getKey(), durable(name.getValue(), live, synced));
-                    }
-                }
+                default -> last = new TreeMap<>(seen);
             }
         }
         steps.clear();
         clock = 0;
-        if (power && !all) { // names that were not synced may have lasted, too
-            for (Map.Entry<String, Content> name : new TreeMap<>(seen).entrySet()) {
-                if (!lasting.containsKey(name.getKey()) && world.random().nextBoolean()) {
-                    lasting.put(name.getKey(), durable(name.getValue(), live, synced));
-                }
-            }
+        if (power && !all) {
             unsynced.forEach((file, writes) -> {
                 Content base = synced.computeIfAbsent(file, f -> new Content());
                 for (Step write : writes) {
@@ -158,18 +139,27 @@
                 }
             });
         }
-        names = power ? lasting : seen;
+        names = power ? drawn(last, seen, all, live, synced) : seen;
         kept = new TreeMap<>();
         names.forEach((name, file) -> kept.put(name, file.bytes.clone()));
     }
 
-    private static Content durable(Content seen, Map<Content, Content> live, Map<Content, Content> synced) {
-        for (Map.Entry<Content, Content> entry : live.entrySet()) {
-            if (entry.getValue() == seen) {
-                return synced.computeIfAbsent(entry.getKey(), f -> new Content());
+    /** Names that were made, renamed or removed since their folder's last sync are kept or lost. */
+    private Map<String, Content> drawn(Map<String, Content> last, Map<String, Content> seen, boolean noneLasts,
+            Map<Content, Content> live, Map<Content, Content> synced) {
+        Map<Content, Content> durable = new HashMap<>();
+        live.forEach((file, now) -> durable.put(now, synced.getOrDefault(file, new Content())));
+        Map<String, Content> lasting = new TreeMap<>();
+        Set<String> either = new TreeSet<>(last.keySet());
+        either.addAll(seen.keySet());
+        for (String name : either) {
+            boolean changed = last.get(name) != seen.get(name);
+            Content has = (changed && (noneLasts || world.random().nextBoolean()) ? last : seen).get(name);
+            if (has != null) {
+                lasting.put(name, durable.getOrDefault(has, has));
             }
         }
-        return seen; // it has not been written since the last loss
+        return lasting;
     }
 
     private void draw(Content base, Step write) {
