The core is an item: members join, are replaced and leave by agreement

Change: Members (epoch, ip to node) is kept on disk and told by stores; Membership decides on the successor of each epoch by Paxos, prepared by a quorum of the members, accepted by a quorum of them and one of those after it. Who has accepted is fenced: no new call and no contact under the old epoch; who stays or comes accepts only with all that a fenced quorum has on its own disk. Proposals and contacts carry the epoch. The first live member in the order of ips proposes; a later ballot or epoch refuses one that was frozen. Joiners come as learners and are proposed after a second in which they are current; one with the node name of a member that is down takes its place. POST /v1/Core.Leave/NODE. A store without disk takes the core from whom it reaches; registries and proxies dial and drop by it. Core of epoch 0 is the seeds of a first start. Ruled out: two entries (old-new, new) with calls going on, as each call would need both.

--- a/src/main/java/reedmux/item/Agreement.java
+++ b/src/main/java/reedmux/item/Agreement.java
@@ -107,6 +107,9 @@
     /** Others that we are in touch with, and whose items we have merged since. */
     private final Set<String> merged = new HashSet<>();
     private boolean whole;
+    /** Whether the disk had been lost when this process started. */
+    private boolean mended;
+    private boolean fenced;
     private long calls;
     private long ids;
     private long now;
@@ -138,9 +141,34 @@
         });
     }
 
-    /** Which stores decide. */
+    /** Which stores decide from now on; calls and contacts on their way begin again, under their rules. */
     public void quorum(Quorum of) {
         quorum = of;
+        if (mended) {
+            whole = quorum.blocked(merged);
+        }
+        List<Contact> under = List.copyOf(contacts.values());
+        contacts.clear();
+        under.forEach(contact -> begin(contact.since, true, contact.done));
+        for (Round round : List.copyOf(rounds.values())) {
+            bring(further(round.proposal), round.order, round.since, round.tries);
+        }
+    }
+
+    /** While the core is being changed nothing is held that is not held already. */
+    public void fence(boolean on) {
+        fenced = on;
+    }
+
+    /** Takes over all that a fenced store has; whether all that it holds is held here, too. */
+    public boolean handed(long time, List<Item> items, List<Proposal> held) {
+        now = time;
+        if (!replica.merge(items).isEmpty()) {
+            effects.changed();
+        }
+        held.forEach(this::takeOver);
+        return held.stream().allMatch(proposal -> replica.holds(proposal.call())
+                || dropped.contains(proposal.call()));
     }
 
     public boolean whole() {
@@ -164,6 +192,7 @@
         // Whatever was acknowledged with us is on others of a quorum: of these we have to have met one.
         if (!whole && quorum.blocked(merged)) {
             whole = true;
+            mended = true;
             effects.log("whole again, with " + replica.inForce().size() + " items");
             effects.changed();
         }
@@ -399,6 +428,10 @@
             return;
         }
         seen(call, ballot);
+        if (fenced && !replica.holds(call)) {
+            voted(by, call, ballot, Vote.BUSY);
+            return;
+        }
         if (ballot.equals(safe.get(call))) {
             voted(by, call, ballot, Vote.HELD);
             return;
--- a/src/main/java/reedmux/link/Codec.java
+++ b/src/main/java/reedmux/link/Codec.java
@@ -4,23 +4,34 @@
 import com.esotericsoftware.kryo.io.Output;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import reedmux.config.Addresses;
 import reedmux.fleet.Fleet;
 import reedmux.fleet.Incarnation;
 import reedmux.item.Ballot;
 import reedmux.item.Agreement.Vote;
 import reedmux.item.Item;
 import reedmux.item.Mark;
+import reedmux.item.Members;
+import reedmux.item.Membership;
 import reedmux.item.Proposal;
 import reedmux.link.Messages.Adjust;
+import reedmux.link.Messages.Ask;
 import reedmux.link.Messages.Beats;
 import reedmux.link.Messages.Confirm;
 import reedmux.link.Messages.Confirmed;
 import reedmux.link.Messages.Current;
+import reedmux.link.Messages.CoreKept;
+import reedmux.link.Messages.CoreTold;
 import reedmux.link.Messages.Decided;
+import reedmux.link.Messages.Fetch;
+import reedmux.link.Messages.Fetched;
 import reedmux.link.Messages.Hello;
 import reedmux.link.Messages.Items;
 import reedmux.link.Messages.Known;
 import reedmux.link.Messages.Marks;
+import reedmux.link.Messages.Leave;
 import reedmux.link.Messages.News;
 import reedmux.link.Messages.Outcome;
 import reedmux.link.Messages.Ping;
@@ -64,6 +75,13 @@
     private static final byte CONFIRMED = 42;
     private static final byte CURRENT = 43;
     private static final byte NEWS = 18;
+    private static final byte ASK = 50;
+    private static final byte CORE_TOLD = 51;
+    private static final byte CORE_KEPT = 52;
+    private static final byte CORE_STEP = 53;
+    private static final byte FETCH = 54;
+    private static final byte FETCHED = 55;
+    private static final byte LEAVE = 56;
     private static final Ballot WITHOUT = new Ballot(1, "");
     private final Output out = new Output(FIRST, Link.MOST);
 
@@ -80,14 +98,7 @@
             out.writeLong(pull.since());
         } else if (message instanceof Items told) {
             out.writeByte(ITEMS);
-            out.writeLong(told.life());
-            out.writeLong(told.upTo());
-            out.writeBoolean(told.whole());
-            items(told.items());
-            out.writeVarInt(told.held().size(), true);
-            for (Proposal proposal : told.held()) {
-                proposal(proposal);
-            }
+            told(told);
         } else if (message instanceof News news) {
             out.writeByte(NEWS);
             news(news);
@@ -110,11 +121,121 @@
         return out.toBytes();
     }
 
+    private void told(Items told) {
+        out.writeLong(told.life());
+        out.writeLong(told.upTo());
+        out.writeBoolean(told.whole());
+        items(told.items());
+        out.writeVarInt(told.held().size(), true);
+        for (Proposal proposal : told.held()) {
+            proposal(proposal);
+        }
+    }
+
+    private static Items told(Input in) {
+        return new Items(in.readLong(), in.readLong(), in.readBoolean(), items(in), proposals(in));
+    }
+
+    /** What changes of the core lead to. */
+    private void ofCore(Object message) {
+        if (message instanceof CoreTold told) {
+            out.writeByte(CORE_TOLD);
+            members(told.core());
+            out.writeBoolean(told.ready());
+            out.writeBoolean(told.fenced());
+        } else if (message instanceof CoreKept kept) {
+            out.writeByte(CORE_KEPT);
+            members(kept.state().core());
+            orNone(kept.state().promised());
+            orNone(kept.state().accepted());
+            members(kept.state().value());
+            out.writeBoolean(kept.state().left());
+        } else if (message instanceof Membership.Step step) {
+            out.writeByte(CORE_STEP);
+            out.writeByte(step.kind().ordinal());
+            out.writeLong(step.epoch());
+            ballot(step.ballot());
+            orNone(step.under());
+            members(step.value());
+        } else if (message instanceof Fetch fetch) {
+            out.writeByte(FETCH);
+            out.writeLong(fetch.epoch());
+            out.writeLong(fetch.life());
+            out.writeLong(fetch.since());
+        } else if (message instanceof Fetched fetched) {
+            out.writeByte(FETCHED);
+            out.writeLong(fetched.epoch());
+            told(fetched.items());
+        } else if (message instanceof Leave leave) {
+            out.writeByte(LEAVE);
+            out.writeLong(leave.id());
+            out.writeString(leave.node());
+        } else {
+            throw new IllegalArgumentException("no message: " + message.getClass());
+        }
+    }
+
+    private void orNone(Ballot ballot) {
+        out.writeBoolean(ballot != null);
+        if (ballot != null) {
+            ballot(ballot);
+        }
+    }
+
+    private static Ballot orNone(Input in) {
+        return in.readBoolean() ? ballot(in) : null;
+    }
+
+    private void members(Members members) {
+        out.writeVarInt(members == null ? 0 : members.nodes().size() + 1, true);
+        if (members != null) {
+            out.writeLong(members.epoch());
+            for (Map.Entry<String, String> member : members.nodes().entrySet()) {
+                out.writeString(member.getKey());
+                out.writeString(member.getValue());
+            }
+        }
+    }
+
+    private static Members members(Input in) {
+        int size = in.readVarInt(true);
+        if (size == 0) {
+            return null;
+        }
+        long epoch = in.readLong();
+        Map<String, String> nodes = new TreeMap<>();
+        for (int i = 1; i < size; i++) {
+            String ip = in.readString();
+            if (Addresses.parse(ip + ":1") == null) {
+                throw new IllegalArgumentException("no ip of a member: " + ip);
+            }
+            nodes.put(ip, in.readString());
+        }
+        return new Members(epoch, nodes);
+    }
+
+    private static Membership.State state(Input in) {
+        return new Membership.State(members(in), orNone(in), orNone(in), members(in), in.readBoolean());
+    }
+
+    private static Membership.Step step(Input in) {
+        Membership.Step step = new Membership.Step(Membership.Kind.values()[in.readByte()], in.readLong(),
+                ballot(in), orNone(in), members(in));
+        if (step.value() == null && (step.kind() == Membership.Kind.ACCEPT || step.under() != null)) {
+            throw new IllegalArgumentException("nothing to accept");
+        }
+        return step;
+    }
+
     /** What the operator's calls lead to. */
     private void ofCalls(Object message) {
         if (message instanceof Propose propose) {
             out.writeByte(PROPOSE);
             proposal(propose.proposal());
+        } else if (message instanceof Ask ask) {
+            out.writeByte(ASK);
+            out.writeLong(ask.epoch());
+            proposal(ask.proposal());
         } else if (message instanceof Voted voted) {
             out.writeByte(VOTED);
             out.writeString(voted.call());
@@ -143,6 +264,7 @@
             marks(told.marks());
         } else if (message instanceof Confirm confirm) {
             out.writeByte(CONFIRM);
+            out.writeLong(confirm.epoch());
             out.writeLong(confirm.id());
             out.writeBoolean(confirm.settled());
         } else if (message instanceof Confirmed confirmed) {
@@ -151,7 +273,7 @@
         } else if (message instanceof Current) {
             out.writeByte(CURRENT);
         } else {
-            throw new IllegalArgumentException("no message: " + message.getClass());
+            ofCore(message);
         }
     }
 
@@ -171,9 +293,8 @@
             case PACKET -> packet(in);
             case PING -> new Ping();
             case PULL -> new Pull(in.readLong(), in.readLong());
-            case ITEMS -> new Items(in.readLong(), in.readLong(), in.readBoolean(), items(in),
-                    proposals(in));
             case NEWS -> new News(in.readLong(), in.readLong(), lives(in), differences(in));
+            case ITEMS -> told(in);
             case BEATS -> beats(in);
             case HELLO -> new Hello(in.readInt(), in.readString(), in.readString(), in.readString(),
                     in.readString(), in.readLong(), texts(in));
@@ -190,9 +311,16 @@
             case READ -> new Read(in.readLong());
             case OUTCOME -> new Outcome(in.readLong(), in.readInt(), in.readString());
             case MARKS -> new Marks(marks(in));
-            case CONFIRM -> new Confirm(in.readLong(), in.readBoolean());
+            case CONFIRM -> new Confirm(in.readLong(), in.readLong(), in.readBoolean());
             case CONFIRMED -> new Confirmed(in.readLong());
             case CURRENT -> new Current();
+            case ASK -> new Ask(in.readLong(), proposal(in));
+            case CORE_TOLD -> new CoreTold(members(in), in.readBoolean(), in.readBoolean());
+            case CORE_KEPT -> new CoreKept(state(in));
+            case CORE_STEP -> step(in);
+            case FETCH -> new Fetch(in.readLong(), in.readLong(), in.readLong());
+            case FETCHED -> new Fetched(in.readLong(), told(in));
+            case LEAVE -> new Leave(in.readLong(), in.readString());
             default -> null;
         };
     }
--- a/src/main/java/reedmux/link/Messages.java
+++ b/src/main/java/reedmux/link/Messages.java
@@ -8,6 +8,8 @@
 import reedmux.item.Agreement.Vote;
 import reedmux.item.Item;
 import reedmux.item.Mark;
+import reedmux.item.Members;
+import reedmux.item.Membership;
 import reedmux.item.Proposal;
 import reedmux.member.Differences;
 
@@ -77,6 +79,26 @@
         }
     }
 
+    /** A proposal on its way, with the epoch of the core that its sender counts votes by. */
+    public record Ask(long epoch, Proposal proposal) { }
+
+    /**
+     * The core as a store knows it; null where it does not. {@code ready}: the store has everything and would
+     * join; {@code fenced}: a change is half done there.
+     */
+    public record CoreTold(Members core, boolean ready, boolean fenced) { }
+
+    /** What a store keeps of the core on its disk. */
+    public record CoreKept(Membership.State state) { }
+
+    /** Asks a fenced store for all that it has since that change of its life. */
+    public record Fetch(long epoch, long life, long since) { }
+
+    public record Fetched(long epoch, Items items) { }
+
+    /** The operator orders a member out of the core. */
+    public record Leave(long id, String node) { }
+
     /** Lives that another process is to know of; it says when it does. */
     public record Tell(long id, List<Incarnation> lives) {
         public Tell {
@@ -104,7 +126,7 @@
      * A store asks another one, over the link on which it pulls, whether they are in touch;
      * {@code settled}: the answer is to wait until what is held now is decided on.
      */
-    public record Confirm(long id, boolean settled) { }
+    public record Confirm(long epoch, long id, boolean settled) { }
 
     /** The answer, by a store that counts itself, behind all that is in force there. */
     public record Confirmed(long id) { }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -27,6 +27,7 @@
 import reedmux.fleet.Fleet;
 import reedmux.fleet.Incarnation;
 import reedmux.item.Bounds;
+import reedmux.item.Members;
 import reedmux.item.Poll;
 import reedmux.item.Route;
 import reedmux.item.Table;
@@ -36,6 +37,7 @@
 import reedmux.link.Link;
 import reedmux.link.Messages;
 import reedmux.link.Messages.Current;
+import reedmux.link.Messages.CoreTold;
 import reedmux.link.Messages.Hello;
 import reedmux.link.Messages.Items;
 import reedmux.link.Messages.News;
@@ -206,6 +208,28 @@
             requests.on(now(), new Event.Room());
             pull(link);
             begun();
+        } else if (message instanceof CoreTold told) {
+            core(told.core());
+        }
+    }
+
+    /** A store tells of the core as it is agreed on: who is new is dialled, who has left is let go. */
+    private void core(Members told) {
+        if (!core.take(told)) {
+            return;
+        }
+        for (List<Dialer> all : List.of(stores, registries)) {
+            for (Dialer gone : List.copyOf(all)) {
+                if (core.gone(gone.to())) {
+                    all.remove(gone);
+                    gone.end();
+                }
+            }
+        }
+        for (InetSocketAddress other : core.others(boot.storePort())) {
+            if (stores.stream().noneMatch(dialer -> dialer.to().equals(other))) {
+                dial(other);
+            }
         }
     }
 
--- a/src/main/java/reedmux/registry/ControlCall.java
+++ b/src/main/java/reedmux/registry/ControlCall.java
@@ -11,6 +11,7 @@
 /** A call from outside, decoded; what it asks for is done elsewhere. */
 sealed interface ControlCall {
     String HEARTBEAT = "/v1/Instances.Heartbeat/";
+    String CORE_LEAVE = "/v1/Core.Leave/";
     String LEAVE = "/v1/Instances.Leave/";
 
     /** A checker tells of itself. */
@@ -19,6 +20,9 @@
     /** A checker ends. */
     record Leave(String id) implements ControlCall { }
 
+    /** The operator orders a machine out of the core. */
+    record CoreLeave(String node) implements ControlCall { }
+
     /** The operator changes items. */
     record Adjust(String body) implements ControlCall { }
 
@@ -32,6 +36,8 @@
             return new Read();
         } else if (path.equals("/v1/Config.Adjust") && post) {
             return new Adjust(new String(body, StandardCharsets.UTF_8));
+        } else if (path.startsWith(CORE_LEAVE) && post && path.length() > CORE_LEAVE.length()) {
+            return new CoreLeave(path.substring(CORE_LEAVE.length()));
         } else if (path.startsWith(LEAVE) && post) {
             return new Leave(path.substring(LEAVE.length()));
         } else if (path.startsWith(HEARTBEAT) && post) {
--- a/src/main/java/reedmux/registry/Registry.java
+++ b/src/main/java/reedmux/registry/Registry.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -20,7 +21,9 @@
 import reedmux.link.Dialer;
 import reedmux.link.Link;
 import reedmux.link.Messages;
+import reedmux.item.Members;
 import reedmux.link.Messages.Beats;
+import reedmux.link.Messages.CoreTold;
 import reedmux.link.Messages.Hello;
 import reedmux.link.Messages.Known;
 import reedmux.link.Messages.News;
@@ -115,6 +118,28 @@
         }
     }
 
+    /** A store tells of the core as it is agreed on: who is new is dialled, who has left is let go. */
+    private void core(Members told) {
+        Set<String> before = new HashSet<>(core.machines());
+        if (!core.take(told)) {
+            return;
+        }
+        for (List<Dialer> all : List.of(others, stores)) {
+            for (Dialer gone : List.copyOf(all)) {
+                if (core.gone(gone.to()) && !gone.to().getAddress().getHostAddress().equals(boot.ip())) {
+                    all.remove(gone);
+                    gone.end();
+                }
+            }
+        }
+        for (InetSocketAddress other : core.others(boot.registryPort())) {
+            if (!before.contains(other.getAddress().getHostAddress())) {
+                dial(others, other);
+                dial(stores, new InetSocketAddress(other.getAddress(), boot.storePort()));
+            }
+        }
+    }
+
     private void dial(List<Dialer> to, InetSocketAddress other) {
         to.add(new Dialer(reactor, codec, self, other, this));
     }
@@ -147,6 +172,8 @@
                     before.capacity(),
                     Incarnation.GONE, before.seq(), 0, false), reactor.now());
             known(leave.id(), from);
+        } else if (command instanceof ControlCall.CoreLeave leave) {
+            ask(0, id -> new Messages.Leave(id, leave.node()), from);
         } else if (command instanceof ControlCall.Adjust adjust) {
             ask(0, id -> new Messages.Adjust(id, adjust.body()), from);
         } else {
@@ -257,6 +284,8 @@
             tell.lives().forEach(life -> fleet.merge(life, reactor.now()));
             link.say(new Known(tell.id()));
             changed();
+        } else if (message instanceof CoreTold told) {
+            core(told.core());
         } else if (message instanceof Known known) {
             Runnable told = telling.remove(known.id());
             if (told != null) {
--- a/src/main/java/reedmux/store/Core.java
+++ b/src/main/java/reedmux/store/Core.java
@@ -7,25 +7,56 @@
 import java.util.TreeSet;
 import reedmux.boot.Boot;
 import reedmux.config.Addresses;
+import reedmux.item.Members;
 
 /**
- * The machines that serve control, by their addresses, as one process knows them: those that its seeds
- * name, and those that others of them tell of, as seeds may be old or name fewer than there are. Nobody is
- * ever taken out.
+ * The machines that serve control, by their addresses, as one process dials them: those that its seeds name
+ * and that others tell of, as seeds may be old or name fewer than there are, until a store tells of the core
+ * as it is agreed on. From then on who is taken out of that, and a seed that is not in it, is dropped.
  */
 public final class Core {
     private final String self;
     private final Set<String> machines = new TreeSet<>();
+    /** Seeds and members, as far as we know. */
+    private final Set<String> counted = new TreeSet<>();
+    private final Set<String> gone = new TreeSet<>();
+    private long epoch = -1;
 
     /** {@code member}: this machine is one of them. */
     public Core(Boot boot, boolean member) {
         self = boot.ip();
         boot.seeds().forEach(seed -> machines.add(seed.getAddress().getHostAddress()));
+        counted.addAll(machines);
         if (member) {
             machines.add(self);
         }
     }
 
+    /** The first core, where the system starts for the first time: its seeds. */
+    Members first() {
+        return Members.first(counted);
+    }
+
+    /** Takes in the core as it was agreed on; returns whether it is news. */
+    public boolean take(Members core) {
+        if (core == null || core.epoch() <= epoch) {
+            return false;
+        }
+        epoch = core.epoch();
+        gone.addAll(counted);
+        gone.removeAll(core.ips());
+        counted.clear();
+        counted.addAll(core.ips());
+        machines.removeAll(gone);
+        machines.addAll(core.ips());
+        return true;
+    }
+
+    /** Whether a machine was taken out. */
+    public boolean gone(InetSocketAddress machine) {
+        return gone.contains(machine.getAddress().getHostAddress());
+    }
+
     /** All of them, to be told to others. */
     public List<String> machines() {
         return new ArrayList<>(machines);
@@ -40,7 +71,8 @@
     public List<InetSocketAddress> learn(List<String> told, int port) {
         List<String> news = new ArrayList<>();
         for (String machine : told) {
-            if (Addresses.parse(machine + ":1") != null && machines.add(machine)) {
+            if (Addresses.parse(machine + ":1") != null && !gone.contains(machine)
+                    && machines.add(machine)) {
                 news.add(machine);
             }
         }
--- a/src/main/java/reedmux/store/ReplicaStorage.java
+++ b/src/main/java/reedmux/store/ReplicaStorage.java
@@ -11,9 +11,12 @@
 import reedmux.disk.Journal;
 import reedmux.item.Item;
 import reedmux.item.Mark;
+import reedmux.item.Members;
+import reedmux.item.Membership;
 import reedmux.item.Proposal;
 import reedmux.item.Replica;
 import reedmux.link.Codec;
+import reedmux.link.Messages.CoreKept;
 import reedmux.link.Messages.Decided;
 import reedmux.link.Messages.Items;
 import reedmux.link.Messages.Marks;
@@ -59,12 +62,13 @@
     private boolean whole;
     /** Whether a generation that stands says so. */
     private boolean wholeOnDisk;
+    private Membership.State core;
 
     /** A record that waits to be written, or a state; and who hears whether it is safe. */
     private record Waiting(byte[] record, State state, Consumer<Boolean> done) { }
 
     /** What a generation begins with, as of one moment; encoded on the disk's thread. */
-    private record State(boolean whole, List<Item> items, List<Mark> marks, List<Proposal> held) { }
+    private record State(Membership.State core, boolean whole, List<Item> items, List<Mark> marks, List<Proposal> held) { }
 
     ReplicaStorage(Path dir, Reactor reactor, Codec codec, Replica replica) {
         this.reactor = reactor;
@@ -78,7 +82,7 @@
      * Brings the replica up to what can be read of the disk; false where what was once there has been lost.
      * Where nothing can be written the store starts all the same, and refuses what it can't keep.
      */
-    boolean load(boolean firstStart) {
+    boolean load(boolean firstStart, Members firstCore) {
         List<byte[]> records = journal.read();
         journal.problems().forEach(line -> reactor.wrong("disk: " + line));
         for (int i = 0; i < records.size(); i++) {
@@ -92,12 +96,17 @@
                 replica.hold(propose.proposal());
             } else if (told instanceof Decided decided) {
                 replica.decide(decided.call(), decided.inForce(), decided.items());
+            } else if (told instanceof CoreKept kept) {
+                core = kept.state();
             } else {
                 reactor.wrong("disk: " + journal.place(i) + ": a record that this program does not know, of "
                         + records.get(i).length + " bytes");
             }
         }
-        whole |= firstStart && !journal.found();
+        if (firstStart && !journal.found()) {
+            whole = true;
+            core = new Membership.State(firstCore, null, null, null, false);
+        }
         whole &= !journal.damaged();
         State state = state();
         try {
@@ -117,14 +126,26 @@
         compact();
     }
 
+    /** What is known of the core; null for nothing. */
+    Membership.State core() {
+        return core;
+    }
+
+    /** Keeps that; {@code done} hears whether it is safe. */
+    void core(Membership.State state, Consumer<Boolean> done) {
+        core = state;
+        write(codec.write(new CoreKept(state)), done);
+    }
+
     private State state() {
-        return new State(whole, List.copyOf(replica.inForce()), List.copyOf(replica.marks()),
+        return new State(core, whole, List.copyOf(replica.inForce()), List.copyOf(replica.marks()),
                 List.copyOf(replica.held().values()));
     }
 
     /** The records of a state, each made as it is written. */
     private Iterable<byte[]> records(State state) {
         return () -> new Iterator<>() {
+            private boolean told = state.core == null;
             private int mark;
             private int item;
             private int held = -1;
@@ -139,6 +160,10 @@
                 if (held >= 0) {
                     return encoder.write(new Propose(state.held.get(held++)));
                 }
+                if (!told) {
+                    told = true;
+                    return encoder.write(new CoreKept(state.core));
+                }
                 if (mark < state.marks.size()) {
                     int from = mark;
                     mark = Math.min(from + PIECE, state.marks.size());
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import reedmux.boot.Boot;
 import reedmux.boot.BootException;
 import reedmux.boot.Program;
@@ -17,8 +19,8 @@
 import reedmux.item.Agreement;
 import reedmux.item.Item;
 import reedmux.item.Mark;
+import reedmux.item.Membership;
 import reedmux.item.Proposal;
-import reedmux.item.Quorum;
 import reedmux.item.Replica;
 import reedmux.link.Codec;
 import reedmux.link.Dialer;
@@ -28,10 +30,15 @@
 import reedmux.link.Messages.Confirm;
 import reedmux.link.Messages.Confirmed;
 import reedmux.link.Messages.Current;
+import reedmux.link.Messages.Ask;
+import reedmux.link.Messages.CoreTold;
 import reedmux.link.Messages.Decided;
+import reedmux.link.Messages.Fetch;
+import reedmux.link.Messages.Fetched;
 import reedmux.link.Messages.Hello;
 import reedmux.link.Messages.Items;
 import reedmux.link.Messages.Marks;
+import reedmux.link.Messages.Leave;
 import reedmux.link.Messages.Outcome;
 import reedmux.link.Messages.Propose;
 import reedmux.link.Messages.Pull;
@@ -44,9 +51,10 @@
  * Keeps the items of the configuration on this machine's disk and tells them to whoever pulls. What is
  * decided on the operator's calls is {@link Agreement}'s; here are its links and its disk.
  */
-public final class Store implements Program, Link.Owner, Agreement.Effects {
+public final class Store implements Program, Link.Owner, Agreement.Effects, Membership.Effects {
     private static final String PROGRAM = "store";
     private static final long LOOK = 125_000;
+    private static final long HANDED_ON = 2_000_000;
 
     private final Boot boot;
     private final Reactor reactor;
@@ -57,6 +65,14 @@
     private final Replica replica = new Replica();
     private final ReplicaStorage storage;
     private final Agreement agreement;
+    private final Membership membership;
+    /** Under which epoch the agreement counts. */
+    private long epoch = -1;
+    private final Set<Link> links = new LinkedHashSet<>();
+    /** Orders that were handed on to the one on duty, by our ids. */
+    private final Map<Long, BiConsumer<Integer, String>> handedOn = new HashMap<>();
+    private long ids;
+    private boolean ready;
     private final Map<InetSocketAddress, Dialer> others = new HashMap<>();
     /** How far we have come with each of the others. */
     private final Map<String, long[]> vector = new HashMap<>();
@@ -97,13 +113,15 @@
                 reactor.draw() ^ (long) boot.node().hashCode() << 32, core.machines());
         copies = (int) boot.figure("tolerance.machines", 0) + 1;
         storage = new ReplicaStorage(boot.dataDir(), reactor, codec, replica);
-        boolean whole = storage.load(boot.coldStart());
+        boolean whole = storage.load(boot.coldStart(), core.first());
         if (!whole) {
             reactor.log("the disk is empty, and this is not the first start: asking the others");
         }
         agreement = new Agreement(boot.ip(), self.life(), replica, whole, this);
-        agreement.quorum(Quorum.of(core.machines(), copies));
+        membership = new Membership(boot.ip(), copies, storage.core(), whole, this);
+        core.take(membership.core());
         core.others(boot.storePort()).forEach(this::dial);
+        adopted();
         new Listener(reactor, Addresses.parse(boot.ip() + ':' + boot.storePort()),
                 wire -> Link.of(reactor, codec, self, wire, this));
         reactor.every(LOOK, this::look);
@@ -117,7 +135,6 @@
     @Override
     public void reload(Boot next) {
         core.learn(new Core(next, false).machines(), boot.storePort()).forEach(this::dial);
-        agreement.quorum(Quorum.of(core.machines(), copies));
     }
 
     private void dial(InetSocketAddress other) {
@@ -127,14 +144,22 @@
     private void look() {
         agreement.look(reactor.now());
         prove();
+        membership.look(reactor.now());
+        boolean now = membership.applies() && agreement.current();
+        if (now != ready) {
+            ready = now;
+            links.forEach(this::tellCore);
+        }
     }
 
     // ---- Links -------------------------------------------------------------------------------------
     @Override
     public void up(Link link) {
         core.learn(link.other().core(), boot.storePort()).forEach(this::dial);
-        agreement.quorum(Quorum.of(core.machines(), copies));
+        links.add(link);
+        tellCore(link);
         if (dialled(link)) {
+            membership.met(reactor.now(), link.other().ip(), link.other().node());
             long[] from = vector.getOrDefault(link.other().ip(), new long[] {0, 0});
             link.say(new Pull(from[0], from[1]));
         }
@@ -148,6 +173,7 @@
     public void down(Link link) {
         pulling.remove(link);
         unproven.remove(link);
+        links.remove(link);
         if (link.other() == null) {
             return; // it ended before it said who it is
         }
@@ -157,6 +183,7 @@
                 && dialer.link().other().ip().equals(link.other().ip()));
         if (link.other().program().equals(PROGRAM) && !another) {
             agreement.lost(link.other().ip());
+            membership.lost(reactor.now(), link.other().ip());
         }
     }
 
@@ -167,9 +194,11 @@
             pulled(link, pull.life() == self.life() ? pull.since() : -1);
         } else if (message instanceof Items items) {
             take(link, items);
-        } else if (message instanceof Propose propose) {
+        } else if (message instanceof Ask ask) {
             askedBy.put(link.other().ip(), link);
-            agreement.asked(now, link.other().ip(), propose.proposal());
+            if (membership.admits(link.other().ip(), ask.epoch())) {
+                agreement.asked(now, link.other().ip(), ask.proposal());
+            }
         } else if (message instanceof Voted voted) {
             agreement.counted(now, link.other().ip(), voted.call(), voted.ballot(), voted.vote());
         } else if (message instanceof Decided decided) {
@@ -186,9 +215,14 @@
             }
         } else if (message instanceof Confirm confirm) {
             confirmBy.put(link.other().ip(), link);
+            if (!membership.admits(link.other().ip(), confirm.epoch()) || membership.fenced()) {
+                return; // a core after that one may be deciding already
+            }
             agreement.confirm(now, link.other().ip(), confirm.id(), confirm.settled());
         } else if (message instanceof Confirmed confirmed) {
             agreement.confirmed(now, link.other().ip(), confirmed.id());
+        } else {
+            ofCore(link, message);
         }
     }
 
@@ -250,6 +284,65 @@
         }
     }
 
+    private void ofCore(Link link, Object message) {
+        long now = reactor.now();
+        String from = link.other().ip();
+        if (message instanceof CoreTold told) {
+            membership.told(now, from, told.core(), told.ready(), told.fenced());
+        } else if (message instanceof Membership.Step step) {
+            askedBy.put(from, link);
+            membership.step(now, from, step);
+        } else if (message instanceof Fetch fetch) {
+            if (membership.handsOver(from, fetch.epoch())) {
+                long since = fetch.life() == self.life() ? fetch.since() : 0;
+                link.say(new Marks(replica.marksSince(since)));
+                link.say(new Fetched(fetch.epoch(), items(since)));
+            }
+        } else if (message instanceof Fetched fetched) {
+            Items told = fetched.items();
+            List<Item> news = replica.lacking(told.items());
+            boolean all = agreement.handed(now, told.items(), told.held());
+            storage.merged(news);
+            if (all) {
+                membership.handed(now, from, fetched.epoch());
+            }
+        } else if (message instanceof Leave leave) {
+            leave(leave.node(), (status, line) -> link.say(new Outcome(leave.id(), status, line)));
+        } else if (message instanceof Outcome outcome) {
+            BiConsumer<Integer, String> waits = handedOn.remove(outcome.id());
+            if (waits != null) {
+                waits.accept(outcome.status(), outcome.body());
+            }
+        }
+    }
+
+    /** An order to leave is the business of the one on duty. */
+    private void leave(String node, BiConsumer<Integer, String> reply) {
+        Link holder = membership.onDuty() ? null : linkTo(membership.duty().holder());
+        if (holder == null) {
+            membership.leave(reactor.now(), node, reply);
+            return;
+        }
+        long id = ++ids;
+        handedOn.put(id, reply);
+        holder.say(new Leave(id, node));
+        reactor.after(HANDED_ON, () -> handedOn.remove(id));
+    }
+
+    private Link linkTo(String ip) {
+        for (Dialer other : others.values()) {
+            if (other.link() != null && other.link().other().ip().equals(ip)) {
+                return other.link();
+            }
+        }
+        return null;
+    }
+
+    private Items items(long since) {
+        return new Items(self.life(), replica.changes(), agreement.whole(), replica.since(since),
+                List.copyOf(replica.held().values()));
+    }
+
     private void answer(Link link) {
         Puller puller = puller(link);
         if (puller.waits && (puller.since < 0 || replica.changes() > puller.since)) {
@@ -262,8 +355,7 @@
                 if (!marks.isEmpty()) {
                     link.say(new Marks(marks));
                 }
-                link.say(new Items(self.life(), replica.changes(), agreement.whole(),
-                        replica.since(since), List.copyOf(replica.held().values())));
+                link.say(items(since));
             } else {
                 link.send(news(since));
             }
@@ -295,12 +387,85 @@
             storage.merged(news);
         }
         if (!before && agreement.whole()) {
+            membership.mended(reactor.now());
             storage.whole();
         }
         link.say(new Pull(told.life(), told.upTo()));
         prove();
     }
 
+    // ---- What the membership calls for ---------------------------------------------------------------
+    /** The core as it is known here, and who is on duty. */
+    public Membership membership() {
+        return membership;
+    }
+
+    @Override
+    public void say(String to, Membership.Step step) {
+        Link link = linkTo(to);
+        if (link == null) {
+            link = askedBy.get(to);
+        }
+        if (link != null) {
+            link.say(step);
+        }
+    }
+
+    @Override
+    public void tellCore(String to) {
+        Link link = linkTo(to);
+        if (link == null) {
+            link = askedBy.get(to);
+        }
+        if (link != null) {
+            tellCore(link);
+        }
+    }
+
+    private void tellCore(Link link) {
+        link.say(new CoreTold(membership.core(), ready, membership.fenced()));
+    }
+
+    @Override
+    public void fetch(String from, long of) {
+        Link link = linkTo(from);
+        if (link != null) {
+            long[] at = vector.getOrDefault(from, new long[] {0, 0});
+            link.say(new Fetch(of, at[0], at[1]));
+        }
+    }
+
+    @Override
+    public void keepCore(Membership.State state, Consumer<Boolean> done) {
+        storage.core(state, done);
+    }
+
+    @Override
+    public void adopted() {
+        agreement.fence(membership.fenced());
+        if (membership.epoch() != epoch) {
+            epoch = membership.epoch();
+            if (core.take(membership.core())) {
+                others.keySet().removeIf(this::dropped);
+                for (InetSocketAddress other : core.others(boot.storePort())) {
+                    if (!others.containsKey(other)) {
+                        dial(other);
+                    }
+                }
+            }
+            agreement.quorum(membership.quorum());
+        }
+        List.copyOf(links).forEach(this::tellCore);
+    }
+
+    private boolean dropped(InetSocketAddress other) {
+        if (core.gone(other)) {
+            others.get(other).end();
+            return true;
+        }
+        return false;
+    }
+
     // ---- What the agreement calls for ----------------------------------------------------------------
     private void toAll(Object message) {
         others.values().stream().filter(other -> other.link() != null)
@@ -309,7 +474,7 @@
 
     @Override
     public void propose(Proposal proposal) {
-        toAll(new Propose(proposal));
+        toAll(new Ask(epoch, proposal));
     }
 
     @Override
@@ -322,7 +487,7 @@
 
     @Override
     public void confirm(long id, boolean settled) {
-        toAll(new Confirm(id, settled));
+        toAll(new Confirm(epoch, id, settled));
     }
 
     @Override
--- a/src/test/java/reedmux/link/CodecTest.java
+++ b/src/test/java/reedmux/link/CodecTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import org.testng.annotations.Test;
 import reedmux.fleet.Fleet;
 import reedmux.fleet.Incarnation;
@@ -13,6 +14,8 @@
 import reedmux.item.Agreement.Vote;
 import reedmux.item.Item;
 import reedmux.item.Mark;
+import reedmux.item.Members;
+import reedmux.item.Membership;
 import reedmux.item.Proposal;
 import reedmux.member.Differences;
 import reedmux.member.Session;
@@ -25,6 +28,7 @@
             Incarnation.DRAINING, 9,
             100, true);
     private static final Proposal MOTION = new Proposal("c", new Ballot(3, "core-1"), List.of(ITEM));
+    private static final Members CORE = new Members(4, Map.of("10.0.0.1", "core-1", "10.0.0.2", ""));
     private static final Session SESSION = new Session("edge-1", "10.1.0.1", "a", -5);
 
     private static List<Object> all() {
@@ -36,8 +40,15 @@
                 new Messages.Read(6), new Messages.Outcome(7, 200, "{}"),
                 new Messages.Propose(MOTION), new Messages.Voted("c", MOTION.ballot(), Vote.BUSY),
                 new Messages.Decided("c", MOTION.ballot(), true, List.of(ITEM)),
-                new Messages.Marks(List.of(new Mark("routes/r", 7, -9))), new Messages.Confirm(4, true),
+                new Messages.Marks(List.of(new Mark("routes/r", 7, -9))), new Messages.Confirm(2, 4, true),
                 new Messages.Confirmed(4), new Messages.Current(),
+                new Messages.Ask(3, MOTION), new Messages.CoreTold(null, true, false),
+                new Messages.CoreTold(CORE, false, true),
+                new Messages.CoreKept(new Membership.State(CORE, MOTION.ballot(), null, null, true)),
+                new Membership.Step(Membership.Kind.ACCEPT, 4, MOTION.ballot(), null, CORE),
+                new Messages.Fetch(4, -5, 6),
+                new Messages.Fetched(4, new Messages.Items(1, 2, true, List.of(ITEM), List.of(MOTION))),
+                new Messages.Leave(5, "core-1"),
                 new Messages.Tell(8, List.of(LIFE)),
                 new Messages.Known(9), new Messages.Beats(List.of(new Fleet.Heard("i-1", 3, 4))),
                 new Quotas.Packet("n", 1, 2, 3, 4, new ArrayList<>(List.of(new Quotas.Entry("t", 1.5, -1)))));
@@ -60,6 +71,10 @@
             assertNull(codec.read(Arrays.copyOf(bytes, bytes.length + 1)));
         }
         assertNull(codec.read(new byte[] {99, 1, 2}));
+        assertNull(codec.read(codec.write(new Messages.CoreTold(new Members(1, Map.of("nowhere", "")), false,
+                false))));
+        assertNull(codec.read(codec.write(new Membership.Step(Membership.Kind.ACCEPT, 4, MOTION.ballot(), null,
+                null))));
     }
 
     /** Bytes in place of any text of a message that promise a text of any length, or none. */
--- a/src/test/java/reedmux/store/ReplicaStorageTest.java
+++ b/src/test/java/reedmux/store/ReplicaStorageTest.java
@@ -14,6 +14,7 @@
 import reedmux.disk.CrashVolume;
 import reedmux.item.Ballot;
 import reedmux.item.Item;
+import reedmux.item.Members;
 import reedmux.item.Orders;
 import reedmux.item.Proposal;
 import reedmux.item.Replica;
@@ -40,7 +41,7 @@
             environment = new DiskEnvironment(volume);
             reactor = environment.reactor();
             storage = new ReplicaStorage(Path.of("store"), reactor, new Codec(), replica);
-            whole = storage.load(firstStart);
+            whole = storage.load(firstStart, Members.first(List.of("10.0.0.1")));
             settle();
         }
 
