--- a/src/main/java/reedmux/item/Membership.java
+++ b/src/main/java/reedmux/item/Membership.java
@@ -11,12 +11,12 @@
 import java.util.function.Consumer;
 
 /**
- * One store's part in changing the core. The successor of each epoch is one decision by Paxos: prepared by a
- * quorum of the members, accepted by a quorum of them and one of those after it. Who has accepted is fenced: it
- * takes no new call under the old epoch, so that what a quorum of fenced members has is all that the old epoch
- * can ever decide; who is to be a member afterwards says that it has accepted only once it has that on its own
- * disk. One change at a time is proposed by the first live member in the order of ips. Pure: what is to be done
- * is told to {@link Effects}.
+ * One store's part in changing the core. The successor of each epoch is one decision by Paxos: prepared by
+ * a quorum of the members, accepted by a quorum of them and one of those after it. Who has accepted is
+ * fenced: it takes no new call under the old epoch, so that what a quorum of fenced members has is all that
+ * the old epoch can ever decide; who is to be a member afterwards says that it has accepted only once it has
+ * that on its own disk. One change at a time is proposed by the first live member in the order of ips. Pure:
+ * what is to be done is told to {@link Effects}.
  */
 public final class Membership {
     /** A step that was not answered is said again after so long, and a round given up, in microseconds. */
@@ -24,7 +24,7 @@
     private static final long ROUND = 2_000_000;
     /** A joiner has everything for so long before it is proposed. */
     private static final long SETTLED = 1_000_000;
-    /** A store that has lost its disk accepts nothing before all that it was sent earlier has come in or died. */
+    /** A store that has lost its disk accepts nothing before all that it was sent earlier has come in. */
     private static final long AFTER_LOSS = 4_000_000;
     /** An order to leave that could not be carried out is forgotten after so long. */
     private static final long PATIENCE = 30_000_000;
@@ -234,7 +234,7 @@
         }
     }
 
-    /** Whether somebody acts under our epoch; who does not is told of ours, and tells of its own if it is newer. */
+    /** Whether somebody acts under our epoch; who does not is told of ours, and tells of a newer one. */
     public boolean admits(String by, long epoch) {
         if (core != null && epoch != core.epoch()) {
             effects.tellCore(by);
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -92,6 +92,7 @@
     /** Who pulls: from where on, how far it was told, and what it is to hear behind that. */
     private static final class Puller {
         private boolean waits;
+        private boolean begun;
         private long since = -1;
         /** The last change that it has been told by us while we counted ourselves. */
         private long told = -1;
@@ -345,8 +346,11 @@
 
     private void answer(Link link) {
         Puller puller = puller(link);
-        if (puller.waits && (puller.since < 0 || replica.changes() > puller.since)) {
+        // A store that has come back is told even that there is nothing new: it counts nobody before it is told.
+        boolean first = !puller.begun && link.other().program().equals(PROGRAM);
+        if (puller.waits && (first || puller.since < 0 || replica.changes() > puller.since)) {
             puller.waits = false;
+            puller.begun = true;
             pulling.remove(link);
             long since = Math.max(0, puller.since);
             puller.told = agreement.whole() ? replica.changes() : -1;
