--- /dev/null
+++ b/src/test/java/reedmux/item/MembershipTest.java
@@ -0,0 +1,657 @@
+package reedmux.item;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.IntUnaryOperator;
+import org.testng.annotations.Test;
+
+/** Changes of the core: links that keep their order among themselves, and messages in every order across them. */
+public class MembershipTest {
+    private static final long SECOND = 1_000_000;
+    private static final int ORDERS = 1_500;
+    private static final int DRAWN = 1_500;
+
+    private static String route(String name, String host) {
+        return "{\"apply\":{\"signals\":[{\"signalKind\":\"routes\",\"heading\":{\"name\":\"" + name
+                + "\",\"revision\":2},\"reference\":{\"host\":\"" + host + "\",\"prefix\":\"/a/\",\"kind\":"
+                + "\"effectful\",\"cutoffMs\":1000,\"setpointMs\":100,\"priority\":1,\"plant\":\"desk\","
+                + "\"attempts\":1}}]},\"remove\":{}}";
+    }
+
+    private static final String PLANT = "{\"apply\":{\"signals\":[{\"signalKind\":\"plants\",\"heading\":{"
+            + "\"name\":\"desk\",\"revision\":1},\"reference\":{\"probe\":\"/h\",\"connCeiling\":9}}]},"
+            + "\"remove\":{}}";
+
+    /** Stores by ip, what is under way between them, and what the operator was told. */
+    private static final class World {
+        final Map<String, Node> nodes = new TreeMap<>();
+        final Map<String, Deque<Runnable>> mail = new TreeMap<>();
+        final Set<String> cut = new TreeSet<>();
+        final Map<String, Integer> answers = new HashMap<>();
+        /** Which members each epoch had, wherever it was known. */
+        final Map<Long, Set<String>> epochs = new TreeMap<>();
+        IntUnaryOperator pick = many -> 0;
+        long now = SECOND;
+        int lives;
+
+        World(int members) {
+            for (int i = 0; i < members; i++) {
+                nodes.put("s" + i, new Node("s" + i, "n" + i));
+            }
+            for (Node node : nodes.values()) {
+                node.core = new Membership.State(Members.first(nodes.keySet()), null, null, null, false);
+                node.start(true);
+            }
+            settle(2);
+            adjust("s0", PLANT);
+            drain();
+            assertEquals(answers.get(PLANT), (Integer) 200);
+        }
+
+        Node add(String ip, String name) {
+            Node node = new Node(ip, name);
+            nodes.put(ip, node);
+            node.start(false);
+            return node;
+        }
+
+        void adjust(String at, String body) {
+            nodes.get(at).agreement.adjust(now, body, (status, line) -> answers.put(body, status));
+        }
+
+        boolean linked(String one, String other) {
+            return nodes.get(one).up && nodes.get(other).up && !cut.contains(one + other)
+                    && !cut.contains(other + one);
+        }
+
+        /** Links come up and down, and each store tells the others over them. */
+        void meet() {
+            for (Node one : nodes.values()) {
+                for (Node other : nodes.values()) {
+                    if (one == other || !one.up) {
+                        continue;
+                    } else if (!linked(one.ip, other.ip)) {
+                        if (one.links.remove(other.ip)) {
+                            one.agreement.lost(other.ip);
+                            one.membership.lost(now, other.ip);
+                        }
+                    } else if (one.links.add(other.ip)) {
+                        one.membership.met(now, other.ip, other.name);
+                        other.tellCore(one.ip);
+                    }
+                }
+            }
+            drain();
+            for (Node one : nodes.values()) {
+                for (Node other : nodes.values()) {
+                    if (one != other && linked(one.ip, other.ip)) {
+                        one.agreement.met(now, other.ip, other.agreement.whole(),
+                                List.copyOf(other.replica.inForce()),
+                                List.copyOf(other.replica.held().values()));
+                        other.tellCore(one.ip);
+                    }
+                }
+            }
+        }
+
+        void carry(String from, String to, Runnable message) {
+            if (nodes.containsKey(to) && linked(from, to) && nodes.get(from).links.contains(to)) {
+                Node receiver = nodes.get(to);
+                int life = receiver.life;
+                mail.computeIfAbsent(from + '>' + to, name -> new ArrayDeque<>()).add(() -> {
+                    if (receiver.up && receiver.life == life) {
+                        message.run();
+                    }
+                });
+            }
+        }
+
+        void drain() {
+            deliver(Integer.MAX_VALUE);
+        }
+
+        /** Delivers so many messages at the most; which link comes next is picked. */
+        void deliver(int most) {
+            for (int i = 0; i < most; i++) {
+                mail.values().removeIf(Deque::isEmpty);
+                List<String> ways = new ArrayList<>(mail.keySet());
+                ways.removeIf(way -> way.startsWith("frozen"));
+                if (ways.isEmpty()) {
+                    return;
+                }
+                mail.get(ways.get(pick.applyAsInt(ways.size()))).poll().run();
+            }
+        }
+
+        void look() {
+            now += SECOND / 5;
+            meet();
+            for (Node node : nodes.values()) {
+                if (node.up) {
+                    node.agreement.look(now);
+                    node.membership.look(now);
+                    node.keepCount();
+                }
+            }
+        }
+
+        void settle(int seconds) {
+            for (int i = 0; i < 5 * seconds; i++) {
+                look();
+                drain();
+            }
+        }
+
+        boolean has(String at, String route) {
+            return nodes.get(at).replica.inForce().stream().anyMatch(item -> item.name().equals(route));
+        }
+
+        Members core(String at) {
+            return nodes.get(at).membership.core();
+        }
+
+        /** All that are up have one core, of these, and it takes changes. */
+        void assertCore(String... members) {
+            for (Node node : nodes.values()) {
+                if (node.up) {
+                    assertEquals(new TreeSet<>(node.membership.core().ips()), new TreeSet<>(List.of(members)),
+                            node.ip);
+                    assertEquals(node.membership.epoch(), nodes.get(members[0]).membership.epoch());
+                    assertFalse(node.membership.fenced());
+                }
+            }
+            pick = many -> 0;
+            adjust(members[0], route("last", "last.example"));
+            drain();
+            settle(2);
+            assertEquals(answers.get(route("last", "last.example")), (Integer) 200);
+        }
+
+        final class Node implements Agreement.Effects, Membership.Effects {
+            final String ip;
+            final String name;
+            final Set<String> links = new TreeSet<>();
+            Replica replica = new Replica();
+            Membership.State core;
+            Agreement agreement;
+            Membership membership;
+            boolean up;
+            int life;
+
+            Node(String ip, String name) {
+                this.ip = ip;
+                this.name = name;
+            }
+
+            void start(boolean whole) {
+                up = true;
+                life = ++lives;
+                agreement = new Agreement(ip, life, replica, whole, this);
+                membership = new Membership(ip, 2, core, whole, this);
+                adopted();
+            }
+
+            void die() {
+                up = false;
+                links.clear();
+                for (Node other : nodes.values()) {
+                    other.links.remove(ip);
+                    if (other.up) {
+                        other.agreement.lost(ip);
+                        other.membership.lost(now, ip);
+                    }
+                }
+                mail.keySet().removeIf(way -> way.startsWith(ip + '>') || way.endsWith('>' + ip));
+            }
+
+            void wipe() {
+                replica = new Replica();
+                core = null;
+            }
+
+            void keepCount() {
+                if (agreement.whole()) {
+                    membership.mended(now);
+                }
+                Members known = membership.core();
+                if (known != null) {
+                    Set<String> before = epochs.putIfAbsent(known.epoch(), new TreeSet<>(known.ips()));
+                    assertTrue(before == null || before.equals(new TreeSet<>(known.ips())),
+                            "two cores of epoch " + known.epoch() + ": " + before + " and " + known);
+                }
+            }
+
+            private void toAll(Consumer<Node> message) {
+                for (Node other : nodes.values()) {
+                    if (other != this) {
+                        carry(ip, other.ip, () -> message.accept(other));
+                    }
+                }
+            }
+
+            @Override
+            public void propose(Proposal proposal) {
+                long epoch = membership.epoch();
+                toAll(other -> {
+                    if (other.membership.admits(ip, epoch)) {
+                        other.agreement.asked(now, ip, proposal);
+                    }
+                });
+            }
+
+            @Override
+            public void vote(String to, String call, Ballot ballot, Agreement.Vote vote) {
+                carry(ip, to, () -> nodes.get(to).agreement.counted(now, ip, call, ballot, vote));
+            }
+
+            @Override
+            public void confirm(long id, boolean settled) {
+                long epoch = membership.epoch();
+                toAll(other -> {
+                    if (other.membership.admits(ip, epoch) && !other.membership.fenced()) {
+                        other.agreement.confirm(now, ip, id, settled);
+                    }
+                });
+            }
+
+            @Override
+            public void confirmed(String to, long id) {
+                List<Item> items = List.copyOf(replica.inForce());
+                carry(ip, to, () -> {
+                    nodes.get(to).replica.merge(items);
+                    nodes.get(to).agreement.confirmed(now, ip, id);
+                });
+            }
+
+            @Override
+            public void tell(String call, Ballot ballot, boolean inForce, List<Item> items) {
+                toAll(other -> other.agreement.decided(now, call, ballot, inForce, items));
+            }
+
+            @Override
+            public void keepHeld(Proposal proposal) {
+                agreement.kept(now, proposal.call(), proposal.ballot(), true);
+            }
+
+            @Override
+            public void keepDecided(String call, Ballot ballot, boolean inForce, List<Item> items) { }
+
+            @Override
+            public void changed() { }
+
+            @Override
+            public void log(String line) { }
+
+            @Override
+            public void say(String to, Membership.Step step) {
+                carry(ip, to, () -> nodes.get(to).membership.step(now, ip, step));
+            }
+
+            @Override
+            public void tellCore(String to) {
+                Members known = membership.core();
+                boolean ready = membership.applies() && agreement.current();
+                boolean fenced = membership.fenced();
+                carry(ip, to, () -> nodes.get(to).membership.told(now, ip, known, ready, fenced));
+            }
+
+            @Override
+            public void fetch(String from, long epoch) {
+                carry(ip, from, () -> {
+                    Node other = nodes.get(from);
+                    if (other.membership.handsOver(ip, epoch)) {
+                        List<Item> items = List.copyOf(other.replica.inForce());
+                        List<Proposal> held = List.copyOf(other.replica.held().values());
+                        other.send(ip, () -> {
+                            if (agreement.handed(now, items, held)) {
+                                membership.handed(now, from, epoch);
+                            }
+                        });
+                    }
+                });
+            }
+
+            private void send(String to, Runnable message) {
+                carry(ip, to, message);
+            }
+
+            @Override
+            public void keepCore(Membership.State state, Consumer<Boolean> done) {
+                core = state;
+                done.accept(true);
+            }
+
+            @Override
+            public void adopted() {
+                if (membership == null) {
+                    return;
+                }
+                agreement.fence(membership.fenced());
+                if (!membership.fenced()) {
+                    agreement.quorum(membership.quorum());
+                }
+                for (String other : List.copyOf(links)) {
+                    tellCore(other);
+                }
+            }
+        }
+    }
+
+    /** All orders of the last messages, and as many drawn ones. */
+    private static int play(BiConsumer<World, IntUnaryOperator> scene, int members) {
+        int plays = Orders.all(ORDERS, orders -> scene.accept(new World(members), orders::pick));
+        for (int seed = 0; seed < DRAWN; seed++) {
+            Random random = new Random(seed);
+            scene.accept(new World(members), random::nextInt);
+        }
+        return plays + DRAWN;
+    }
+
+    private static void assertAcknowledgedIsInForce(World world, String... routes) {
+        for (String name : routes) {
+            if (Integer.valueOf(200).equals(world.answers.get(route(name, name + ".example")))) {
+                for (String ip : world.nodes.get("s0").up ? world.core("s0").ips() : world.core("s1").ips()) {
+                    assertTrue(!world.nodes.get(ip).up || world.has(ip, name), name + " is missing at " + ip);
+                }
+            }
+        }
+    }
+
+    /** Calls go on while one joins and one leaves; all end with one core and all that was acknowledged. */
+    @Test
+    public void membersJoinAndLeaveWhileCallsAreMade() {
+        int plays = play((world, orders) -> {
+            world.add("s3", "n3");
+            world.settle(1);
+            world.pick = orders;
+            for (int i = 0; i < 12; i++) {
+                world.look();
+                world.deliver(14);
+                if (i == 3) {
+                    world.adjust("s0", route("one", "one.example"));
+                    world.adjust("s1", route("two", "two.example"));
+                } else if (i == 8) {
+                    world.adjust("s2", route("three", "three.example"));
+                    world.nodes.get("s0").membership.leave(world.now, "n2", (status, line) -> { });
+                }
+            }
+            world.drain();
+            world.pick = many -> 0;
+            world.settle(6);
+            assertAcknowledgedIsInForce(world, "one", "two", "three");
+            assertTrue(world.core("s0").has("s3"));
+            assertTrue(world.core("s0").has("s2") == (world.epochs.size() < 3));
+        }, 3);
+        System.out.println("join and leave: " + plays + " orders");
+    }
+
+    /** What only the lost member and one other have is handed over first: then that other may be lost, too. */
+    @Test
+    public void aSecondLossRightAfterAReplacementLosesNothing() {
+        int[] replaced = {0};
+        int plays = play((world, orders) -> {
+            world.cut.add("s0s1");
+            world.cut.add("s2s1");
+            world.meet();
+            world.adjust("s0", route("one", "one.example"));
+            world.drain();
+            assertEquals(world.answers.get(route("one", "one.example")), (Integer) 200);
+            assertFalse(world.has("s1", "one"));
+            world.nodes.get("s2").die();
+            world.cut.clear();
+            world.add("s3", "n2");
+            world.pick = orders;
+            for (int i = 0; i < 20 && world.core("s1").epoch() == 0; i++) {
+                world.now += SECOND / 5;
+                for (World.Node node : world.nodes.values()) {
+                    for (World.Node other : world.nodes.values()) {
+                        if (node != other && world.linked(node.ip, other.ip) && node.links.add(other.ip)) {
+                            node.membership.met(world.now, other.ip, other.name);
+                            other.tellCore(node.ip);
+                        }
+                    }
+                    if (node.up) { // the joiner learns by asking members alone; s1 has not been told yet
+                        if (node.ip.equals("s3")) {
+                            world.nodes.values().stream().filter(other -> other != node && other.up).forEach(
+                                    other -> node.agreement.met(world.now, other.ip, true, List.of(), List.of()));
+                        }
+                        world.nodes.values().stream().filter(other -> other != node && other.up).forEach(
+                                other -> node.tellCore(other.ip));
+                        node.membership.look(world.now);
+                    }
+                }
+                world.deliver(10);
+            }
+            if (!world.core("s1").has("s3")) {
+                return;
+            }
+            replaced[0]++;
+            assertTrue(world.has("s1", "one") || world.has("s3", "one"));
+            world.nodes.get("s0").die();
+            world.pick = many -> 0;
+            world.settle(6);
+            assertTrue(world.has("s1", "one") && world.has("s3", "one"));
+        }, 3);
+        assertTrue(replaced[0] > plays / 2, replaced[0] + " of " + plays);
+        System.out.println("second loss: " + plays + " orders, replaced in " + replaced[0]);
+    }
+
+    /** Two stores take themselves for the first live one: of their changes one holds in each epoch. */
+    @Test
+    public void twoChangesAtOnceAreMadeOneByOne() {
+        int plays = play((world, orders) -> {
+            world.add("s4", "n4");
+            world.settle(2);
+            world.cut.add("s0s1");
+            world.meet();
+            world.pick = orders;
+            world.nodes.get("s0").membership.leave(world.now, "n3", (status, line) -> { });
+            world.nodes.get("s1").membership.leave(world.now, "n2", (status, line) -> { });
+            for (int i = 0; i < 6; i++) {
+                world.look();
+                world.deliver(9);
+            }
+            world.cut.clear();
+            world.drain();
+            world.pick = many -> 0;
+            world.settle(8);
+            assertEquals(world.core("s1").ips(), world.core("s0").ips());
+            assertEquals(world.core("s4").epoch(), world.core("s0").epoch());
+        }, 5);
+        System.out.println("two changes: " + plays + " orders");
+    }
+
+    /** The power goes at any message of a change, at all stores; with their disks it is carried through or not. */
+    @Test
+    public void aChangeThatIsHalfDoneWhenThePowerGoesIsCarriedThrough() {
+        for (boolean wiped : new boolean[] {false, true}) {
+            int plays = play((world, orders) -> {
+                world.add("s3", "n3");
+                world.settle(1);
+                world.adjust("s1", route("one", "one.example"));
+                for (int i = 0; i < 3; i++) {
+                    world.look();
+                }
+                world.pick = orders;
+                world.deliver(4 + orders.applyAsInt(30));
+                for (World.Node node : world.nodes.values()) {
+                    node.die();
+                }
+                world.mail.clear();
+                if (wiped) {
+                    world.nodes.get("s2").wipe();
+                }
+                for (World.Node node : world.nodes.values()) {
+                    node.start(!(wiped && node.ip.equals("s2")) && !node.ip.equals("s3"));
+                }
+                world.pick = many -> 0;
+                world.settle(12);
+                assertAcknowledgedIsInForce(world, "one");
+                world.assertCore("s0", "s1", "s2", "s3");
+            }, 3);
+            System.out.println("power" + (wiped ? ", a disk lost" : "") + ": " + plays + " orders");
+        }
+    }
+
+    /** The one on duty is frozen in the middle of a change and wakes after others have made another. */
+    @Test
+    public void aHolderThatWakesUnderAnOlderEpochIsRefused() {
+        int plays = play((world, orders) -> {
+            world.add("s4", "n4");
+            world.settle(1);
+            world.pick = orders;
+            for (int i = 0; i < 4; i++) {
+                world.look();
+            }
+            world.deliver(orders.applyAsInt(25));
+            // What it has said is delivered long after; it hears nothing.
+            Map<String, Deque<Runnable>> late = new TreeMap<>();
+            for (String way : List.copyOf(world.mail.keySet())) {
+                if (way.startsWith("s0>")) {
+                    late.put(way, world.mail.remove(way));
+                }
+            }
+            for (String other : List.of("s1", "s2", "s3", "s4")) {
+                world.cut.add("s0" + other);
+            }
+            world.pick = many -> 0;
+            world.settle(4);
+            world.nodes.get("s1").membership.leave(world.now, "n3", (status, line) -> { });
+            world.settle(4);
+            long epoch = world.core("s1").epoch();
+            Membership.Duty duty = world.nodes.get("s1").membership.duty();
+            assertEquals(duty.holder(), "s1");
+            assertEquals(duty.epoch(), epoch);
+            world.cut.clear();
+            world.meet();
+            world.mail.putAll(late);
+            world.pick = orders;
+            world.nodes.get("s0").membership.look(world.now);
+            world.drain();
+            world.pick = many -> 0;
+            world.settle(4);
+            assertEquals(world.core("s0").ips(), world.core("s1").ips());
+            assertFalse(world.core("s0").has("s3"));
+        }, 4);
+        System.out.println("frozen holder: " + plays + " orders");
+    }
+
+    /** A majority of the first core that slept through two changes decides nothing, and is told of the core. */
+    @Test
+    public void anOldMajorityDecidesNothing() {
+        for (boolean learns : new boolean[] {false, true}) {
+            World world = new World(3);
+            world.nodes.get("s2").die();
+            world.add("s3", "n2");
+            world.settle(4);
+            assertTrue(world.core("s0").has("s3"));
+            world.nodes.get("s1").die();
+            world.add("s4", "n1");
+            world.settle(4);
+            world.adjust("s0", route("one", "one.example"));
+            world.drain();
+            assertEquals(world.answers.get(route("one", "one.example")), (Integer) 200);
+            for (String one : List.of("s1", "s2")) {
+                for (String other : List.of("s0", "s3", "s4")) {
+                    world.cut.add(one + other);
+                }
+            }
+            world.nodes.get("s1").start(true);
+            world.nodes.get("s2").start(true);
+            world.settle(2);
+            world.adjust("s2", route("two", "one.example"));
+            world.drain();
+            world.settle(2);
+            assertNotEquals(world.answers.get(route("two", "one.example")), (Integer) 200);
+            if (learns) {
+                world.cut.clear();
+                world.settle(3);
+                world.assertCore("s0", "s3", "s4");
+                assertFalse(world.nodes.get("s1").membership.applies(), "who was taken out does not come back");
+            }
+        }
+    }
+
+    /** Without a disk and with no one who knows it, a store has no core; a stale one's is taken until a newer comes. */
+    @Test
+    public void aStoreWithoutDiskTakesTheCoreFromOthersAndNeverMakesUpItsOwn() {
+        World world = new World(3);
+        for (String other : List.of("s0", "s1", "s2")) {
+            world.cut.add("s3" + other);
+        }
+        world.add("s3", "n3");
+        world.settle(3);
+        assertNull(world.core("s3"));
+        assertFalse(world.nodes.get("s3").agreement.current());
+        world.adjust("s3", route("one", "one.example"));
+        assertEquals(world.answers.get(route("one", "one.example")), (Integer) 503);
+        // It reaches only a member that was cut off while the others took in another.
+        world.cut.remove("s3s2");
+        world.cut.add("s2s0");
+        world.cut.add("s2s1");
+        world.cut.add("s2s4");
+        world.cut.add("s3s4");
+        world.add("s4", "n4");
+        world.settle(4);
+        assertTrue(world.core("s0").has("s4"));
+        assertEquals(world.core("s3").epoch(), 0);
+        assertFalse(world.nodes.get("s3").agreement.current());
+        world.cut.clear();
+        world.settle(4);
+        world.assertCore("s0", "s1", "s2", "s3", "s4");
+    }
+
+    /** A member whose disk comes back empty at its address is the same member; it has all before it counts. */
+    @Test
+    public void aMemberWithoutItsDiskIsTheSameMember() {
+        World world = new World(3);
+        world.nodes.get("s1").die();
+        world.nodes.get("s1").wipe();
+        world.adjust("s0", route("one", "one.example"));
+        world.drain();
+        world.nodes.get("s1").start(false);
+        world.settle(3);
+        assertTrue(world.has("s1", "one"));
+        world.assertCore("s0", "s1", "s2");
+        assertEquals(world.core("s0").epoch(), 0);
+    }
+
+    /** An order to leave is refused where too few would be left, is the same again, and takes out who is down. */
+    @Test
+    public void ordersToLeave() {
+        World world = new World(3);
+        int[] status = {0};
+        Membership holder = world.nodes.get("s0").membership;
+        world.nodes.get("s1").membership.leave(world.now, "n2", (code, line) -> status[0] = code);
+        assertEquals(status[0], 503, "not on duty");
+        holder.leave(world.now, "n2", (code, line) -> status[0] = code);
+        assertEquals(status[0], 409, "three are needed while all are up");
+        world.nodes.get("s2").die();
+        world.settle(1);
+        holder.leave(world.now, "n2", (code, line) -> status[0] = code);
+        world.settle(2);
+        assertEquals(status[0], 200);
+        world.assertCore("s0", "s1");
+        status[0] = 0;
+        holder.leave(world.now, "n2", (code, line) -> status[0] = code);
+        assertEquals(status[0], 200, "the same again");
+        holder.leave(world.now, "n1", (code, line) -> status[0] = code);
+        assertEquals(status[0], 409, "two copies are promised");
+    }
+}
