--- a/src/main/java/reedmux/item/Marks.java
+++ b/src/main/java/reedmux/item/Marks.java
@@ -19,6 +19,7 @@
     /** Each by the number of the change that brought it. */
     private final TreeMap<Long, Mark> byChange = new TreeMap<>();
     private final Map<Mark, Long> changedAt = new HashMap<>();
+    private Digests digests;
 
     /** Whether a mark would be news. */
     boolean isNews(Mark mark) {
@@ -49,6 +50,9 @@
         }
         byChange.put(change, mark);
         changedAt.put(mark, change);
+        if (digests != null) {
+            digests.flip(mark);
+        }
     }
 
     private void raise(Mark floor, TreeMap<Long, Long> own) {
@@ -64,6 +68,9 @@
 
     private void forget(Mark mark) {
         byChange.remove(changedAt.remove(mark));
+        if (digests != null) {
+            digests.flip(mark);
+        }
     }
 
     /** The floor that an item with too many marks needs, or null. */
@@ -76,6 +83,17 @@
         return new ArrayList<>(byChange.tailMap(change, false).values());
     }
 
+    /** The next that has become known after a change, or null. */
+    Map.Entry<Long, Mark> after(long change) {
+        return byChange.higherEntry(change);
+    }
+
+    /** From now on its digests are kept there. */
+    void digests(Digests in) {
+        digests = in;
+        byChange.values().forEach(in::flip);
+    }
+
     Collection<Mark> all() {
         return byChange.values();
     }
--- a/src/main/java/reedmux/item/Poll.java
+++ b/src/main/java/reedmux/item/Poll.java
@@ -1,7 +1,7 @@
 package reedmux.item;
 
-import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -13,14 +13,20 @@
     private final Map<String, Item> items = new TreeMap<>();
     /** Those of them that are not in the table yet. */
     private final Map<String, Item> pending = new TreeMap<>();
+    private final Snapshot snapshot = new Snapshot();
     private final Map<String, long[]> vector = new HashMap<>();
     private Table table;
     private String problem;
 
-    /** Takes in what a source tells; returns whether the table has changed. */
-    public boolean take(String source, long life, long upTo, Collection<Item> told) {
+    /** What has come of items that come in pieces. */
+    public Snapshot snapshot() {
+        return snapshot;
+    }
+
+    /** Takes in what a source tells, with the pieces before; returns whether the table has changed. */
+    public boolean take(String source, long life, long upTo, List<Item> told) {
         vector.put(source, new long[] {life, upTo});
-        for (Item item : told) {
+        for (Item item : snapshot.end(source, life, told)) {
             Item had = items.get(item.key());
             if (had == null || item.compareTo(had) > 0) {
                 items.put(item.key(), item);
--- a/src/main/java/reedmux/item/Replica.java
+++ b/src/main/java/reedmux/item/Replica.java
@@ -28,10 +28,14 @@
         FORGOTTEN
     }
 
+    /** About what an item takes beside its name and body. */
+    private static final int ITEM = 24;
     private final Map<String, Item> inForce = new TreeMap<>();
     /** The number of the change that brought each, and each by that number. */
     private final Map<String, Long> changedAt = new HashMap<>();
     private final TreeMap<Long, Item> byChange = new TreeMap<>();
+    /** Of what is in force and the marks; null until another store compares. */
+    private Digests digests;
     /** What is in force, as it is used; null until the first call is judged, as a start does without. */
     private Table table;
     private final Map<String, Proposal> held = new LinkedHashMap<>();
@@ -163,6 +167,12 @@
                 if (table != null) {
                     table.put(item);
                 }
+                if (digests != null) {
+                    if (had != null) {
+                        digests.flip(Mark.of(had));
+                    }
+                    digests.flip(Mark.of(item));
+                }
                 news.add(item);
             } else if (item.revision() < had.revision()) {
                 mark(Mark.of(item));
@@ -239,4 +249,75 @@
     public List<Item> since(long change) {
         return new ArrayList<>(byChange.tailMap(change, false).values());
     }
+
+    // ---- Catching up ---------------------------------------------------------------------------------
+    /** Some of what has changed, in order, as of a change; {@code last}: there is no more. */
+    public record Piece(long upTo, List<Item> items, List<Mark> marks, boolean last) {
+
+        /** The first of each, at most so many. */
+        public Piece first(int most) {
+            return new Piece(upTo, items.subList(0, Math.min(most, items.size())),
+                    marks.subList(0, Math.min(most, marks.size())), false);
+        }
+
+        /** What comes behind those, or null. */
+        public Piece rest(int most) {
+            return items.size() <= most && marks.size() <= most ? null : new Piece(upTo,
+                    items.subList(Math.min(most, items.size()), items.size()),
+                    marks.subList(Math.min(most, marks.size()), marks.size()), last);
+        }
+    }
+
+    /** What has changed since a change, up to about so many bytes of it, and one change at the least. */
+    public Piece piece(long change, int bytes) {
+        List<Item> items = new ArrayList<>();
+        List<Mark> some = new ArrayList<>();
+        long at = change;
+        for (int size = 0; ; size += ITEM) {
+            Map.Entry<Long, Item> item = byChange.higherEntry(at);
+            Map.Entry<Long, Mark> mark = marks.after(at);
+            if (item == null && mark == null) {
+                return new Piece(changes, items, some, true);
+            } else if (size >= bytes) {
+                return new Piece(at, items, some, false);
+            } else if (mark == null || item != null && item.getKey() < mark.getKey()) {
+                at = item.getKey();
+                items.add(item.getValue());
+                size += item.getValue().name().length() + item.getValue().body().length();
+            } else {
+                at = mark.getKey();
+                some.add(mark.getValue());
+                size += mark.getValue().key().length();
+            }
+        }
+    }
+
+    /** Digests of all that is here. */
+    public Digests digests() {
+        if (digests == null) {
+            digests = new Digests();
+            inForce.values().forEach(item -> digests.flip(Mark.of(item)));
+            marks.digests(digests);
+        }
+        return digests;
+    }
+
+    /** All in some of the fine ranges. */
+    public Piece in(Collection<Integer> ranges) {
+        boolean[] wanted = new boolean[Digests.RANGES * Digests.RANGES];
+        ranges.forEach(range -> wanted[range] = true);
+        List<Item> items = new ArrayList<>();
+        for (Item item : inForce.values()) {
+            if (wanted[Digests.range(item.key())]) {
+                items.add(item);
+            }
+        }
+        List<Mark> some = new ArrayList<>();
+        for (Mark mark : marks.all()) {
+            if (wanted[Digests.range(mark.key())]) {
+                some.add(mark);
+            }
+        }
+        return new Piece(changes, items, some, true);
+    }
 }
--- a/src/main/java/reedmux/lab/Scenes.java
+++ b/src/main/java/reedmux/lab/Scenes.java
@@ -12,6 +12,7 @@
 import reedmux.lab.sim.QuickScenes;
 import reedmux.lab.sim.RegionTables;
 import reedmux.lab.sim.SizeScenes;
+import reedmux.lab.world.CatchUp;
 
 /** The scenes that can be run, by name. */
 public final class Scenes {
@@ -61,6 +62,8 @@
                         asked.most, asked.folder, progress)));
         ALL.put("items", new Known("what one change costs at 30 to 100,000 items, 10 s",
                 (asked, progress) -> ItemScene.run(progress)));
+        ALL.put("catch-up", new Known("bytes and time until a core machine has all again, to 100,000 items",
+                (asked, progress) -> CatchUp.run(progress)));
         ALL.put("region-storms", new Known("faults of all kinds against the rules, in virtual time",
                 (asked, progress) -> RegionTables.storms(asked.first, asked.last, progress)));
     }
--- a/src/main/java/reedmux/link/Codec.java
+++ b/src/main/java/reedmux/link/Codec.java
@@ -35,6 +35,10 @@
 import reedmux.link.Messages.News;
 import reedmux.link.Messages.Outcome;
 import reedmux.link.Messages.Ping;
+import reedmux.link.Messages.Compare;
+import reedmux.link.Messages.Differ;
+import reedmux.link.Messages.Piece;
+import reedmux.link.Messages.Resume;
 import reedmux.link.Messages.Propose;
 import reedmux.link.Messages.Pull;
 import reedmux.link.Messages.Read;
@@ -82,6 +86,10 @@
     private static final byte FETCH = 54;
     private static final byte FETCHED = 55;
     private static final byte LEAVE = 56;
+    private static final byte PIECE = 60;
+    private static final byte RESUME = 61;
+    private static final byte COMPARE = 62;
+    private static final byte DIFFER = 63;
     private static final Ballot WITHOUT = new Ballot(1, "");
     private final Output out = new Output(FIRST, Link.MOST);
 
@@ -171,7 +179,7 @@
             out.writeLong(leave.id());
             out.writeString(leave.node());
         } else {
-            throw new IllegalArgumentException("no message: " + message.getClass());
+            ofCatchingUp(message);
         }
     }
 
@@ -277,6 +285,31 @@
         }
     }
 
+    private void ofCatchingUp(Object message) {
+        if (message instanceof Piece piece) {
+            out.writeByte(PIECE);
+            out.writeLong(piece.life());
+            out.writeLong(piece.upTo());
+            items(piece.items());
+        } else if (message instanceof Resume resume) {
+            out.writeByte(RESUME);
+            out.writeLong(resume.life());
+            out.writeLong(resume.since());
+        } else if (message instanceof Compare compare) {
+            out.writeByte(COMPARE);
+            numbers(compare.ranges());
+            out.writeVarInt(compare.digests().size(), true);
+            for (long digest : compare.digests()) {
+                out.writeLong(digest);
+            }
+        } else if (message instanceof Differ differ) {
+            out.writeByte(DIFFER);
+            numbers(differ.ranges());
+        } else {
+            throw new IllegalArgumentException("no message: " + message.getClass());
+        }
+    }
+
     /** Null where the bytes are no message. */
     public Object read(byte[] bytes) {
         try {
@@ -321,10 +354,39 @@
             case FETCH -> new Fetch(in.readLong(), in.readLong(), in.readLong());
             case FETCHED -> new Fetched(in.readLong(), told(in));
             case LEAVE -> new Leave(in.readLong(), in.readString());
+            case PIECE -> new Piece(in.readLong(), in.readLong(), items(in));
+            case RESUME -> new Resume(in.readLong(), in.readLong());
+            case COMPARE -> new Compare(numbers(in), digests(in));
+            case DIFFER -> new Differ(numbers(in));
             default -> null;
         };
     }
 
+    private void numbers(List<Integer> numbers) {
+        out.writeVarInt(numbers.size(), true);
+        for (int number : numbers) {
+            out.writeVarInt(number, true);
+        }
+    }
+
+    private static List<Integer> numbers(Input in) {
+        int size = in.readVarInt(true);
+        List<Integer> all = list(size);
+        for (int i = 0; i < size; i++) {
+            all.add(in.readVarInt(true));
+        }
+        return all;
+    }
+
+    private static List<Long> digests(Input in) {
+        int size = in.readVarInt(true);
+        List<Long> all = list(size);
+        for (int i = 0; i < size; i++) {
+            all.add(in.readLong());
+        }
+        return all;
+    }
+
     private void hello(Hello hello) {
         out.writeInt(hello.form());
         out.writeString(hello.program());
--- a/src/main/java/reedmux/link/Messages.java
+++ b/src/main/java/reedmux/link/Messages.java
@@ -133,4 +133,32 @@
 
     /** To a proxy: a quorum was in touch since it began to pull, and what was in force then has been told. */
     public record Current() { }
+
+    /** Items of which more is to come; {@code upTo} is below nought where they are as of no change. */
+    public record Piece(long life, long upTo, List<Item> items) {
+        public Piece {
+            items = new ArrayList<>(items);
+        }
+    }
+
+    /** Asks for the next piece, as what came since that change is not taken in yet. */
+    public record Resume(long life, long since) { }
+
+    /**
+     * In place of a {@link Pull} where the other's life is not the one that we know: the digests of all that
+     * is here, by ranges of keys; of the coarse ranges, or of the fine ones in {@code ranges}.
+     */
+    public record Compare(List<Integer> ranges, List<Long> digests) {
+        public Compare {
+            ranges = new ArrayList<>(ranges);
+            digests = new ArrayList<>(digests);
+        }
+    }
+
+    /** The coarse ranges whose digests are others. */
+    public record Differ(List<Integer> ranges) {
+        public Differ {
+            ranges = new ArrayList<>(ranges);
+        }
+    }
 }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -41,6 +41,8 @@
 import reedmux.link.Messages.Hello;
 import reedmux.link.Messages.Items;
 import reedmux.link.Messages.News;
+import reedmux.link.Messages.Piece;
+import reedmux.link.Messages.Resume;
 import reedmux.link.Messages.Pull;
 import reedmux.link.Messages.Tell;
 import reedmux.member.Sessions;
@@ -180,7 +182,8 @@
         if (from[0] == link.other().life() && link.other().program().equals("registry")) {
             sessions.found(source);
         }
-        link.say(new Pull(from[0], from[1]));
+        long arrived = poll.snapshot().from(source, link.other().life());
+        link.say(arrived < 0 ? new Pull(from[0], from[1]) : new Resume(link.other().life(), arrived));
     }
 
     @Override
@@ -193,6 +196,9 @@
             }
             pull(link);
             begun();
+        } else if (message instanceof Piece piece) {
+            poll.snapshot().piece(link.other().node(), piece.life(), piece.upTo(), piece.items());
+            link.say(new Resume(piece.life(), piece.upTo()));
         } else if (message instanceof Current) {
             proved = true;
             begun();
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -16,12 +16,14 @@
 import reedmux.boot.Program;
 import reedmux.config.Addresses;
 import reedmux.item.Ballot;
+import reedmux.item.Digests;
 import reedmux.item.Agreement;
 import reedmux.item.Item;
 import reedmux.item.Mark;
 import reedmux.item.Membership;
 import reedmux.item.Proposal;
 import reedmux.item.Replica;
+import reedmux.item.Snapshot;
 import reedmux.link.Codec;
 import reedmux.link.Dialer;
 import reedmux.link.Link;
@@ -40,6 +42,10 @@
 import reedmux.link.Messages.Marks;
 import reedmux.link.Messages.Leave;
 import reedmux.link.Messages.Outcome;
+import reedmux.link.Messages.Compare;
+import reedmux.link.Messages.Differ;
+import reedmux.link.Messages.Piece;
+import reedmux.link.Messages.Resume;
 import reedmux.link.Messages.Propose;
 import reedmux.link.Messages.Pull;
 import reedmux.link.Messages.Read;
@@ -55,6 +61,11 @@
     private static final String PROGRAM = "store";
     private static final long LOOK = 125_000;
     private static final long HANDED_ON = 2_000_000;
+    /** About how many bytes a frame of items has, and how many items one of a repair. */
+    private static final int PIECE = 64 * 1024;
+    private static final int REPAIR = 256;
+    /** Frames that are kept for all that ask. */
+    private static final int FRAMES = 32;
 
     private final Boot boot;
     private final Reactor reactor;
@@ -84,16 +95,22 @@
     /** Proxies that are to hear of a contact which begins after their first pull. */
     private final Set<Link> unproven = new LinkedHashSet<>();
     private boolean proving;
-    /** All items as they are told, as of which change, and whether we counted ourselves then. */
-    private byte[] all;
-    private long allOf;
-    private boolean allWhole;
+    private final Snapshot snapshot = new Snapshot();
+    /** What was told since some changes, as of which change, and whether we counted ourselves then. */
+    private final Map<Long, Frame> written = new HashMap<>();
+    private long writtenAt;
+    private boolean writtenWhole;
 
     /** Who pulls: from where on, how far it was told, and what it is to hear behind that. */
     private static final class Puller {
         private boolean waits;
         private boolean begun;
         private long since = -1;
+        private boolean merged;
+        /** What is in the ranges of keys whose digests differ, and is not told yet. */
+        private Replica.Piece repair;
+        /** As of which change these ranges were read; below nought where none were. */
+        private long repairedAt = -1;
         /** The last change that it has been told by us while we counted ourselves. */
         private long told = -1;
         /** Contacts that it asked for, and as of which change they are answered. */
@@ -161,8 +178,22 @@
         tellCore(link);
         if (dialled(link)) {
             membership.met(reactor.now(), link.other().ip(), link.other().node());
-            long[] from = vector.getOrDefault(link.other().ip(), new long[] {0, 0});
+            pull(link);
+        }
+    }
+
+    /** Asks for what we lack: from where we are, or after digests were compared where nobody knows that. */
+    private void pull(Link link) {
+        String ip = link.other().ip();
+        long life = link.other().life();
+        long[] from = vector.getOrDefault(ip, new long[] {0, 0});
+        long arrived = snapshot.from(ip, life);
+        if (arrived >= 0) {
+            link.say(new Resume(life, arrived));
+        } else if (from[0] == life || replica.changes() == 0) {
             link.say(new Pull(from[0], from[1]));
+        } else {
+            link.say(new Compare(List.of(), replica.digests().of(List.of())));
         }
     }
 
@@ -192,7 +223,20 @@
     public void told(Link link, Object message) {
         long now = reactor.now();
         if (message instanceof Pull pull) {
-            pulled(link, pull.life() == self.life() ? pull.since() : -1);
+            pulled(link, pull.life() == self.life() ? pull.since() : -1, true);
+        } else if (message instanceof Resume resume) {
+            pulled(link, resume.life() == self.life() ? resume.since() : -1, false);
+        } else if (message instanceof Piece piece) {
+            snapshot.piece(link.other().ip(), piece.life(), piece.upTo(), piece.items());
+            link.say(new Resume(piece.life(), piece.upTo()));
+        } else if (message instanceof Compare compare) {
+            compare(link, compare);
+        } else if (message instanceof Differ differ) {
+            if (differ.ranges().stream().allMatch(range -> range >= 0 && range < Digests.RANGES)) {
+                link.say(new Compare(differ.ranges(), replica.digests().of(differ.ranges())));
+            } else {
+                link.close();
+            }
         } else if (message instanceof Items items) {
             take(link, items);
         } else if (message instanceof Ask ask) {
@@ -236,11 +280,27 @@
         return puller;
     }
 
-    private void pulled(Link link, long since) {
+    private void compare(Link link, Compare told) {
+        List<Integer> others = replica.digests().others(told.ranges(), told.digests());
+        if (others == null) {
+            reactor.wrong("digests of no sense from " + link.other().node());
+            link.close();
+        } else if (told.ranges().isEmpty() && !others.isEmpty()) {
+            link.say(new Differ(others));
+        } else {
+            puller(link).repair = others.isEmpty() ? null : replica.in(others);
+            puller(link).repairedAt = replica.changes();
+            pulled(link, replica.changes(), false);
+        }
+    }
+
+    /** {@code merged}: what was told up to then is in force there. */
+    private void pulled(Link link, long since, boolean merged) {
         Puller puller = puller(link);
         puller.waits = true;
-        puller.since = since;
-        puller.told = since;
+        puller.since = !merged && since < 0 ? puller.repairedAt : since;
+        puller.merged = merged;
+        puller.told = merged ? since : -1;
         pulling.add(link);
         answer(link);
         follow(link);
@@ -344,49 +404,71 @@
                 List.copyOf(replica.held().values()));
     }
 
+    /** One frame at a time, so that a snapshot keeps nothing else waiting. */
     private void answer(Link link) {
         Puller puller = puller(link);
+        boolean store = link.other().program().equals(PROGRAM);
         // A store that has come back is told even that there is nothing new: it counts nobody before it is told.
-        boolean first = !puller.begun && link.other().program().equals(PROGRAM);
-        if (puller.waits && (first || puller.since < 0 || replica.changes() > puller.since)) {
-            puller.waits = false;
-            puller.begun = true;
-            pulling.remove(link);
-            long since = Math.max(0, puller.since);
+        boolean first = store && !puller.begun;
+        if (!puller.waits || !first && puller.since >= 0 && puller.merged && replica.changes() <= puller.since
+                || puller.since < 0 && !store && !agreement.whole()) {
+            return;
+        }
+        puller.waits = false;
+        puller.begun = true;
+        pulling.remove(link);
+        long since = Math.max(0, puller.since);
+        if (!store) {
+            Frame frame = news(since);
+            puller.told = frame.last && agreement.whole() ? replica.changes() : -1;
+            link.send(frame.bytes);
+            return;
+        }
+        Replica.Piece piece = puller.repair != null ? puller.repair.first(REPAIR)
+                : replica.piece(since, PIECE);
+        if (!piece.marks().isEmpty()) {
+            link.say(new Marks(piece.marks()));
+        }
+        if (puller.repair != null) {
+            puller.repair = puller.repair.rest(REPAIR);
+            link.say(new Piece(self.life(), -1, piece.items()));
+        } else if (!piece.last()) {
+            link.say(new Piece(self.life(), piece.upTo(), piece.items()));
+        } else {
             puller.told = agreement.whole() ? replica.changes() : -1;
-            if (link.other().program().equals(PROGRAM)) {
-                List<Mark> marks = replica.marksSince(since);
-                if (!marks.isEmpty()) {
-                    link.say(new Marks(marks));
-                }
-                link.say(items(since));
-            } else {
-                link.send(news(since));
-            }
+            link.say(new Items(self.life(), piece.upTo(), agreement.whole(), piece.items(),
+                    List.copyOf(replica.held().values())));
         }
     }
 
-    /** What has come into force since a change; all of it is written once for all that ask. */
-    private byte[] news(long since) {
-        if (since > 0) {
-            return codec.write(new Items(self.life(), replica.changes(), agreement.whole(),
-                    replica.since(since),
-                    List.of()));
+    /** What is told to programs that hold nothing, as it is written; {@code last}: there is no more. */
+    private record Frame(byte[] bytes, boolean last) { }
+
+    /** What has come into force since a change; it is written once for all that ask from there. */
+    private Frame news(long since) {
+        if (writtenAt != replica.changes() || writtenWhole != agreement.whole() || written.size() > FRAMES) {
+            written.clear();
+            writtenAt = replica.changes();
+            writtenWhole = agreement.whole();
         }
-        if (all == null || allOf != replica.changes() || allWhole != agreement.whole()) {
-            allOf = replica.changes();
-            allWhole = agreement.whole();
-            all = codec.write(new Items(self.life(), allOf, allWhole, replica.since(0), List.of()));
+        Frame frame = written.get(since);
+        if (frame == null) {
+            Replica.Piece piece = replica.piece(since, PIECE);
+            frame = new Frame(codec.write(piece.last() ? new Items(self.life(), piece.upTo(), writtenWhole,
+                    piece.items(), List.of()) : new Piece(self.life(), piece.upTo(), piece.items())),
+                    piece.last());
+            written.put(since, frame);
         }
-        return all;
+        return frame;
     }
 
     /** Another store tells what is in force there. */
     private void take(Link link, Items told) {
         vector.put(link.other().ip(), new long[] {told.life(), told.upTo()});
-        List<Item> news = replica.lacking(told.items());
+        List<Item> all = snapshot.end(link.other().ip(), told.life(), told.items());
+        List<Item> news = replica.lacking(all);
         boolean before = agreement.whole();
-        agreement.met(reactor.now(), link.other().ip(), told.whole(), told.items(), told.held());
+        agreement.met(reactor.now(), link.other().ip(), told.whole(), all, told.held());
         if (!news.isEmpty()) {
             storage.merged(news);
         }
