Calls: an answer goes to its own request alone; a byte sent may have run

Also: quota given back twice, a second copy of a body that still comes in, 504 for what met no checker, a further try after a part of a request had gone out, bounds that fell and closed connections within the rest that their clients were told. ClientWire stands on an interface, CheckerPool is out of Proxy, so both are tried over scripted sockets.

--- a/src/main/java/reedmux/attempt/Event.java
+++ b/src/main/java/reedmux/attempt/Event.java
@@ -26,6 +26,9 @@
     /** Nobody waits for the answer any more. */
     record ClientLeft(Exchange exchange) implements Event { }
 
+    /** The process ends: who still waits for a checker is told so. */
+    record Ending() implements Event { }
+
     /** There may be room at a checker. */
     record Room() implements Event { }
 }
--- a/src/main/java/reedmux/attempt/Exchange.java
+++ b/src/main/java/reedmux/attempt/Exchange.java
@@ -30,6 +30,8 @@
     private final long takenAt;
     private final long deadline;
     State state = State.NEW;
+    /** Its place in the queue while it waits. */
+    long number;
     String plant;
     /** Sendings that may have arrived at a checker, and those that certainly did not. */
     int sent;
@@ -72,6 +74,16 @@
         return sent == 0 && !mayHaveRun;
     }
 
+    /** Whether it is at no checker, and nothing of it may be. */
+    boolean neverOffered() {
+        for (Try one : live) {
+            if (one.up()) {
+                return false;
+            }
+        }
+        return !mayHaveRun;
+    }
+
     int priority() {
         return tenant != null && tenant.priority() >= 0 ? tenant.priority() : route.priority();
     }
--- a/src/main/java/reedmux/attempt/Requests.java
+++ b/src/main/java/reedmux/attempt/Requests.java
@@ -89,6 +89,10 @@
             deadline(passed.exchange());
         } else if (event instanceof Event.ClientLeft left) {
             left(left.exchange());
+        } else if (event instanceof Event.Ending) {
+            while (!waiting.isEmpty()) {
+                refuse(waiting.first().exchange(), "this process ends");
+            }
         } else {
             room();
         }
@@ -135,6 +139,7 @@
         if (checker == null) {
             return false;
         }
+        leaveQueue(exchange);
         exchange.state = Exchange.State.TRYING;
         exchange.tried.add(checker.id());
         if (!further) {
@@ -155,10 +160,18 @@
 
     private void await(Exchange exchange) {
         exchange.state = Exchange.State.WAITING;
-        waiting.add(new Waiting(exchange.priority(), ++arrivals, exchange));
+        exchange.number = ++arrivals;
+        waiting.add(new Waiting(exchange.priority(), exchange.number, exchange));
         effects.later(now + (long) (WAIT * exchange.route().aim()), new Event.WaitOver(exchange));
         if (waiting.size() > MOST_WAITING) {
-            refuse(waiting.pollLast().exchange(), "too many requests wait");
+            refuse(waiting.last().exchange(), "too many requests wait");
+        }
+    }
+
+    /** Only who waits is in the queue: an answer to who has had one would be another request's. */
+    private void leaveQueue(Exchange exchange) {
+        if (exchange.state == Exchange.State.WAITING) {
+            waiting.remove(new Waiting(exchange.priority(), exchange.number, exchange));
         }
     }
 
@@ -166,11 +179,7 @@
         for (Waiting next = waiting.isEmpty() ? null : waiting.first(); next != null;
                 next = waiting.higher(next)) {
             Exchange exchange = next.exchange();
-            if (exchange.state != Exchange.State.WAITING) {
-                waiting.remove(next);
-            } else if (place(exchange, exchange.sent + exchange.unreached > 0)) {
-                waiting.remove(next);
-            }
+            place(exchange, exchange.sent + exchange.unreached > 0);
         }
     }
 
@@ -245,7 +254,7 @@
     /** A copy at a second checker, while the first one is awaited. */
     private void slow(Exchange exchange) {
         if (exchange.state == Exchange.State.TRYING && exchange.live.size() == 1
-                && exchange.source().sendable()
+                && exchange.source().whole()
                 && exchange.sent < exchange.route().attempts() && budget.has(exchange.plant, 1)
                 && now + LEAST_LEFT < exchange.deadline() && place(exchange, true)) {
             budget.take(exchange.plant);
@@ -255,6 +264,8 @@
     private void deadline(Exchange exchange) {
         if (exchange.state == Exchange.State.WAITING) {
             refuse(exchange, "no checker has room");
+        } else if (exchange.state == Exchange.State.TRYING && exchange.neverOffered()) {
+            List.copyOf(exchange.live).forEach(effects::giveUp); // refused as that is over
         } else if (exchange.state != Exchange.State.OVER) {
             over(exchange, new Answer.Own(504, "no answer in time", -1));
             endUnfinished(exchange);
@@ -271,6 +282,7 @@
     private void left(Exchange exchange) {
         if (exchange.state != Exchange.State.OVER) {
             boolean free = exchange.neverRan();
+            leaveQueue(exchange);
             exchange.state = Exchange.State.OVER;
             if (free) {
                 effects.neverRan(exchange);
@@ -289,8 +301,20 @@
     }
 
     private void over(Exchange exchange, Answer answer) {
+        leaveQueue(exchange);
         exchange.state = Exchange.State.OVER;
-        effects.answer(exchange, answer);
+        effects.answer(exchange, sound(answer));
+    }
+
+    /** A status that promises that a request was not run is passed on only where the checker has said so. */
+    private static Answer sound(Answer answer) {
+        if (answer instanceof Answer.OfChecker told && !told.notRun()) {
+            int status = told.head().status();
+            if (status == 429 || status == 503 || status == 408 || status == 421) {
+                return new Answer.Own(502, "a checker failed", -1);
+            }
+        }
+        return answer;
     }
 
 }
--- a/src/main/java/reedmux/item/Bounds.java
+++ b/src/main/java/reedmux/item/Bounds.java
@@ -7,6 +7,12 @@
     /** What holds before there is an item. */
     public static final Bounds USUAL = new Bounds(16_384, 64 << 20, 3_000_000, 15_000_000);
 
+    /** Whatever either of the two allows. */
+    public Bounds loosest(Bounds other) {
+        return new Bounds(Math.max(headerBytes, other.headerBytes), Math.max(bodyBytes, other.bodyBytes),
+                Math.max(headerTime, other.headerTime), Math.max(idleTime, other.idleTime));
+    }
+
     static Bounds of(Item item) throws Invalid {
         Map<String, Object> map = Json.map(Json.read(item.body()), "saturation");
         return new Bounds((int) Json.number(map.get("headerBytes"), USUAL.headerBytes,
--- a/src/main/java/reedmux/link/Frame.java
+++ b/src/main/java/reedmux/link/Frame.java
@@ -4,9 +4,9 @@
 import com.esotericsoftware.kryo.io.Input;
 
 /**
- * The bytes of one message, which may be anybody's: a text that says it is longer than what is left, or that it
- * is none, is refused before there is room made for it. Kryo makes that room first, and a process that runs
- * out of memory by it ends.
+ * The bytes of one message, which may be anybody's: a text that says it is longer than what is left, or
+ * that it is none, is refused before there is room made for it. Kryo makes that room first, and a process
+ * that runs out of memory by it ends.
  */
 final class Frame extends Input {
 
--- a/src/main/java/reedmux/message/HeadReader.java
+++ b/src/main/java/reedmux/message/HeadReader.java
@@ -32,7 +32,7 @@
                 end = i;
             }
         }
-        if (end < 0 ? available > most : end > most) {
+        if (end < 0 ? available > most + 3 : end > most) { // the empty line at its end is no part of it
             throw new BadMessage(TOO_LARGE, "the head is too large");
         } else if (end < 0) {
             looked = available;
--- a/src/main/java/reedmux/proxy/CheckerWire.java
+++ b/src/main/java/reedmux/proxy/CheckerWire.java
@@ -44,7 +44,6 @@
     private int pieces;
     private boolean chunked;
     private boolean written;
-    private long total;
     private long before;
     private Head head;
     private BodyReader body;
@@ -102,7 +101,6 @@
         Upload upload = request.upload();
         byte[] first = request.headFor(current, reactor.now());
         chunked = upload != null && upload.length() < 0;
-        total = first.length;
         wire.write(first);
         if (upload == null) {
             written = true;
@@ -141,7 +139,6 @@
     }
 
     private void write(byte[] some) {
-        total += some.length;
         wire.write(some);
     }
 
@@ -251,14 +248,17 @@
         owner.ended(this, what, verdict, answer);
     }
 
-    /** It has ended with no whole answer. */
+    /**
+     * It has ended with no whole answer. Only a request of which no byte went out has certainly not run:
+     * whether a checker begins with one that has not come whole is its own affair.
+     */
     private void broken() {
         Try what = current;
-        boolean all = written && wire.sent() - before >= total;
+        boolean out = what != null && what.up() && wire.sent() > before;
         wire.close();
         last = true;
         if (what != null) {
-            end(what.up() && all ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, null);
+            end(out ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, null);
         } else {
             shut();
         }
@@ -269,9 +269,11 @@
         broken();
     }
 
-    /** Gives up a request: only what has not gone out whole is certain not to run. */
-    void giveUp() {
-        broken();
+    /** Gives up a request, if it is still under way here. */
+    void giveUp(Try what) {
+        if (what == current) {
+            broken();
+        }
     }
 
     void shut() {
--- a/src/main/java/reedmux/proxy/ClientWire.java
+++ b/src/main/java/reedmux/proxy/ClientWire.java
@@ -19,7 +19,32 @@
     private static final int TIMEOUT = 408;
     private static final int TOO_LARGE = 413;
 
-    private final Proxy proxy;
+    /** What a connection needs to know, and where its requests go. */
+    interface Front {
+        long now();
+
+        /** Has something done in a later turn. */
+        void soon(Runnable task);
+
+        Bounds bounds();
+
+        /** Whether answers are the last ones on their connections. */
+        boolean leaving();
+
+        /** Whether a request is to wait for the end of a start; then {@link #resume()} follows. */
+        boolean park(ClientWire client, Head head);
+
+        Proxy.Reading read(ClientWire client, Head head, Upload upload);
+
+        void launch(ClientRequest request);
+
+        /** Nobody waits for a request any more; {@code launched}: it was sent on, perhaps. */
+        void left(ClientRequest request, boolean launched);
+
+        void gone(ClientWire client);
+    }
+
+    private final Front proxy;
     private final Wire wire;
     private final HeadReader heads = new HeadReader(true);
     private ClientRequest request;
@@ -33,14 +58,17 @@
     private long since;
     private boolean reading;
     private long movedAt;
+    /** How long it may rest, as its client was told: a bound that falls holds from the next answer on. */
+    private long rest;
     /** A request that waits for what the proxy has to know, and when its head was whole. */
     private Head parked;
     private long headAt;
 
-    ClientWire(Proxy proxy, Wire wire) {
+    ClientWire(Front proxy, Wire wire) {
         this.proxy = proxy;
         this.wire = wire;
         since = movedAt = proxy.now();
+        rest = proxy.bounds().idleTime();
         wire.owner(this);
     }
 
@@ -131,10 +159,16 @@
             wire.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
         }
         if (upload != null) {
-            upload.onRoom(() -> wire.pause(false));
+            upload.onRoom(this::goOn);
         }
     }
 
+    /** There is room for more of the body; until now it was we who held it up. */
+    private void goOn() {
+        movedAt = proxy.now();
+        wire.pause(false);
+    }
+
     private boolean readBody() throws BadMessage {
         BodyReader reader = body;
         Upload to = upload;
@@ -168,8 +202,14 @@
         return reader.whole();
     }
 
-    /** The one answer to the request that is under way. */
-    void answer(Answer answer) {
+    /** The one answer to a request, if it is still the one that is under way here. */
+    void answer(ClientRequest to, Answer answer) {
+        if (to == request) {
+            answer(answer);
+        }
+    }
+
+    private void answer(Answer answer) {
         if (answered || !wire.isOpen() || closing) {
             return;
         }
@@ -207,7 +247,8 @@
         if (last) {
             out.add("Connection", "close");
         } else {
-            out.add("Keep-Alive", "timeout=" + Math.max(1, proxy.bounds().idleTime() / SECOND - 1));
+            rest = proxy.bounds().idleTime();
+            out.add("Keep-Alive", "timeout=" + Math.max(1, rest / SECOND - 1));
         }
         byte[] first = out.bytes();
         byte[] all = headOnly ? first : Arrays.copyOf(first, first.length + content.length);
@@ -266,8 +307,8 @@
     }
 
     private void fail(BadMessage bad) {
-        ClientRequest was = request;
-        boolean out = launched && !answered;
+        ClientRequest was = answered ? null : request; // one that has its answer has its end
+        boolean out = launched;
         keep = false;
         answer(new Answer.Own(bad.status(), bad.getMessage(), -1));
         if (!closing) {
@@ -317,7 +358,8 @@
                 }
             }
         } else if (request == null && body == null && parked == null
-                && (now - since > bounds.idleTime() || closesIdle && wire.available() == 0)) {
+                && (now - since > Math.max(rest, bounds.idleTime())
+                || closesIdle && wire.available() == 0)) {
             wire.close();
             proxy.gone(this);
         }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -2,11 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -16,12 +13,10 @@
 import reedmux.attempt.Exchange;
 import reedmux.attempt.Requests;
 import reedmux.attempt.Try;
-import reedmux.attempt.Verdict;
 import reedmux.boot.Boot;
 import reedmux.boot.BootException;
 import reedmux.boot.Program;
 import reedmux.budget.RetryBudget;
-import reedmux.choice.Checker;
 import reedmux.choice.Roster;
 import reedmux.config.Addresses;
 import reedmux.fleet.Fleet;
@@ -60,7 +55,7 @@
  * Carries the traffic: clients on one side, checkers on the other, and what it has to know pulled from the
  * core.
  */
-public final class Proxy implements Program, Link.Owner, Requests.Effects, CheckerWire.Owner {
+public final class Proxy implements Program, Link.Owner, Requests.Effects, ClientWire.Front {
     private static final String PROGRAM = "proxy";
     private static final long SECOND = 1_000_000;
     private static final long LINGER = 2 * SECOND;
@@ -74,6 +69,10 @@
     /** After SIGTERM new connections still come for about two seconds. */
     private static final long STAYS = 3 * SECOND;
     private static final int DESCRIPTORS_KEPT = 400;
+    /** So long after a change of the bounds clients may still go by the ones before. */
+    private static final long NARROWS = 5 * SECOND;
+    /** A look that comes so late was held up, and what came in meanwhile has not been read. */
+    private static final long HELD_UP = SECOND;
     /** Of further tries, where the settings file does not say. */
     private static final double RATIO = 0.1;
     private static final double SLACK = 10;
@@ -103,12 +102,17 @@
     private final Map<String, long[]> vector = new HashMap<>();
     private final Datagrams peers;
     private final Set<ClientWire> clients = new LinkedHashSet<>();
-    private final Map<Checker, Deque<CheckerWire>> idle = new LinkedHashMap<>();
+    private final CheckerPool pool;
     /** Clients whose requests wait for the end of our start. */
     private final Set<ClientWire> parked = new LinkedHashSet<>();
     private final int mostClients;
     private final long grace;
     private View view = View.of(List.of());
+    /** What clients may send, and what they might before a change that they need not have heard of. */
+    private Bounds bounds;
+    private Bounds wide;
+    private long narrowsAt;
+    private long lookedAt;
     private boolean ready;
     /** Whether a store has told all that was in force when it was in touch with a quorum, after our start. */
     private boolean proved;
@@ -124,7 +128,7 @@
         // First of all, so that after a restart clients wait for us and are not turned away.
         new Listener(reactor, boot.socket("front"), this::client);
         new Listener(reactor, boot.socket("ready"), wire -> new Calls(reactor, wire, this::readiness));
-        bornAt = reactor.now();
+        bornAt = lookedAt = reactor.now();
         long life = reactor.draw() ^ (long) boot.node().hashCode() << 32;
         core = new Core(boot, false);
         self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(), life, core.machines());
@@ -134,6 +138,7 @@
                 boot.figure("envelope.retrySlack", SLACK),
                 !boot.coldStart());
         requests = new Requests(this, roster, budget, life);
+        pool = new CheckerPool(reactor, requests);
         mostClients = Math.max(64, (int) boot.figure("saturation.fdLimit", 1024) - DESCRIPTORS_KEPT);
         grace = (long) (boot.figure("envelope.graceS", 6) * SECOND);
         core.others(boot.storePort()).forEach(this::dial);
@@ -149,19 +154,30 @@
                 new InetSocketAddress(store.getAddress(), boot.registryPort()), this));
     }
 
-    long now() {
+    @Override
+    public long now() {
         return reactor.now();
     }
 
-    void soon(Runnable task) {
+    @Override
+    public void soon(Runnable task) {
         reactor.execute(task);
     }
 
-    Bounds bounds() {
-        return poll.table() == null ? Bounds.USUAL : poll.table().bounds();
+    @Override
+    public Bounds bounds() {
+        Bounds next = poll.table() == null ? Bounds.USUAL : poll.table().bounds();
+        if (next != bounds) {
+            Bounds before = now() < narrowsAt ? wide : bounds;
+            wide = before == null ? next : before.loosest(next);
+            narrowsAt = now() + NARROWS;
+            bounds = next;
+        }
+        return now() < narrowsAt ? wide : next;
     }
 
-    boolean leaving() {
+    @Override
+    public boolean leaving() {
         return leavingAt >= 0;
     }
 
@@ -260,7 +276,8 @@
      * Whether a request is to wait for the end of our start: where that is likely to come so soon that it is
      * still in time. It goes on by itself, at the latest when its part of the time is over.
      */
-    boolean park(ClientWire client, Head head) {
+    @Override
+    public boolean park(ClientWire client, Head head) {
         if (serves()) {
             return false;
         }
@@ -338,7 +355,8 @@
         }
     }
 
-    void gone(ClientWire client) {
+    @Override
+    public void gone(ClientWire client) {
         clients.remove(client);
         parked.remove(client);
     }
@@ -364,7 +382,8 @@
     }
 
     /** Judges a request by its head. */
-    Reading read(ClientWire client, Head head, Upload upload) {
+    @Override
+    public Reading read(ClientWire client, Head head, Upload upload) {
         Table table = poll.table();
         if (!serves()) {
             // A request that waits here is late; one that comes back soon is new.
@@ -422,12 +441,14 @@
                 : Long.parseLong(told);
     }
 
-    void launch(ClientRequest request) {
+    @Override
+    public void launch(ClientRequest request) {
         requests.on(now(), new Event.Taken(request.exchange()));
     }
 
     /** Nobody waits for a request any more; {@code launched}: it was sent on, perhaps. */
-    void left(ClientRequest request, boolean launched) {
+    @Override
+    public void left(ClientRequest request, boolean launched) {
         if (!launched) {
             neverRan(request.exchange());
             return;
@@ -438,42 +459,17 @@
     // ---- What requests call for --------------------------------------------------------------------
     @Override
     public void send(Try what) {
-        ClientRequest request = (ClientRequest) what.exchange().source();
-        Deque<CheckerWire> kept = idle.get(what.checker());
-        while (kept != null && !kept.isEmpty()) {
-            CheckerWire wire = kept.pollLast();
-            if (wire.usable(now())) {
-                wire.carry(what, request);
-                return;
-            }
-            wire.shut();
-        }
-        try {
-            new CheckerWire(reactor, what.checker(), this).carry(what, request);
-        } catch (IOException e) {
-            soon(() -> requests.on(now(), new Event.Ended(what, Verdict.NOT_RUN, null)));
-        }
+        pool.send(what, (ClientRequest) what.exchange().source());
     }
 
     @Override
     public void giveUp(Try what) {
-        ((CheckerWire) what.carrier()).giveUp();
+        pool.giveUp(what);
     }
 
     @Override
     public void answer(Exchange exchange, Answer answer) {
-        ((ClientRequest) exchange.source()).client().answer(sound(exchange, answer));
-    }
-
-    /** A promise that is not the checker's to break: what is said to be not run but may have is a failure. */
-    private static Answer sound(Exchange exchange, Answer answer) {
-        if (answer instanceof Answer.OfChecker told && !told.notRun()) {
-            int status = told.head().status();
-            if (status == 429 || status == 503 || status == 408 || status == 421) {
-                return new Answer.Own(502, "a checker failed", -1);
-            }
-        }
-        return answer;
+        ((ClientRequest) exchange.source()).client().answer((ClientRequest) exchange.source(), answer);
     }
 
     @Override
@@ -488,41 +484,19 @@
         reactor.at(at, () -> requests.on(now(), event));
     }
 
-    @Override
-    public void ended(CheckerWire wire, Try what, Verdict verdict, Answer.OfChecker answer) {
-        requests.on(now(), new Event.Ended(what, verdict, answer));
-    }
-
-    @Override
-    public void free(CheckerWire wire) {
-        idle.computeIfAbsent(wire.checker(), checker -> new ArrayDeque<>()).add(wire);
-    }
-
-    @Override
-    public void gone(CheckerWire wire) {
-        Deque<CheckerWire> kept = idle.get(wire.checker());
-        if (kept != null) {
-            kept.remove(wire);
-        }
-    }
-
     // ---- Now and then ------------------------------------------------------------------------------
     private void look() {
         members();
         roster.look();
-        for (Deque<CheckerWire> kept : List.copyOf(idle.values())) {
-            for (CheckerWire wire : List.copyOf(kept)) {
-                if (wire.stale(now()) || wire.checker().life().phase() != Incarnation.READY) {
-                    wire.shut();
-                }
-            }
-        }
-        idle.values().removeIf(Deque::isEmpty);
+        pool.look();
         boolean closesIdle = leaving() && now() - leavingAt > STAYS;
-        for (ClientWire client : List.copyOf(clients)) {
+        boolean heldUp = now() - lookedAt > HELD_UP;
+        lookedAt = now();
+        for (ClientWire client : heldUp ? List.<ClientWire>of() : List.copyOf(clients)) {
             client.look(now(), closesIdle);
         }
         if (closesIdle && clients.isEmpty() || leaving() && now() - leavingAt > grace - SECOND / 3) {
+            requests.on(now(), new Event.Ending());
             reactor.end();
         }
     }
