Checkers have an owner: registries tell each other changes, not each beat

Cause: each second each registry told each other one all checkers heard of, also those it had by the others: bytes and work of all control machines rise with checkers times registries (2.8 MB/s a link at 140,000 on paper). A proxy told all checkers it knows at each link with a registry.

Ruled out: ages of what was heard, told on (two that tell each other refresh a third that is gone); a last word by the owner alone (who was cut off could call its checkers silent for good).

Change: the registry that a checker calls owns it (the highest number of a call holds) and names itself as beatTarget; others hear of changes of phase, silence and owner. Each second registries tell how far they heard each count; who has an owner is heard of as long as that one is, and has its time once it is not. An owner refutes who took its checker for silent. While a registry misses another, three proxies pass its count on. A new holder of an address elsewhere ends the old one by its owner's clock. A registry that started asks three proxies for what they know. FleetTest used the message that is gone; the same is now tested by a call.

--- a/src/main/java/reedmux/link/Codec.java
+++ b/src/main/java/reedmux/link/Codec.java
@@ -18,7 +18,7 @@
 import reedmux.item.Proposal;
 import reedmux.link.Messages.Adjust;
 import reedmux.link.Messages.Ask;
-import reedmux.link.Messages.Beats;
+import reedmux.link.Messages.Contacts;
 import reedmux.link.Messages.Confirm;
 import reedmux.link.Messages.Confirmed;
 import reedmux.link.Messages.Current;
@@ -69,7 +69,7 @@
     private static final byte DECIDED_WITHOUT = 10;
     private static final byte TELL = 11;
     private static final byte KNOWN = 12;
-    private static final byte BEATS = 13;
+    private static final byte CONTACTS = 19;
     private static final byte PACKET = 14;
     private static final byte PROPOSE = 15;
     private static final byte DECIDED = 16;
@@ -110,9 +110,9 @@
         } else if (message instanceof News news) {
             out.writeByte(NEWS);
             news(news);
-        } else if (message instanceof Beats beats) {
-            out.writeByte(BEATS);
-            beats(beats);
+        } else if (message instanceof Contacts contacts) {
+            out.writeByte(CONTACTS);
+            contacts(contacts);
         } else if (message instanceof Hello hello) {
             out.writeByte(HELLO);
             hello(hello);
@@ -326,9 +326,10 @@
             case PACKET -> packet(in);
             case PING -> new Ping();
             case PULL -> new Pull(in.readLong(), in.readLong());
-            case NEWS -> new News(in.readLong(), in.readLong(), lives(in), differences(in));
             case ITEMS -> told(in);
-            case BEATS -> beats(in);
+            case NEWS -> new News(in.readLong(), in.readLong(), lives(in), owned(in),
+                    differences(in));
+            case CONTACTS -> contacts(in);
             case HELLO -> new Hello(in.readInt(), in.readString(), in.readString(), in.readString(),
                     in.readString(), in.readLong(), texts(in));
             case TELL -> new Tell(in.readLong(), lives(in));
@@ -422,6 +423,7 @@
         out.writeLong(news.life());
         out.writeLong(news.upTo());
         lives(news.lives());
+        owned(news.owned());
         Differences sessions = news.sessions();
         out.writeBoolean(sessions.whole());
         out.writeVarInt(sessions.begun().size(), true);
@@ -519,22 +521,39 @@
         return all;
     }
 
-    private void beats(Beats beats) {
-        out.writeVarInt(beats.heard().size(), true);
-        for (Fleet.Heard heard : beats.heard()) {
-            out.writeString(heard.id());
-            out.writeVarLong(heard.seq(), true);
-            out.writeVarLong(heard.agoMs(), true);
+    private void contacts(Contacts contacts) {
+        out.writeVarInt(contacts.heard().size(), true);
+        for (Fleet.Contact contact : contacts.heard()) {
+            out.writeLong(contact.process());
+            out.writeVarLong(contact.count(), true);
         }
     }
 
-    private static Beats beats(Input in) {
+    private static Contacts contacts(Input in) {
         int size = in.readVarInt(true);
-        List<Fleet.Heard> all = list(size);
+        List<Fleet.Contact> all = list(size);
         for (int i = 0; i < size; i++) {
-            all.add(new Fleet.Heard(in.readString(), in.readVarLong(true), in.readVarLong(true)));
+            all.add(new Fleet.Contact(in.readLong(), in.readVarLong(true)));
         }
-        return new Beats(all);
+        return new Contacts(all);
+    }
+
+    private void owned(List<Fleet.Owned> owned) {
+        out.writeVarInt(owned.size(), true);
+        for (Fleet.Owned one : owned) {
+            out.writeString(one.id());
+            out.writeVarLong(one.seq(), true);
+            out.writeLong(one.process());
+        }
+    }
+
+    private static List<Fleet.Owned> owned(Input in) {
+        int size = in.readVarInt(true);
+        List<Fleet.Owned> all = list(size);
+        for (int i = 0; i < size; i++) {
+            all.add(new Fleet.Owned(in.readString(), in.readVarLong(true), in.readLong()));
+        }
+        return all;
     }
 
     private void packet(Quotas.Packet packet) {
--- a/src/main/java/reedmux/link/Messages.java
+++ b/src/main/java/reedmux/link/Messages.java
@@ -49,11 +49,13 @@
 
     /**
      * What has changed at a registry: lives of checkers, and sessions: its own for another registry, the view
-     * for a proxy.
+     * for a proxy; for another registry also which process each checker calls.
      */
-    public record News(long life, long upTo, List<Incarnation> lives, Differences sessions) {
+    public record News(long life, long upTo, List<Incarnation> lives, List<Fleet.Owned> owned,
+            Differences sessions) {
         public News {
             lives = new ArrayList<>(lives);
+            owned = new ArrayList<>(owned);
         }
     }
 
@@ -108,9 +110,9 @@
 
     public record Known(long id) { }
 
-    /** Which checkers a registry has heard of lately. */
-    public record Beats(List<Fleet.Heard> heard) {
-        public Beats {
+    /** How far registries have been heard to count, each second while it lives; proxies pass it on. */
+    public record Contacts(List<Fleet.Contact> heard) {
+        public Contacts {
             heard = new ArrayList<>(heard);
         }
     }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -33,6 +33,7 @@
 import reedmux.link.Messages;
 import reedmux.link.Messages.Current;
 import reedmux.link.Messages.CoreTold;
+import reedmux.link.Messages.Contacts;
 import reedmux.link.Messages.Hello;
 import reedmux.link.Messages.Items;
 import reedmux.link.Messages.News;
@@ -186,9 +187,6 @@
     public void up(Link link) {
         core.learn(link.other().core(), boot.storePort()).forEach(this::dial);
         pull(link);
-        if (link.other().program().equals("registry")) {
-            link.say(new Tell(0, List.copyOf(fleet.all(now())))); // it may have lost what we know
-        }
     }
 
     private void pull(Link link) {
@@ -232,6 +230,14 @@
             begun();
         } else if (message instanceof CoreTold told) {
             core(told.core());
+        } else if (message instanceof Pull) { // a registry that has started may have lost what we know
+            link.say(new Tell(0, List.copyOf(fleet.all(now()))));
+        } else if (message instanceof Contacts) { // of one that others may not be able to hear
+            for (Dialer other : registries) {
+                if (other.link() != null && other.link() != link) {
+                    other.link().say(message);
+                }
+            }
         }
     }
 
--- a/src/main/java/reedmux/registry/Registry.java
+++ b/src/main/java/reedmux/registry/Registry.java
@@ -22,8 +22,8 @@
 import reedmux.link.Link;
 import reedmux.link.Messages;
 import reedmux.item.Members;
-import reedmux.link.Messages.Beats;
 import reedmux.link.Messages.CoreTold;
+import reedmux.link.Messages.Contacts;
 import reedmux.link.Messages.Hello;
 import reedmux.link.Messages.Known;
 import reedmux.link.Messages.News;
@@ -57,6 +57,8 @@
     /** So long for each that pulls, news are gathered before they are told. */
     private static final long GATHER = 2_000;
     private static final long MOST_GATHER = 200_000;
+    /** How many proxies tell of us those who cannot hear us, and us what we have forgotten. */
+    private static final int WITNESSES = 3;
     private static final int GOOD = 200;
     private static final int LATER = 503;
 
@@ -67,7 +69,7 @@
     private final Hello self;
     /** Numbers each change of lives and of sessions. */
     private final Counter counter = new Counter();
-    private final Fleet fleet = new Fleet(counter);
+    private final Fleet fleet;
     private final Sessions sessions = new Sessions(LINGER, counter);
     private final List<Dialer> others = new ArrayList<>();
     private final List<Dialer> stores = new ArrayList<>();
@@ -75,6 +77,13 @@
     private final Set<Link> pulling = new LinkedHashSet<>();
     private final Map<Long, Consumer<Outcome>> asked = new HashMap<>();
     private final Map<Long, Runnable> telling = new HashMap<>();
+    /** Links of proxies, in the order in which they came up. */
+    private final Set<Link> proxies = new LinkedHashSet<>();
+    /** Those that were asked for the lives that they know, and how many of them knew none. */
+    private final Set<String> askedBack = new HashSet<>();
+    private int emptyBack;
+    /** The answer to a heartbeat: it is to come here again, so that others need not be told of each. */
+    private final String acknowledged;
     private long ids;
     /** The last change that those who pull were or are about to be told of. */
     private long seen;
@@ -88,6 +97,8 @@
         core = new Core(boot, true);
         self = new Hello(Messages.FORM, PROGRAM, boot.node(), boot.ip(), boot.zone(),
                 reactor.draw() ^ (long) boot.node().hashCode() << 32, core.machines());
+        fleet = new Fleet(self.life(), counter);
+        acknowledged = "{\"beatTarget\":\"" + boot.ip() + ':' + boot.socket("control").getPort() + "\"}";
         if (boot.dataDir() != null) {
             new Memory(boot.dataDir().resolve("lives"), reactor, codec, fleet);
         }
@@ -145,12 +156,52 @@
     }
 
     private void beats(long silence) {
-        fleet.sweep(reactor.now(), silence);
-        Beats beats = new Beats(fleet.heardWithin(2 * SECOND, reactor.now()));
-        others.stream().filter(other -> other.link() != null).forEach(other -> other.link().say(beats));
+        int silent = fleet.sweep(reactor.now(), silence);
+        if (silent > 0) {
+            reactor.complain("silent", silent + " checkers have fallen silent");
+        }
+        List<Fleet.Contact> contacts = fleet.contacts(reactor.now());
+        byte[] all = codec.write(new Contacts(contacts));
+        boolean apart = false;
+        for (Dialer other : others) {
+            if (other.link() != null) {
+                other.link().send(all);
+            }
+            apart |= other.link() == null;
+        }
+        if (apart) { // those who cannot hear us hear of us through proxies that both of us know
+            byte[] own = codec.write(new Contacts(contacts.subList(0, 1)));
+            witnesses().forEach(link -> link.send(own));
+        }
         changed();
     }
 
+    /** A few proxies, of zones that differ if they can be had. */
+    private List<Link> witnesses() {
+        Set<String> zones = new HashSet<>();
+        List<Link> chosen = new ArrayList<>();
+        for (Link link : proxies) {
+            if (chosen.size() < WITNESSES && zones.add(link.other().zone())) {
+                chosen.add(link);
+            }
+        }
+        for (Link link : proxies) {
+            if (chosen.size() < WITNESSES && !chosen.contains(link)) {
+                chosen.add(link);
+            }
+        }
+        return chosen;
+    }
+
+    /** A few of the proxies are to tell us the lives that they know, as we have just started. */
+    private void askBack() {
+        for (Link link : proxies) {
+            if (askedBack.size() - emptyBack < WITNESSES && askedBack.add(link.other().node())) {
+                link.say(new Pull(0, 0));
+            }
+        }
+    }
+
     // ---- Calls from outside ------------------------------------------------------------------------
     private void call(Calls.Call call, Calls from) {
         ControlCall command;
@@ -162,7 +213,7 @@
         }
         if (command instanceof ControlCall.Heartbeat heartbeat) {
             fleet.called(heartbeat.life(), reactor.now());
-            known(heartbeat.life().id(), from);
+            known(heartbeat.life().id(), acknowledged, from);
         } else if (command instanceof ControlCall.Leave leave) {
             Incarnation before = fleet.get(leave.id(), reactor.now());
             if (before == null) { // all that can be known of it: that it is over
@@ -171,7 +222,7 @@
             fleet.merge(new Incarnation(leave.id(), before.plant(), before.address(), before.zone(),
                     before.capacity(),
                     Incarnation.GONE, before.seq(), 0, false), reactor.now());
-            known(leave.id(), from);
+            known(leave.id(), "{}", from);
         } else if (command instanceof ControlCall.CoreLeave leave) {
             ask(0, id -> new Messages.Leave(id, leave.node()), from);
         } else if (command instanceof ControlCall.Adjust adjust) {
@@ -182,16 +233,16 @@
     }
 
     /** A checker that leaves is acknowledged only once another machine knows, too. */
-    private void known(String id, Calls from) {
+    private void known(String id, String good, Calls from) {
         Incarnation now = fleet.get(id, reactor.now());
         changed();
         if (now.phase() == Incarnation.READY || others.isEmpty()) {
-            from.answer(GOOD, "{}");
+            from.answer(GOOD, good);
             return;
         }
         List<Link> up = others.stream().map(Dialer::link).filter(link -> link != null).toList();
         long number = ++ids;
-        telling.put(number, () -> from.answer(GOOD, "{}"));
+        telling.put(number, () -> from.answer(GOOD, good));
         up.forEach(link -> link.say(new Tell(number, List.of(now))));
         reactor.after(PATIENCE, () -> {
             if (telling.remove(number) != null) {
@@ -244,6 +295,8 @@
         } else if (program.equals(PROXY)) {
             sessions.begin(session(link));
             changed();
+            proxies.add(link);
+            askBack();
         }
     }
 
@@ -255,6 +308,7 @@
     @Override
     public void down(Link link) {
         pulling.remove(link);
+        proxies.remove(link);
         if (link.other() != null && link.other().program().equals(PROXY)) {
             sessions.end(session(link));
             changed();
@@ -277,11 +331,16 @@
         } else if (message instanceof News news) {
             vector.put(link.other().node(), new long[] {news.life(), news.upTo()});
             news.lives().forEach(life -> fleet.merge(life, reactor.now()));
+            news.owned().forEach(owned -> fleet.owned(owned, reactor.now()));
             sessions.told(link.other().node(), news.sessions(), reactor.now());
             link.say(new Pull(news.life(), news.upTo()));
             changed();
         } else if (message instanceof Tell tell) {
             tell.lives().forEach(life -> fleet.merge(life, reactor.now()));
+            if (link.other().program().equals(PROXY) && tell.lives().isEmpty()) {
+                emptyBack++;
+                askBack();
+            }
             link.say(new Known(tell.id()));
             changed();
         } else if (message instanceof CoreTold told) {
@@ -291,10 +350,8 @@
             if (told != null) {
                 told.run();
             }
-        } else if (message instanceof Beats beats) {
-            beats.heard().forEach(heard -> fleet.heard(heard.id(), heard.seq(),
-                    reactor.now() - heard.agoMs() * 1000));
-            changed();
+        } else if (message instanceof Contacts contacts) {
+            contacts.heard().forEach(contact -> fleet.contact(contact, reactor.now()));
         } else if (message instanceof Outcome outcome) {
             Consumer<Outcome> waits = asked.remove(outcome.id());
             if (waits != null) {
@@ -337,8 +394,9 @@
         if (told == null) {
             sessions.look(reactor.now());
             News news = new News(self.life(), counter.last(), fleet.since(waiting.since(), reactor.now()),
+                    registry ? fleet.ownedSince(waiting.since()) : List.of(),
                     registry ? sessions.ownSince(waiting.since()) : sessions.viewSince(waiting.since()));
-            if (news.lives().isEmpty() && news.sessions().none()) { // what has changed is not for it
+            if (news.lives().isEmpty() && news.owned().isEmpty() && news.sessions().none()) { // what has changed is not for it
                 link.note(new Waiting(counter.last()));
                 return;
             }
--- a/src/test/java/reedmux/fleet/FleetTest.java
+++ b/src/test/java/reedmux/fleet/FleetTest.java
@@ -79,7 +79,7 @@
         long before = fleet.changes();
         fleet.sweep(NOW + 7_000_000, 6_000_000);
         assertTrue(fleet.get("a", NOW).silent() && fleet.changes() > before);
-        fleet.heard("a", 2, NOW + 8_000_000);
+        fleet.called(life("a", "10.0.0.1:80", Incarnation.READY, 2), NOW + 8_000_000);
         assertTrue(!fleet.get("a", NOW).silent());
     }
 
--- a/src/test/java/reedmux/lab/world/ProgramsTest.java
+++ b/src/test/java/reedmux/lab/world/ProgramsTest.java
@@ -83,6 +83,29 @@
         assertTrue(told[1] < SECOND / 2, "took " + told[1]);
     }
 
+    /** Its checkers call a registry that is cut off from the others, which hear of it through proxies. */
+    @Test
+    public void theCheckersOfARegistryThatIsCutOffAreNotSilent() {
+        Machine cut = deployment.cores().get(0).machine();
+        for (Deployment.Node core : deployment.cores().subList(1, 3)) {
+            world.cut(cut, core.machine());
+            world.cut(core.machine(), cut);
+        }
+        world.run(20 * SECOND);
+        assertEquals(log.stream().filter(line -> line.contains("silent")).toList(), List.of());
+        deployment.cores().forEach(core -> world.cut(world.machine("10.3.0.1"), core.machine()));
+        world.run(10 * SECOND);
+        assertTrue(log.stream().anyMatch(line -> line.contains("silent")), "who calls nobody is silent");
+    }
+
+    /** A registry that is gone is followed by others for its checkers, none of which is silent in between. */
+    @Test
+    public void theCheckersOfARegistryThatIsGoneAreNotSilent() {
+        deployment.cores().get(0).losePower(60 * SECOND, false);
+        world.run(20 * SECOND);
+        assertEquals(log.stream().filter(line -> line.contains("silent")).toList(), List.of());
+    }
+
     /** Without anybody of the core it is answered in time to come back. */
     @Test
     public void whoKnowsNothingRefusesInTime() throws java.io.IOException {
--- a/src/test/java/reedmux/link/CodecTest.java
+++ b/src/test/java/reedmux/link/CodecTest.java
@@ -35,7 +35,7 @@
         return List.of(new Messages.Hello(1, "store", "n", "10.0.0.1", "a", 77, List.of("10.0.0.1")),
                 new Messages.Ping(), new Messages.Pull(-3, 4),
                 new Messages.Items(1, 2, true, List.of(ITEM), List.of(MOTION)),
-                new Messages.News(1, 2, List.of(LIFE), new Differences(true, List.of(SESSION),
+                new Messages.News(1, 2, List.of(LIFE), List.of(new Fleet.Owned("i-1", 9, -7)), new Differences(true, List.of(SESSION),
                         List.of("edge-2"))), new Messages.Adjust(5, "x"),
                 new Messages.Read(6), new Messages.Outcome(7, 200, "{}"),
                 new Messages.Propose(MOTION), new Messages.Voted("c", MOTION.ballot(), Vote.BUSY),
@@ -52,7 +52,7 @@
                 new Messages.Piece(1, -1, List.of(ITEM)), new Messages.Resume(-2, 3),
                 new Messages.Compare(List.of(1, 63), List.of(-5L, 0L)), new Messages.Differ(List.of(2)),
                 new Messages.Tell(8, List.of(LIFE)),
-                new Messages.Known(9), new Messages.Beats(List.of(new Fleet.Heard("i-1", 3, 4))),
+                new Messages.Known(9), new Messages.Contacts(List.of(new Fleet.Contact(-3, 4))),
                 new Quotas.Packet("n", 1, 2, 3, 4, new ArrayList<>(List.of(new Quotas.Entry("t", 1.5, -1)))));
     }
 
