reedmux show: what a control machine knows, its age, epoch and contact; core leave

Change: Show.Members, .Core, .Checkers, .Items, .Duties on any control address, in pages. The registry tells what it knows, and asks the nearest store, which has a contact round begun for this question and waits half a second for it. A machine that is cut off answers, marked. Ruled out: links as proof of contact, as they stand for 2.2 s after a cut.

--- a/src/main/java/reedmux/cli/Programs.java
+++ b/src/main/java/reedmux/cli/Programs.java
@@ -30,7 +30,7 @@
     private static final int BAD_USAGE = 2;
     private static final int BAD_SETTINGS = 3;
     private static final Set<String> NAMES = Set.of("proxy", "registry", "store", "check",
-            "rehearse", "world");
+            "rehearse", "world", "show", "core");
 
     private Programs() { }
 
@@ -41,7 +41,7 @@
     /** Runs one and returns its exit code. */
     static int run(String[] args) {
         try {
-            if (args.length == 1 && !Set.of("check", "world").contains(args[0])) {
+            if (args.length == 1 && !Set.of("check", "world", "show", "core").contains(args[0])) {
                 return plain(args[0]).call(
                         ); // as the platform starts it: reading no options saves 0.1 s of CPU
             }
@@ -77,6 +77,8 @@
         builder.withCommand(Check.class);
         builder.withCommand(Rehearse.class);
         builder.withCommand(PlayWorld.class);
+        builder.withCommand(Show.class);
+        builder.withCommand(CoreCommand.class);
         return builder.build().parse(args);
     }
 
--- a/src/main/java/reedmux/fleet/Fleet.java
+++ b/src/main/java/reedmux/fleet/Fleet.java
@@ -278,6 +278,12 @@
         return entry == null ? null : told(entry, now);
     }
 
+    /** How long ago it was heard of, in milliseconds, or -1 where it is not known. */
+    public long heardAgoMs(String id, long now) {
+        Entry entry = entries.get(id);
+        return entry == null ? -1 : (now - heardAt(entry)) / MILLI;
+    }
+
     private static Incarnation told(Entry entry, long now) {
         return entry.life.with(entry.life.phase(), entry.life.silent(),
                 Math.max(0, (entry.coldUntil - now) / MILLI));
--- a/src/main/java/reedmux/item/Agreement.java
+++ b/src/main/java/reedmux/item/Agreement.java
@@ -110,6 +110,7 @@
     /** Whether the disk had been lost when this process started. */
     private boolean mended;
     private boolean fenced;
+    private long provenAt = -1;
     private long calls;
     private long ids;
     private long now;
@@ -295,10 +296,16 @@
         reached(id);
     }
 
+    /** When the last contact began that reached a quorum; below nought where none has. */
+    public long provenAt() {
+        return provenAt;
+    }
+
     private void reached(long id) {
         Contact contact = contacts.get(id);
         if (contact != null && whole && contact.held.isEmpty() && quorum.reached(contact.by)) {
             contacts.remove(id);
+            provenAt = Math.max(provenAt, contact.since);
             contact.done.accept(true);
         }
     }
--- a/src/main/java/reedmux/link/Codec.java
+++ b/src/main/java/reedmux/link/Codec.java
@@ -90,6 +90,7 @@
     private static final byte RESUME = 61;
     private static final byte COMPARE = 62;
     private static final byte DIFFER = 63;
+    private static final byte SHOW = 70;
     private static final Ballot WITHOUT = new Ballot(1, "");
     private final Output out = new Output(FIRST, Link.MOST);
 
@@ -280,6 +281,12 @@
             out.writeLong(confirmed.id());
         } else if (message instanceof Current) {
             out.writeByte(CURRENT);
+        } else if (message instanceof Messages.Show show) {
+            out.writeByte(SHOW);
+            out.writeLong(show.id());
+            out.writeString(show.what());
+            out.writeString(show.after());
+            out.writeInt(show.limit());
         } else {
             ofCore(message);
         }
@@ -359,6 +366,7 @@
             case RESUME -> new Resume(in.readLong(), in.readLong());
             case COMPARE -> new Compare(numbers(in), digests(in));
             case DIFFER -> new Differ(numbers(in));
+            case SHOW -> new Messages.Show(in.readLong(), in.readString(), in.readString(), in.readInt());
             default -> null;
         };
     }
--- a/src/main/java/reedmux/link/Link.java
+++ b/src/main/java/reedmux/link/Link.java
@@ -95,6 +95,11 @@
         return reactor.now() - heardAt > SILENCE;
     }
 
+    /** When the other side was heard last. */
+    public long heardAt() {
+        return heardAt;
+    }
+
     /** Who is at the other end; null before it is up. */
     public Hello other() {
         return other;
--- a/src/main/java/reedmux/link/Messages.java
+++ b/src/main/java/reedmux/link/Messages.java
@@ -65,6 +65,12 @@
     /** The operator asks for all items. */
     public record Read(long id) { }
 
+    /**
+     * The operator asks a store what it knows, and as of when: of one thing, so many entries behind a name;
+     * answered as an {@link Outcome} in JSON, also where it knows little.
+     */
+    public record Show(long id, String what, String after, int limit) { }
+
     /** What the operator is to be answered. */
     public record Outcome(long id, int status, String body) { }
 
--- a/src/main/java/reedmux/registry/Registry.java
+++ b/src/main/java/reedmux/registry/Registry.java
@@ -227,6 +227,8 @@
             ask(0, id -> new Messages.Leave(id, leave.node()), from);
         } else if (command instanceof ControlCall.Adjust adjust) {
             ask(0, id -> new Messages.Adjust(id, adjust.body()), from);
+        } else if (command instanceof ControlCall.Show show) {
+            show(show, from);
         } else {
             ask(0, Messages.Read::new, from);
         }
@@ -281,6 +283,32 @@
         });
     }
 
+    /** What is known here, and what the nearest store says; answered in any case. */
+    private void show(ControlCall.Show show, Calls from) {
+        Link store = null;
+        for (Dialer dialer : stores) { // this machine's first
+            store = store == null ? dialer.link() : store;
+        }
+        if (store == null) {
+            from.answer(GOOD, shown(show, null, "no store can be reached"));
+            return;
+        }
+        long number = ++ids;
+        asked.put(number, outcome -> from.answer(GOOD, outcome.status() == GOOD
+                ? shown(show, outcome.body(), "") : shown(show, null, outcome.body())));
+        store.say(new Messages.Show(number, show.what(), show.after(), show.limit()));
+        reactor.after(STORE_PATIENCE, () -> {
+            Consumer<Outcome> waits = asked.remove(number);
+            if (waits != null) {
+                waits.accept(new Outcome(number, LATER, "the store does not answer"));
+            }
+        });
+    }
+
+    private String shown(ControlCall.Show show, String store, String why) {
+        return new RegistryView(self, fleet, sessions, others, reactor.now()).text(show, store, why);
+    }
+
     // ---- Links -------------------------------------------------------------------------------------
     @Override
     public void up(Link link) {
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import reedmux.boot.Boot;
@@ -66,6 +67,8 @@
     private static final int REPAIR = 256;
     /** Frames that are kept for all that ask. */
     private static final int FRAMES = 32;
+    private static final long SHOW_PATIENCE = 500_000;
+    private static final int GOOD = 200;
 
     private final Boot boot;
     private final Reactor reactor;
@@ -84,6 +87,8 @@
     private final Map<Long, BiConsumer<Integer, String>> handedOn = new HashMap<>();
     private long ids;
     private boolean ready;
+    /** When links with a quorum stood last. */
+    private long linkedAt = -1;
     private final Map<InetSocketAddress, Dialer> others = new HashMap<>();
     /** How far we have come with each of the others. */
     private final Map<String, long[]> vector = new HashMap<>();
@@ -161,6 +166,9 @@
 
     private void look() {
         agreement.look(reactor.now());
+        if (agreement.current()) {
+            linkedAt = reactor.now();
+        }
         prove();
         membership.look(reactor.now());
         boolean now = membership.applies() && agreement.current();
@@ -369,6 +377,8 @@
             }
         } else if (message instanceof Leave leave) {
             leave(leave.node(), (status, line) -> link.say(new Outcome(leave.id(), status, line)));
+        } else if (message instanceof Messages.Show show) {
+            show(link, show);
         } else if (message instanceof Outcome outcome) {
             BiConsumer<Integer, String> waits = handedOn.remove(outcome.id());
             if (waits != null) {
@@ -377,6 +387,24 @@
         }
     }
 
+    /** Says what is known here, with whether a quorum is in touch now; for that it does not wait long. */
+    private void show(Link link, Messages.Show show) {
+        long begun = reactor.now();
+        boolean[] said = new boolean[1];
+        Consumer<Boolean> say = reached -> {
+            if (!said[0]) {
+                said[0] = true;
+                Map<String, Long> heard = new TreeMap<>();
+                others.values().stream().map(Dialer::link).filter(up -> up != null)
+                        .forEach(up -> heard.put(up.other().ip(), up.heardAt()));
+                link.say(new Outcome(show.id(), GOOD, new StoreView(boot, self.life(), agreement, membership,
+                        replica, heard, linkedAt, reactor.now()).text(show, reached, begun)));
+            }
+        };
+        reactor.after(SHOW_PATIENCE, () -> say.accept(false));
+        agreement.contact(begun, false, say);
+    }
+
     /** An order to leave is the business of the one on duty. */
     private void leave(String node, BiConsumer<Integer, String> reply) {
         Link holder = membership.onDuty() ? null : linkTo(membership.duty().holder());
--- a/src/test/java/reedmux/link/CodecTest.java
+++ b/src/test/java/reedmux/link/CodecTest.java
@@ -48,9 +48,9 @@
                 new Membership.Step(Membership.Kind.ACCEPT, 4, MOTION.ballot(), null, CORE),
                 new Messages.Fetch(4, -5, 6),
                 new Messages.Fetched(4, new Messages.Items(1, 2, true, List.of(ITEM), List.of(MOTION))),
-                new Messages.Leave(5, "core-1"),
                 new Messages.Piece(1, -1, List.of(ITEM)), new Messages.Resume(-2, 3),
                 new Messages.Compare(List.of(1, 63), List.of(-5L, 0L)), new Messages.Differ(List.of(2)),
+                new Messages.Leave(5, "core-1"), new Messages.Show(5, "items", "", 7),
                 new Messages.Tell(8, List.of(LIFE)),
                 new Messages.Known(9), new Messages.Contacts(List.of(new Fleet.Contact(-3, 4))),
                 new Quotas.Packet("n", 1, 2, 3, 4, new ArrayList<>(List.of(new Quotas.Entry("t", 1.5, -1)))));
