Calls in all orders of what checkers do; answers bound to links; calls named when bad

Cause: a registry took an answer by its number alone, from any link, and waited out its patience for a link that was gone or that nobody had; a heartbeat was taken with any phase, capacity, length and number; an order that is not UTF-8 was read as another. Change: Pending binds answers to links; ControlCall names call, checker and place.

--- a/src/main/java/reedmux/registry/ControlCall.java
+++ b/src/main/java/reedmux/registry/ControlCall.java
@@ -1,9 +1,12 @@
 package reedmux.registry;
 
 import java.net.URLDecoder;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import reedmux.config.Addresses;
 import reedmux.fleet.Incarnation;
 import reedmux.item.Invalid;
 import reedmux.item.Json;
@@ -19,6 +22,13 @@
     /** Entries of one answer, where nothing else is asked for, and at most. */
     int PAGE = 200;
     int MOST = 1000;
+    int BAD = 400;
+    /** Of names, and of a whole heartbeat: they are told to all, and kept. */
+    int LONGEST = 255;
+    int LONGEST_BEAT = 16 * 1024;
+    long MOST_CAPACITY = 1_000_000;
+    long MOST_SEQ = 1L << 53;
+    long MOST_COLD = 86_400_000;
 
     /** A checker tells of itself. */
     record Heartbeat(Incarnation life) implements ControlCall { }
@@ -44,17 +54,17 @@
         if (path.equals("/v1/Config.Read") && head.method().equals("GET")) {
             return new Read();
         } else if (path.equals("/v1/Config.Adjust") && post) {
-            return new Adjust(new String(body, StandardCharsets.UTF_8));
+            return new Adjust(text(body, "Config.Adjust"));
         } else if (path.startsWith(CORE_LEAVE) && post && path.length() > CORE_LEAVE.length()) {
             return new CoreLeave(path.substring(CORE_LEAVE.length()));
         } else if (path.startsWith(LEAVE) && post) {
-            return new Leave(path.substring(LEAVE.length()));
+            return new Leave(id(path, LEAVE));
         } else if (path.startsWith(HEARTBEAT) && post) {
+            String id = id(path, HEARTBEAT);
             try {
-                return heartbeat(path.substring(HEARTBEAT.length()), new String(body,
-                        StandardCharsets.UTF_8));
+                return heartbeat(id, text(body, "Instances.Heartbeat of " + id));
             } catch (Invalid e) {
-                throw new BadMessage(400, e.getMessage());
+                throw new BadMessage(BAD, "Instances.Heartbeat of " + id + ": " + e.getMessage());
             }
         }
         if (path.startsWith(SHOW) && head.method().equals("GET")) {
@@ -100,18 +110,58 @@
         return new Show(what, service, after, limit);
     }
 
-    private static ControlCall heartbeat(String id, String body) throws Invalid, BadMessage {
-        Map<String, Object> map = Json.map(Json.read(body), "the call");
-        String address = Json.text(map.get("address"), "address");
-        if (id.isEmpty() || reedmux.config.Addresses.parse(address) == null) {
-            throw new BadMessage(400, id.isEmpty() ? "the id is missing" : "address is no address:port");
+    /** The id of a checker, which ends the path. */
+    private static String id(String path, String call) throws BadMessage {
+        String id = path.substring(call.length());
+        if (id.isEmpty() || id.length() > LONGEST) {
+            throw new BadMessage(BAD, call + ": the id " + (id.isEmpty() ? "is missing" : "is too long"));
         }
-        String phase = Json.text(map.get("phase"), "phase");
-        return new Heartbeat(new Incarnation(id, Json.text(map.get("plant"), "plant"), address,
-                Json.text(map.get("zone"), "zone"),
-                (int) Math.max(1, Json.number(map.get("capacity"), 1, "capacity")),
+        return id;
+    }
+
+    /** What is not UTF-8 would be read as something else than was sent. */
+    private static String text(byte[] body, String call) throws BadMessage {
+        ByteBuffer bytes = ByteBuffer.wrap(body);
+        try {
+            return StandardCharsets.UTF_8.newDecoder().decode(bytes).toString();
+        } catch (CharacterCodingException e) {
+            throw new BadMessage(BAD, call + ": byte " + bytes.position() + " of the body is not UTF-8");
+        }
+    }
+
+    private static ControlCall heartbeat(String id, String body) throws Invalid {
+        if (body.length() > LONGEST_BEAT) {
+            throw new Invalid("the body is longer than " + LONGEST_BEAT);
+        }
+        Map<String, Object> map = Json.map(Json.read(body), "the body");
+        String address = name(map, "address");
+        if (Addresses.parse(address) == null) {
+            throw new Invalid("address is no address:port");
+        }
+        String phase = name(map, "phase");
+        if (!phase.equals("ready") && !phase.equals("draining")) {
+            throw new Invalid("phase is neither ready nor draining");
+        }
+        return new Heartbeat(new Incarnation(id, name(map, "plant"), address, name(map, "zone"),
+                (int) Math.max(1, number(map, "capacity", 1, MOST_CAPACITY)),
                 phase.equals("draining") ? Incarnation.DRAINING : Incarnation.READY,
-                (long) Json.number(map.get("seq"), 0, "seq"),
-                (long) Json.number(map.get("coldLeftMs"), 0, "coldLeftMs"), false));
+                number(map, "seq", 0, MOST_SEQ), number(map, "coldLeftMs", 0, MOST_COLD), false));
+    }
+
+    private static String name(Map<String, Object> map, String place) throws Invalid {
+        String text = Json.text(map.get(place), place);
+        if (text.length() > LONGEST) {
+            throw new Invalid(place + " is longer than " + LONGEST);
+        }
+        return text;
+    }
+
+    private static long number(Map<String, Object> map, String place, long otherwise, long most)
+            throws Invalid {
+        double number = Json.number(map.get(place), otherwise, place);
+        if (number > most) {
+            throw new Invalid(place + " is over " + most);
+        }
+        return (long) number;
     }
 }
--- a/src/main/java/reedmux/registry/Registry.java
+++ b/src/main/java/reedmux/registry/Registry.java
@@ -61,6 +61,7 @@
     private static final int WITNESSES = 3;
     private static final int GOOD = 200;
     private static final int LATER = 503;
+    private static final String UNTOLD = "no other machine could be told";
 
     private final Boot boot;
     private final Reactor reactor;
@@ -75,8 +76,8 @@
     private final List<Dialer> stores = new ArrayList<>();
     private final Map<String, long[]> vector = new HashMap<>();
     private final Set<Link> pulling = new LinkedHashSet<>();
-    private final Map<Long, Consumer<Outcome>> asked = new HashMap<>();
-    private final Map<Long, Runnable> telling = new HashMap<>();
+    private final Pending<Link, Consumer<Outcome>> asked = new Pending<>();
+    private final Pending<Link, Calls> telling = new Pending<>();
     /** Links of proxies, in the order in which they came up. */
     private final Set<Link> proxies = new LinkedHashSet<>();
     /** Those that were asked for the lives that they know, and how many of them knew none. */
@@ -84,7 +85,6 @@
     private int emptyBack;
     /** The answer to a heartbeat: it is to come here again, so that others need not be told of each. */
     private final String acknowledged;
-    private long ids;
     /** The last change that those who pull were or are about to be told of. */
     private long seen;
     private boolean flushing;
@@ -243,14 +243,19 @@
             return;
         }
         List<Link> up = others.stream().map(Dialer::link).filter(link -> link != null).toList();
-        long number = ++ids;
-        telling.put(number, () -> from.answer(GOOD, good));
+        if (up.isEmpty()) {
+            from.answer(LATER, UNTOLD); // at once, so that it goes on to another
+            return;
+        }
+        long number = telling.ask(up, from);
         up.forEach(link -> link.say(new Tell(number, List.of(now))));
-        reactor.after(PATIENCE, () -> {
-            if (telling.remove(number) != null) {
-                from.answer(LATER, "no other machine could be told");
-            }
-        });
+        reactor.after(PATIENCE, () -> untold(telling.ended(number)));
+    }
+
+    private static void untold(Calls from) {
+        if (from != null) {
+            from.answer(LATER, UNTOLD);
+        }
     }
 
     /** Asks a store, and where it cannot say, the next one. */
@@ -264,8 +269,7 @@
             ask(store + 1, message, from);
             return;
         }
-        long number = ++ids;
-        asked.put(number, outcome -> {
+        long number = asked.ask(List.of(link), outcome -> {
             boolean next = outcome.status() == LATER && message.apply(0) instanceof Messages.Read
                     && store + 1 < stores.size();
             if (next) {
@@ -275,12 +279,13 @@
             }
         });
         link.say(message.apply(number));
-        reactor.after(STORE_PATIENCE, () -> {
-            Consumer<Outcome> waits = asked.remove(number);
-            if (waits != null) {
-                waits.accept(new Outcome(number, LATER, "the store does not answer"));
-            }
-        });
+        reactor.after(STORE_PATIENCE, () -> unanswered(asked.ended(number), "the store does not answer"));
+    }
+
+    private static void unanswered(Consumer<Outcome> waits, String why) {
+        if (waits != null) {
+            waits.accept(new Outcome(0, LATER, why));
+        }
     }
 
     /** What is known here, and what the nearest store says; answered in any case. */
@@ -293,16 +298,10 @@
             from.answer(GOOD, shown(show, null, "no store can be reached"));
             return;
         }
-        long number = ++ids;
-        asked.put(number, outcome -> from.answer(GOOD, outcome.status() == GOOD
+        long number = asked.ask(List.of(store), outcome -> from.answer(GOOD, outcome.status() == GOOD
                 ? shown(show, outcome.body(), "") : shown(show, null, outcome.body())));
         store.say(new Messages.Show(number, show.what(), show.after(), show.limit()));
-        reactor.after(STORE_PATIENCE, () -> {
-            Consumer<Outcome> waits = asked.remove(number);
-            if (waits != null) {
-                waits.accept(new Outcome(number, LATER, "the store does not answer"));
-            }
-        });
+        reactor.after(STORE_PATIENCE, () -> unanswered(asked.ended(number), "the store does not answer"));
     }
 
     private String shown(ControlCall.Show show, String store, String why) {
@@ -336,6 +335,8 @@
     @Override
     public void down(Link link) {
         pulling.remove(link);
+        telling.lost(link).forEach(Registry::untold);
+        asked.lost(link).forEach(waits -> unanswered(waits, "the link to the store has ended"));
         proxies.remove(link);
         if (link.other() != null && link.other().program().equals(PROXY)) {
             sessions.end(session(link));
@@ -374,14 +375,14 @@
         } else if (message instanceof CoreTold told) {
             core(told.core());
         } else if (message instanceof Known known) {
-            Runnable told = telling.remove(known.id());
-            if (told != null) {
-                told.run();
+            Calls waits = telling.answered(known.id(), link);
+            if (waits != null) {
+                waits.answer(GOOD, "{}");
             }
         } else if (message instanceof Contacts contacts) {
             contacts.heard().forEach(contact -> fleet.contact(contact, reactor.now()));
         } else if (message instanceof Outcome outcome) {
-            Consumer<Outcome> waits = asked.remove(outcome.id());
+            Consumer<Outcome> waits = asked.answered(outcome.id(), link);
             if (waits != null) {
                 waits.accept(outcome);
             }
--- a/src/test/java/reedmux/net/ScriptedSockets.java
+++ b/src/test/java/reedmux/net/ScriptedSockets.java
@@ -49,7 +49,12 @@
         /** It comes up. */
         public void accept() {
             up = true;
-            tell(false, true);
+            try {
+                handler.ready(false, true);
+            } catch (IOException e) {
+                handler.failed(e);
+            }
+            turn();
         }
 
         public void give(String text) {
@@ -176,10 +181,10 @@
         reactor.turn();
     }
 
-    /** Time passes, with a turn each millisecond. */
+    /** Time passes, with a turn each hundredth of a second. */
     public void pass(long micros) {
         for (long until = now + micros; now < until;) {
-            now = Math.min(until, now + 1000);
+            now = Math.min(until, now + 10_000);
             reactor.turn();
         }
     }
--- /dev/null
+++ b/src/test/java/reedmux/registry/ControlCallTest.java
@@ -0,0 +1,104 @@
+package reedmux.registry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import reedmux.fleet.Incarnation;
+import reedmux.message.BadMessage;
+import reedmux.message.Head;
+
+/** Calls from outside as they should be, and as they should not. */
+public class ControlCallTest {
+    private static final String BEAT = "{\"plant\":\"desk\",\"address\":\"10.1.0.9:8080\","
+            + "\"zone\":\"hall\",\"revision\":\"v1\",\"capacity\":6,"
+            + "\"phase\":\"ready\",\"coldLeftMs\":0,\"seq\":4}";
+
+    private static ControlCall beat(String id, byte[] body) throws BadMessage {
+        return ControlCall.of(Head.request("POST", "/v1/Instances.Heartbeat/" + id), body);
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    public void aHeartbeatIsRead() throws BadMessage {
+        assertEquals(beat("i-1", bytes(BEAT)), new ControlCall.Heartbeat(new Incarnation("i-1", "desk",
+                "10.1.0.9:8080", "hall", 6, Incarnation.READY, 4, 0, false)));
+    }
+
+    @DataProvider
+    public Object[][] bad() {
+        return new Object[][] {
+            {BEAT.replace("ready", "here"), "phase"},
+            {BEAT.replace("\"desk\"", "7"), "plant is not a text"},
+            {BEAT.replace("\"zone\":\"hall\",", ""), "zone is missing"},
+            {BEAT.replace("10.1.0.9:8080", "desk.example:80"), "address"},
+            {BEAT.replace("desk", "d".repeat(300)), "plant is longer"},
+            {BEAT.replace("\"capacity\":6", "\"capacity\":1e30"), "capacity is over"},
+            {BEAT.replace("\"capacity\":6", "\"capacity\":-1"), "capacity is below 0"},
+            {BEAT.replace("\"seq\":4", "\"seq\":1e300"), "seq is over"},
+            {BEAT.replace("\"seq\":4", "\"seq\":\"4\""), "seq is not a number"},
+            {BEAT.replace("\"coldLeftMs\":0", "\"coldLeftMs\":1e12"), "coldLeftMs is over"},
+            {BEAT.replace("v1", "v".repeat(20_000)), "the body is longer"},
+            {"[]", "the body is not an object"},
+            {BEAT + BEAT, "more follows"}};
+    }
+
+    @Test(dataProvider = "bad")
+    public void whatIsWrongIsNamedWithItsPlace(String body, String problem) {
+        try {
+            beat("i-1", bytes(body));
+        } catch (BadMessage e) {
+            assertEquals(e.status(), 400);
+            assertTrue(e.getMessage().startsWith("Instances.Heartbeat of i-1: ")
+                    && e.getMessage().contains(problem), e.getMessage());
+            return;
+        }
+        throw new AssertionError("taken: " + body);
+    }
+
+    /** Cut at each byte, each bit flipped: refused with a line, or a call whose parts are within bounds. */
+    @Test
+    public void whatIsCutOrFlippedIsRefusedOrWithinBounds() {
+        byte[] whole = bytes(BEAT);
+        int refused = 0;
+        for (int i = 0; i < 9 * whole.length; i++) {
+            byte[] body = i < whole.length ? Arrays.copyOf(whole, i) : whole.clone();
+            if (i >= whole.length) {
+                body[i % whole.length] ^= (byte) (1 << i / whole.length - 1);
+            }
+            try {
+                Incarnation life = ((ControlCall.Heartbeat) beat("i-1", body)).life();
+                assertTrue(i >= whole.length && life.capacity() > 0 && life.seq() >= 0);
+            } catch (BadMessage e) {
+                assertTrue(e.status() == 400 && e.getMessage().contains("i-1"), e.getMessage());
+                refused++;
+            }
+        }
+        assertTrue(refused > whole.length, refused + " refused");
+    }
+
+    @Test
+    public void anIdThatIsMissingOrTooLongAndOrdersThatAreNotUtf8AreRefused() {
+        byte[] none = {};
+        for (String path : new String[] {"/v1/Instances.Leave/", "/v1/Instances.Heartbeat/",
+            "/v1/Instances.Leave/" + "i".repeat(300), "/v1/Instances.Leave", "/v2/none"}) {
+            try {
+                throw new AssertionError(ControlCall.of(Head.request("POST", path), none));
+            } catch (BadMessage e) {
+                assertEquals(e.status(), path.contains("Leave/") || path.contains("Heartbeat/") ? 400 : 404);
+            }
+        }
+        try {
+            throw new AssertionError(ControlCall.of(Head.request("POST", "/v1/Config.Adjust"),
+                    new byte[] {'{', '"', (byte) 0xc3, '"', '}'}));
+        } catch (BadMessage e) {
+            assertEquals(e.getMessage(), "Config.Adjust: byte 2 of the body is not UTF-8");
+        }
+    }
+}
