--- a/src/main/java/reedmux/lab/world/CatchUp.java
+++ b/src/main/java/reedmux/lab/world/CatchUp.java
@@ -50,15 +50,9 @@
     void change(int first, int many) {
         revision++;
         for (int from = first; from < first + many; from += CALL) {
-            StringBuilder body = new StringBuilder("{\"apply\":{\"signals\":[");
-            for (int i = from; i < Math.min(from + CALL, first + many); i++) {
-                body.append(i == from ? "" : ",")
-                        .append("{\"signalKind\":\"tenants\",\"heading\":{\"name\":\"t").append(i).append("\",\"revision\":").append(revision)
-                        .append("},\"reference\":{\"keys\":[\"key-of-tenant-").append(i)
-                        .append("\"],\"priority\":1,\"flowPerS\":20,\"burst\":40}}");
-            }
+            String body = tenants(from, Math.min(CALL, first + many - from), revision);
             boolean[] done = {false};
-            operator.adjust(body.append("]}}").toString(), InvariantChecker.Proper.VALID, Settings::shows,
+            operator.adjust(body, InvariantChecker.Proper.VALID, Settings::shows,
                     status -> done[0] = status == 200);
             for (long end = world.now() + LONGEST; !done[0]; ) {
                 world.run(SECOND / 20);
@@ -69,6 +63,19 @@
         }
     }
 
+    /** A call that changes so many tenants. */
+    static String tenants(int first, int many, long revision) {
+        StringBuilder body = new StringBuilder("{\"apply\":{\"signals\":[");
+        for (int i = first; i < first + many; i++) {
+            body.append(i == first ? "" : ",")
+                    .append("{\"signalKind\":\"tenants\",\"heading\":{\"name\":\"t").append(i)
+                    .append("\",\"revision\":").append(revision)
+                    .append("},\"reference\":{\"keys\":[\"key-of-tenant-").append(i)
+                    .append("\"],\"priority\":1,\"flowPerS\":20,\"burst\":40}}");
+        }
+        return body.append("]}}").toString();
+    }
+
     /** Bytes that the late one's store has got. */
     long got() {
         return late.machine().load(late.name() + "/store").got;
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -191,12 +191,12 @@
 
     private void pull(Link link) {
         String source = link.other().node();
-        long[] from = link.other().program().equals("store") ? poll.from(source)
-                : vector.getOrDefault(source, new long[] {0, 0});
+        boolean store = link.other().program().equals("store");
+        long[] from = store ? poll.from(source) : vector.getOrDefault(source, new long[] {0, 0});
         if (from[0] == link.other().life() && link.other().program().equals("registry")) {
             sessions.found(source);
         }
-        long arrived = poll.snapshot().from(source, link.other().life());
+        long arrived = store ? poll.snapshot().from(source, link.other().life()) : -1;
         link.say(arrived < 0 ? new Pull(from[0], from[1]) : new Resume(link.other().life(), arrived));
     }
 
--- a/src/test/java/reedmux/lab/world/ProgramsTest.java
+++ b/src/test/java/reedmux/lab/world/ProgramsTest.java
@@ -116,4 +116,20 @@
         assertEquals(told[0], 503);
         assertTrue(told[1] < 300_000, "took " + told[1]);
     }
+
+    /** What its registry tells, between the pieces of what its store tells, takes nothing of these away. */
+    @Test
+    public void aProxyThatStartsTakesASnapshotInPieces() throws java.io.IOException {
+        Operator operator = new Operator(world, "10.8.0.9", deployment.control(), new InvariantChecker());
+        for (int from = 0; from < 2_000; from += 500) {
+            operator.adjust(CatchUp.tenants(from, 500, 1), InvariantChecker.Proper.VALID, Settings::shows,
+                    status -> assertEquals((int) status, 200));
+            world.run(2 * SECOND);
+        }
+        for (int i = 0; i < 10; i++) {
+            deployment.edges().get(0).kill(SECOND / 10 + i * 700);
+            world.run(SECOND / 2);
+            assertEquals(ask("/r0/x", 1_500)[0], 200, "after start " + i);
+        }
+    }
 }
