--- a/src/main/java/reedmux/quota/Quotas.java
+++ b/src/main/java/reedmux/quota/Quotas.java
@@ -79,8 +79,8 @@
         private double withheld;
     }
 
-    /** The totals of one sender's last generation. */
-    private record Heard(long life, long generation, Map<String, Double> totals) { }
+    /** The totals of one sender's last generation; {@code ended}: its incarnation before this one. */
+    private record Heard(long life, long generation, long ended, Map<String, Double> totals) { }
 
     private final String self;
     private final boolean restarted;
@@ -359,10 +359,14 @@
         }
         Heard before = heard.get(packet.from());
         boolean sameLife = before != null && before.life() == packet.life();
+        if (before != null && before.ended() == packet.life()) {
+            return; // of the incarnation before, whose totals would be counted again
+        }
         if (sameLife && packet.generation() < before.generation()) {
             return; // overtaken by one whose totals began anew
         } else if (!sameLife || packet.generation() > before.generation()) {
-            before = new Heard(packet.life(), packet.generation(), new HashMap<>());
+            before = new Heard(packet.life(), packet.generation(), before == null ? packet.life() - 1
+                    : sameLife ? before.ended() : before.life(), new HashMap<>());
             heard.put(packet.from(), before);
         }
         Map<String, Double> totals = before.totals();
