--- a/src/test/java/reedmux/lab/world/ProgramsTest.java
+++ b/src/test/java/reedmux/lab/world/ProgramsTest.java
@@ -121,13 +121,14 @@
     @Test
     public void aProxyThatStartsTakesASnapshotInPieces() throws java.io.IOException {
         Operator operator = new Operator(world, "10.8.0.9", deployment.control(), new InvariantChecker());
-        for (int from = 0; from < 2_000; from += 500) {
+        for (int from = 0; from < 6_000; from += 500) {
             operator.adjust(CatchUp.tenants(from, 500, 1), InvariantChecker.Proper.VALID, Settings::shows,
                     status -> assertEquals((int) status, 200));
             world.run(2 * SECOND);
         }
         for (int i = 0; i < 10; i++) {
-            deployment.edges().get(0).kill(SECOND / 10 + i * 700);
+            long downFor = SECOND / 10 + i * 700;
+            deployment.edges().forEach(edge -> edge.kill(downFor));
             world.run(SECOND / 2);
             assertEquals(ask("/r0/x", 1_500)[0], 200, "after start " + i);
         }
