--- a/src/main/java/reedmux/item/Agreement.java
+++ b/src/main/java/reedmux/item/Agreement.java
@@ -609,7 +609,9 @@
                 entry.getValue().done.accept(false);
             }
         }
-        confirming.removeIf(asked -> now - asked.since > ROUND);
+        while (!confirming.isEmpty() && now - confirming.get(0).since > ROUND) {
+            confirming.remove(0);
+        }
         forget();
         if (current()) {
             bringAgain();
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -336,13 +336,26 @@
             return;
         }
         proving = true;
-        List<Link> asked = List.copyOf(unproven);
-        agreement.contact(reactor.now(), false, reached -> {
+        agreement.contact(reactor.now(), false, new Proof(List.copyOf(unproven)));
+    }
+
+    // A class, as a lambda is linked at run time, in the middle of a start.
+    private final class Proof implements Consumer<Boolean> {
+        private final List<Link> asked;
+
+        private Proof(List<Link> asked) {
+            this.asked = asked;
+        }
+
+        @Override
+        public void accept(Boolean reached) {
             proving = false;
             if (reached) {
-                asked.forEach(this::proven);
+                for (Link link : asked) {
+                    proven(link);
+                }
             }
-        });
+        }
     }
 
     private void proven(Link link) {
@@ -638,10 +651,10 @@
 
     @Override
     public void changed() {
-        List.copyOf(pulling).forEach(link -> {
+        for (Link link : List.copyOf(pulling)) {
             answer(link);
             follow(link);
-        });
+        }
     }
 
     @Override
--- a/src/test/java/reedmux/item/ContactTest.java
+++ b/src/test/java/reedmux/item/ContactTest.java
@@ -144,8 +144,8 @@
                 world.dead.clear();
                 world.start(0, !wiped, wiped ? new Replica() : world.replicas[0]);
                 world.settle();
-                assertEquals(answer(world, 0, ONE), one);
                 assertEquals(answer(world, 0, OTHER), other);
+                assertEquals(answer(world, 0, ONE), one);
                 assertAgreed(world);
                 assertFalse(newer == 2 && world.replicas[0].inForce().stream().anyMatch(
                         item -> item.key().equals("routes/one") && !item.dropped()));
