--- a/src/test/java/reedmux/item/ContactTest.java
+++ b/src/test/java/reedmux/item/ContactTest.java
@@ -97,8 +97,9 @@
                 int one = answer(world, orders.pick(3), ONE);
                 int other = answer(world, 2, OTHER);
                 assertEquals(one + other, Agreement.GOOD + Agreement.CONFLICT, one + " and " + other);
-                assertNotEquals(world.answers[0], one == Agreement.GOOD ? Agreement.CONFLICT : Agreement.GOOD);
-                assertNotEquals(world.answers[1], one == Agreement.GOOD ? Agreement.GOOD : Agreement.CONFLICT);
+                boolean holds = one == Agreement.GOOD;
+                assertNotEquals(world.answers[0], holds ? Agreement.CONFLICT : Agreement.GOOD);
+                assertNotEquals(world.answers[1], holds ? Agreement.GOOD : Agreement.CONFLICT);
                 assertAgreed(world);
             }));
             assertTrue(trouble != Trouble.NONE || refused[0] > 0);
@@ -109,7 +110,8 @@
     @Test
     public void whatWasTakenIsAcknowledgedAgainByAnyStore() {
         for (boolean wiped : new boolean[] {false, true}) {
-            told("sent again after newer versions, " + (wiped ? "wiped" : "dead"), Orders.allOrDrawn(MOST, orders -> {
+            String how = wiped ? "wiped" : "dead";
+            told("sent again after newer versions, " + how, Orders.allOrDrawn(MOST, orders -> {
                 World world = new World();
                 world.adjust(0, 0, ONE);
                 world.deliver(many -> {
@@ -128,8 +130,8 @@
                     assertEquals(answer(world, 1, call(route("one", 7, "h.example"))), Agreement.GOOD);
                 }
                 if (newer > 1) {
-                    assertEquals(answer(world, 2, "{\"remove\":{\"routes\":[{\"name\":\"one\",\"revision\":9}]}}"),
-                            Agreement.GOOD);
+                    String drop = "{\"remove\":{\"routes\":[{\"name\":\"one\",\"revision\":9}]}}";
+                    assertEquals(answer(world, 2, drop), Agreement.GOOD);
                 }
                 world.start(2, true, compacted(world.replicas[2]));
                 world.settle();
@@ -162,13 +164,14 @@
         return next;
     }
 
-    /** The second call comes to another store once the first is acknowledged, wherever that is known by then. */
+    /** The second comes to another store once the first is acknowledged, wherever that is known by then. */
     @Test
     public void aCallThatNeedsAnEarlierOneIsNeverInvalid() {
         for (int dead = 0; dead < 2; dead++) {
             int[] good = {0};
             boolean dies = dead == 1;
-            told("a call that needs an earlier one" + (dies ? ", its store dies" : ""), Orders.allOrDrawn(MOST, orders -> {
+            String how = dies ? ", its store dies" : "";
+            told("a call that needs an earlier one" + how, Orders.allOrDrawn(MOST, orders -> {
                 World world = new World();
                 world.adjust(0, 0, SHELF);
                 world.deliver(many -> {
@@ -206,7 +209,8 @@
             world.deliver(many -> {
                 if (world.answers[0] == Agreement.GOOD && world.answers[1] == 0) {
                     world.answers[1] = -1;
-                    world.agreements[1 + orders.pick(2)].read(world.now, (status, text) -> told.add(status + text));
+                    world.agreements[1 + orders.pick(2)].read(world.now,
+                            (status, text) -> told.add(status + text));
                 }
                 return orders.pick(world.mail.size());
             });
@@ -231,12 +235,14 @@
             assertEquals(world.answers[0], Agreement.GOOD);
             world.dead.clear();
             List<Integer> told = new ArrayList<>();
-            List<String> asked = List.of(NEEDS, OTHER, call(route("x", 3, "h.example").replace("desk", "none")),
-                    "{\"apply\":{\"signals\":[]}}");
-            asked.forEach(body -> world.agreements[2].adjust(world.now, body, (status, line) -> told.add(status)));
+            List<String> asked = List.of(NEEDS, OTHER, "{\"apply\":{\"signals\":[]}}",
+                    call(route("x", 3, "h.example").replace("desk", "none")));
+            asked.forEach(body -> world.agreements[2].adjust(world.now, body,
+                    (status, line) -> told.add(status)));
             world.agreements[2].read(world.now, (status, text) -> told.add(status));
             assertEquals(told, List.of());
-            boolean wakes = orders.pick(2) == 0; // its questions reach the others, and it hears them in any order
+            // Its questions reach the others, and it hears them in any order; or not.
+            boolean wakes = orders.pick(2) == 0;
             if (wakes) {
                 world.deliver(orders::pick);
             } else {
@@ -257,6 +263,25 @@
         }));
     }
 
+    /** It had a part in what was acknowledged, and nobody else can be reached who has. */
+    @Test
+    public void aStoreThatLostItsDiskDoesNotConfirm() {
+        World world = new World();
+        world.dead.add(2);
+        world.adjust(0, 0, ONE);
+        world.drain();
+        assertEquals(world.answers[0], Agreement.GOOD);
+        world.dead.clear();
+        restart(world, 0, true);
+        world.dead.add(1);
+        List<Integer> told = new ArrayList<>();
+        world.agreements[2].read(world.now, (status, text) -> told.add(status));
+        world.drain();
+        world.now += SECOND;
+        world.agreements[2].look(world.now);
+        assertEquals(told, List.of(503));
+    }
+
     /** A link is gone, and with it the quorum: that is told at once. */
     @Test
     public void withoutLinksTheAnswerIsAtOnceAndNoRefusal() {
--- a/src/test/java/reedmux/lab/world/ContactWorldTest.java
+++ b/src/test/java/reedmux/lab/world/ContactWorldTest.java
@@ -24,8 +24,9 @@
 public class ContactWorldTest {
     private static final long SECOND = 1_000_000;
     private static final String EMPTY = "{\"apply\":{\"signals\":[]}}";
-    private static final String NEWER = "{\"apply\":{\"signals\":[{\"signalKind\":\"plants\",\"heading\":{\"name\":"
-            + "\"newer\",\"revision\":99},\"reference\":{\"probe\":\"/health\",\"connCeiling\":9}}]}}";
+    private static final String NEWER = "{\"apply\":{\"signals\":[{\"signalKind\":\"plants\",\"heading\":"
+            + "{\"name\":\"newer\",\"revision\":99},"
+            + "\"reference\":{\"probe\":\"/health\",\"connCeiling\":9}}]}}";
     private World world;
     private Deployment deployment;
     private Host outside;
@@ -41,8 +42,9 @@
             new CheckerActor(world, new Machine(world, "10.3.0." + (i + 1), "hall-a", false), "i-" + i,
                     Settings.SERVICES[i % 2], deployment.control(), watch, () -> { }, ip -> { });
         }
-        new Operator(world, "10.8.0.1", deployment.control(), watch).adjust(new Settings(new Random(1)).first(),
-                InvariantChecker.Proper.VALID, Settings::shows, status -> { });
+        new Operator(world, "10.8.0.1", deployment.control(), watch).adjust(
+                new Settings(new Random(1)).first(), InvariantChecker.Proper.VALID, Settings::shows,
+                status -> { });
         world.run(5 * SECOND);
     }
 
@@ -62,8 +64,9 @@
     }
 
     private int ask(InetSocketAddress at, String path) {
-        String told = ask(at, Asker.request("GET", path, "h.example", "", "Reedmux-Attempt-Id: a" + world.now()
-                + "\r\n", "Reedmux-Time-Left-Ms: 1500\r\n", "Authorization: Bearer key-0-first.\r\n"));
+        String told = ask(at, Asker.request("GET", path, "h.example", "",
+                "Reedmux-Attempt-Id: a" + world.now() + "\r\n", "Reedmux-Time-Left-Ms: 1500\r\n",
+                "Authorization: Bearer key-0-first.\r\n"));
         return Integer.parseInt(told.split(" ")[0]);
     }
 
@@ -76,8 +79,9 @@
     }
 
     private void cut(boolean both) {
-        List<Machine> far = List.of(deployment.cores().get(1).machine(), deployment.cores().get(2).machine());
-        for (Machine near : List.of(deployment.cores().get(0).machine(), deployment.edges().get(0).machine())) {
+        List<Deployment.Node> cores = deployment.cores();
+        List<Machine> far = List.of(cores.get(1).machine(), cores.get(2).machine());
+        for (Machine near : List.of(cores.get(0).machine(), deployment.edges().get(0).machine())) {
             for (Machine other : far) {
                 if (both) {
                     world.cut(near, other);
@@ -148,13 +152,14 @@
     @Test
     public void whatWasSaidInAnotherTimeIsNotRead() throws IOException {
         for (boolean wakes : new boolean[] {false, true}) {
-            Host one = new Host(world, new Machine(world, "10.7.0." + (wakes ? 1 : 3), "hall-a", false), "one", 0,
-                    line -> { });
-            Host two = new Host(world, new Machine(world, "10.7.0." + (wakes ? 2 : 4), "hall-a", false), "two", 0,
-                    line -> { });
+            Host one = new Host(world, new Machine(world, "10.7.0." + (wakes ? 1 : 3), "hall-a", false),
+                    "one", 0, line -> { });
+            Host two = new Host(world, new Machine(world, "10.7.0." + (wakes ? 2 : 4), "hall-a", false),
+                    "two", 0, line -> { });
             List<Object> heard = new ArrayList<>();
             InetSocketAddress at = Addresses.parse(two.machine().ip() + ":7000");
-            Messages.Hello hello = new Messages.Hello(Messages.FORM, "store", "n", "10.7.0.9", "z", 1, List.of());
+            Messages.Hello hello = new Messages.Hello(Messages.FORM, "store", "n", "10.7.0.9", "z", 1,
+                    List.of());
             Link[] links = new Link[2];
             Link.Owner owner = new Link.Owner() {
                 @Override
@@ -170,7 +175,8 @@
                     heard.add("down");
                 }
             };
-            new Listener(two.reactor(), at, wire -> links[1] = Link.of(two.reactor(), new Codec(), hello, wire, owner));
+            new Listener(two.reactor(), at,
+                    wire -> links[1] = Link.of(two.reactor(), new Codec(), hello, wire, owner));
             one.enter(() -> { });
             two.enter(() -> { });
             links[0] = Link.open(one.reactor(), new Codec(), hello, at, owner);
