--- a/src/main/java/reedmux/net/Reactor.java
+++ b/src/main/java/reedmux/net/Reactor.java
@@ -143,7 +143,7 @@
         log.note(line);
     }
 
-    /** Writes a line on what others do, of the same kind at most one in a while: they may do it all the time. */
+    /** Writes a line on what others do, of the same kind at most one in a while: they may do it often. */
     public void complain(String kind, String line) {
         Long before = complaints.get(kind);
         if (before == null && complaints.size() >= MOST_COMPLAINTS) {
--- a/src/test/java/reedmux/member/SessionsTest.java
+++ b/src/test/java/reedmux/member/SessionsTest.java
@@ -7,7 +7,7 @@
 import org.testng.annotations.Test;
 import reedmux.item.Orders;
 
-/** Links of one node that begin and end in every order: who has one that stands is a member, by its newest. */
+/** Links of one node that begin and end in every order: the newest that stands counts. */
 public class SessionsTest {
     private static final long NOW = 5_000_000;
 
