--- a/src/main/java/reedmux/store/ReplicaStorage.java
+++ b/src/main/java/reedmux/store/ReplicaStorage.java
@@ -68,7 +68,8 @@
     private record Waiting(byte[] record, State state, Consumer<Boolean> done) { }
 
     /** What a generation begins with, as of one moment; encoded on the disk's thread. */
-    private record State(Membership.State core, boolean whole, List<Item> items, List<Mark> marks, List<Proposal> held) { }
+    private record State(Membership.State core, boolean whole, List<Item> items, List<Mark> marks,
+            List<Proposal> held) { }
 
     ReplicaStorage(Path dir, Reactor reactor, Codec codec, Replica replica) {
         this.reactor = reactor;
--- a/src/test/java/reedmux/store/ReplicaStorageTest.java
+++ b/src/test/java/reedmux/store/ReplicaStorageTest.java
@@ -219,4 +219,49 @@
         volume.unreadable(true);
         assertFalse(new Life(volume, true).whole);
     }
+
+    /** 10,000 changes of ten items: what is on disk stays bounded, and is what a start finds. */
+    @Test
+    public void whatIsOnDiskStaysBounded() throws IOException {
+        Path dir = java.nio.file.Files.createTempDirectory("reedmux-store");
+        Replica replica = new Replica();
+        DiskEnvironment environment = new DiskEnvironment(new reedmux.disk.Folder(dir));
+        Reactor reactor = environment.reactor();
+        ReplicaStorage storage = new ReplicaStorage(dir, reactor, new Codec(), replica);
+        storage.load(true, Members.first(List.of("10.0.0.1")));
+        long most = 0;
+        for (int i = 1; i <= 10_000; i++) {
+            List<Item> items = List.of(new Item("plants", "p" + i % 10, i, "{\"probe\":\"/"
+                    + "x".repeat(1_000) + "\"}"));
+            replica.merge(items);
+            storage.merged(items);
+            if (i % 100 == 0) {
+                environment.now += 125_000;
+                reactor.turn();
+                while (!environment.disk.isEmpty()) {
+                    environment.disk.poll().run();
+                    reactor.turn();
+                }
+                most = Math.max(most, bytes(dir));
+            }
+        }
+        assertTrue(most < 10 * 1024 * 1024, most + " bytes");
+        Replica next = new Replica();
+        new ReplicaStorage(dir, new DiskEnvironment(new reedmux.disk.Folder(dir)).reactor(), new Codec(), next)
+                .load(false, Members.first(List.of("10.0.0.1")));
+        assertEquals(List.copyOf(next.inForce()), List.copyOf(replica.inForce()));
+        assertEquals(Set.copyOf(next.marks()), Set.copyOf(replica.marks()));
+        for (java.io.File file : dir.toFile().listFiles()) {
+            file.delete();
+        }
+        dir.toFile().delete();
+    }
+
+    private static long bytes(Path dir) {
+        long all = 0;
+        for (java.io.File file : dir.toFile().listFiles()) {
+            all += file.length();
+        }
+        return all;
+    }
 }
