--- a/src/main/java/reedmux/store/Core.java
+++ b/src/main/java/reedmux/store/Core.java
@@ -37,6 +37,15 @@
         return Members.first(counted);
     }
 
+    /** Takes in the core that was known when the last process ended; seeds may be newer than that. */
+    void found(Members core) {
+        if (core != null) {
+            epoch = core.epoch();
+            counted.addAll(core.ips());
+            machines.addAll(core.ips());
+        }
+    }
+
     /** Takes in the core as it was agreed on; returns whether it is news. */
     public boolean take(Members core) {
         if (core == null || core.epoch() <= epoch) {
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -142,7 +142,7 @@
         }
         agreement = new Agreement(boot.ip(), self.life(), replica, whole, this);
         membership = new Membership(boot.ip(), copies, storage.core(), whole, this);
-        core.take(membership.core());
+        core.found(membership.core());
         core.others(boot.storePort()).forEach(this::dial);
         adopted();
         new Listener(reactor, Addresses.parse(boot.ip() + ':' + boot.storePort()),
--- a/src/test/java/reedmux/item/AgreementTest.java
+++ b/src/test/java/reedmux/item/AgreementTest.java
@@ -462,4 +462,29 @@
                 "h.example")))));
         assertEquals(store.votes, List.of("BUSY under 1 of s3"));
     }
+
+    /** While the core is being changed nothing new is held; what is held goes on. */
+    @Test
+    public void aFencedStoreTakesNothingNew() throws Invalid {
+        Alone store = new Alone();
+        assertEquals(store.asked("s1", 1, "x", route("one", 2, "h.example")), "HELD under 1 of s1");
+        store.agreement.fence(true);
+        assertEquals(store.asked("s2", 2, "x", route("one", 2, "h.example")), "HELD under 2 of s2");
+        assertEquals(store.asked("s2", 1, "y", route("three", 2, "three.example")), "BUSY under 1 of s2");
+        assertEquals(new java.util.TreeSet<>(store.agreement.votedFor("x")).toString(), "[s1, s2]");
+    }
+
+    /** What is handed over is held here; what cannot be stays in doubt while somebody else may decide on it. */
+    @Test
+    public void whatIsHandedOverIsHeldOrInDoubt() throws Invalid {
+        Alone store = new Alone();
+        store.asked("s1", 1, "x", route("one", 2, "h.example"));
+        Proposal beside = new Proposal("z", new Ballot(1, "s3"), Change.read(call(route("two", 2, "h.example"))));
+        Proposal other = new Proposal("o", new Ballot(1, "s3"), Change.read(call(route("o", 2, "o.example"))));
+        store.agreement.handed(SECOND, List.of(), List.of(beside, other), List.of(List.of("s3"), List.of("s3")));
+        assertTrue(store.replica.holds("o"));
+        assertFalse(store.replica.holds("z"));
+        assertFalse(store.agreement.settled(Set.of("s1", "s2")));
+        assertTrue(store.agreement.settled(Set.of("s1", "s3")));
+    }
 }
--- a/src/test/java/reedmux/item/MembershipTest.java
+++ b/src/test/java/reedmux/item/MembershipTest.java
@@ -660,4 +660,127 @@
         holder.leave(world.now, "n1", (code, line) -> status[0] = code);
         assertEquals(status[0], 409, "two copies are promised");
     }
+
+    /** One member of three, whose steps are collected; its disk keeps what it is told to while it works. */
+    private static final class Alone implements Membership.Effects {
+        final List<String> said = new ArrayList<>();
+        final Membership membership;
+        boolean disk = true;
+
+        Alone(Ballot accepted, Members value, boolean sound) {
+            Members core = Members.first(List.of("s0", "s1", "s2"));
+            membership = new Membership("s0", 2, new Membership.State(core, accepted, accepted, value, false), sound,
+                    this);
+            membership.met(SECOND, "s1", "n1");
+            membership.met(SECOND, "s2", "n2");
+        }
+
+        void step(String from, Membership.Kind kind, Ballot ballot, Ballot under, Members value) {
+            membership.step(SECOND, from, new Membership.Step(kind, 0, ballot, under, value));
+        }
+
+        @Override
+        public void say(String to, Membership.Step step) {
+            said.add(step.kind() + " to " + to + (step.value() == null ? "" : " " + step.value().ips()));
+        }
+
+        @Override
+        public void tellCore(String to) {
+            said.add("core to " + to);
+        }
+
+        @Override
+        public void fetch(String from, long epoch) { }
+
+        @Override
+        public boolean settled(Set<String> handed) {
+            return true;
+        }
+
+        @Override
+        public void keepCore(Membership.State state, Consumer<Boolean> done) {
+            done.accept(disk);
+        }
+
+        @Override
+        public void adopted() { }
+
+        @Override
+        public void log(String line) { }
+    }
+
+    private static Members with(String... ips) {
+        Map<String, String> nodes = new HashMap<>();
+        for (String ip : ips) {
+            nodes.put(ip, "");
+        }
+        return new Members(1, nodes);
+    }
+
+    private static final Ballot SECOND_OF_1 = new Ballot(2, "s1");
+
+    /** What another may have decided on goes before what is wanted here. */
+    @Test
+    public void theHighestThatWasAcceptedIsCarriedThrough() {
+        Alone store = new Alone(new Ballot(1, "s0"), with("s0", "s1", "s2", "s3"), true);
+        store.membership.look(2 * SECOND);
+        Ballot mine = new Ballot(2, "s0");
+        store.said.clear();
+        store.step("s2", Membership.Kind.PROMISE, mine, new Ballot(1, "s1"), with("s0", "s1", "s2", "s4"));
+        assertEquals(store.said, List.of("ACCEPT to s1 [s0, s1, s2, s4]", "ACCEPT to s2 [s0, s1, s2, s4]",
+                "ACCEPT to s4 [s0, s1, s2, s4]"));
+    }
+
+    /** A core is decided on by a quorum of the members and one of those after it, whichever comes first. */
+    @Test
+    public void bothQuorumsDecide() {
+        for (String[] order : new String[][] {{"s1", "s2", "s3", "s4"}, {"s3", "s4", "s1", "s2"}}) {
+            Alone store = new Alone(new Ballot(1, "s0"), with("s1", "s3", "s4"), true);
+            store.membership.look(2 * SECOND);
+            Ballot mine = new Ballot(2, "s0");
+            store.step("s2", Membership.Kind.PROMISE, mine, null, null);
+            for (int i = 0; i < order.length; i++) {
+                assertEquals(store.membership.epoch(), 0, "after " + i + " of " + List.of(order));
+                store.step(order[i], Membership.Kind.ACCEPTED, mine, null, null);
+                if (store.membership.epoch() == 1) {
+                    assertTrue(i >= 2);
+                    break;
+                }
+            }
+            assertEquals(store.membership.epoch(), 1);
+        }
+    }
+
+    @Test
+    public void whatWasAcceptedOutlivesTheProcessAndFences() {
+        assertTrue(new Alone(SECOND_OF_1, with("s0", "s1", "s3"), true).membership.fenced());
+    }
+
+    @Test
+    public void whoActsUnderAnotherEpochIsToldOfTheCore() {
+        Alone store = new Alone(null, null, true);
+        assertTrue(store.membership.admits("s1", 0));
+        assertFalse(store.membership.admits("s1", -1));
+        assertFalse(store.membership.admits("s1", 1));
+        assertEquals(store.said, List.of("core to s1", "core to s1"));
+    }
+
+    @Test
+    public void withoutItsDiskAMemberPromisesAndAcceptsNothing() {
+        Alone store = new Alone(null, null, false);
+        store.step("s1", Membership.Kind.PREPARE, SECOND_OF_1, null, null);
+        store.step("s1", Membership.Kind.ACCEPT, SECOND_OF_1, null, with("s0", "s1", "s3"));
+        assertEquals(store.said, List.of());
+        assertFalse(store.membership.fenced());
+    }
+
+    @Test
+    public void nothingIsSaidThatIsNotOnDisk() {
+        Alone store = new Alone(SECOND_OF_1, with("s0", "s1", "s3"), true);
+        store.disk = false;
+        store.membership.look(2 * SECOND);
+        store.step("s1", Membership.Kind.PREPARE, new Ballot(9, "s1"), null, null);
+        store.step("s1", Membership.Kind.ACCEPT, new Ballot(9, "s1"), null, with("s1", "s2", "s3"));
+        assertEquals(store.said, List.of());
+    }
 }
