--- a/src/test/java/reedmux/fleet/OwnersTest.java
+++ b/src/test/java/reedmux/fleet/OwnersTest.java
@@ -84,6 +84,23 @@
         assertEquals(plays, 52488);
     }
 
+    /** A call that was long on its way comes to another registry: it moves nobody in the end. */
+    @Test
+    public void aLateCallElsewhereMovesNobody() {
+        Node[] nodes = nodes();
+        nodes[0].fleet.called(call("a", 5), SECOND);
+        pullAll(nodes, SECOND);
+        nodes[1].fleet.called(call("a", 4), SECOND);
+        assertEquals(owner(nodes[1]), 1);
+        nodes[0].fleet.called(call("a", 100), 2 * SECOND);
+        nodes[1].fleet.called(call("a", 99), 2 * SECOND);
+        assertEquals(owner(nodes[1]), 2); // it knows of no higher one yet
+        pullAll(nodes, 2 * SECOND);
+        for (Node node : nodes) {
+            assertEquals(owner(node), 1);
+        }
+    }
+
     /** Nothing is told while it goes on calling, and nobody takes it for silent. */
     @Test
     public void whoCallsItsOwnerIsToldOfOnceAndSilentNowhere() {
--- a/src/test/java/reedmux/member/DifferencesTest.java
+++ b/src/test/java/reedmux/member/DifferencesTest.java
@@ -90,11 +90,13 @@
     /** What a source repeats of a node does not outdo what another has told of its newer process since. */
     @Test
     public void aNewerSessionOutdoesAnOlderOneThatIsToldOn() {
-        Sessions proxy = new Sessions(LINGER);
-        proxy.told("one", new Differences(true, List.of(session(1, 1)), List.of()), 0);
-        proxy.told("two", new Differences(true, List.of(session(1, 2)), List.of()), 1);
-        proxy.told("one", new Differences(true, List.of(session(1, 1), session(2, 1)), List.of()), 2);
-        assertEquals(proxy.view(3).members(), List.of(session(1, 2), session(2, 1)));
+        for (String[] source : new String[][] {{"one", "two"}, {"two", "one"}}) {
+            Sessions proxy = new Sessions(LINGER);
+            proxy.told(source[0], new Differences(true, List.of(session(1, 1)), List.of()), 0);
+            proxy.told(source[1], new Differences(true, List.of(session(1, 2)), List.of()), 1);
+            proxy.told(source[0], new Differences(true, List.of(session(1, 1), session(2, 1)), List.of()), 2);
+            assertEquals(proxy.view(3).members(), List.of(session(1, 2), session(2, 1)));
+        }
     }
 
     /** A link that comes back finds nothing to tell; its source counts again all the same. */
