--- a/src/main/java/reedmux/disk/Folder.java
+++ b/src/main/java/reedmux/disk/Folder.java
@@ -26,7 +26,9 @@
             return names;
         }
         try (DirectoryStream<Path> all = Files.newDirectoryStream(dir)) {
-            all.forEach(path -> names.add(path.getFileName().toString()));
+            for (Path path : all) { // no lambda: where the folder is new, none is rehearsed for the archive
+                names.add(path.getFileName().toString());
+            }
         }
         return names;
     }
