--- a/src/main/java/reedmux/lab/CapacityScene.java
+++ b/src/main/java/reedmux/lab/CapacityScene.java
@@ -76,7 +76,8 @@
     /** Bytes against size, both as logarithms: a line for each role and phase. */
     private static void chart(Axis axis, List<List<Row>> played, Path folder) throws IOException {
         XYChart chart = new XYChartBuilder().width(900).height(560)
-                .title("kB/s of one machine by " + axis.name).xAxisTitle(axis.name).yAxisTitle("kB/s").build();
+                .title("kB/s of one machine by " + axis.name)
+                .xAxisTitle(axis.name).yAxisTitle("kB/s").build();
         chart.getStyler().setXAxisLogarithmic(true);
         chart.getStyler().setYAxisLogarithmic(true);
         double[] sizes = axis.sizes.stream().mapToDouble(axis.of).toArray();
--- a/src/main/java/reedmux/lab/CapacityState.java
+++ b/src/main/java/reedmux/lab/CapacityState.java
@@ -31,7 +31,8 @@
 
     private static Incarnation life(int number) {
         return new Incarnation("instance-" + number, "service-" + number % 3_600,
-                "10." + number / 62_500 + '.' + number / 250 % 250 + '.' + number % 250 + ":8080", "zone-" + number % 11, 4,
+                "10." + number / 62_500 + '.' + number / 250 % 250 + '.' + number % 250 + ":8080",
+                "zone-" + number % 11, 4,
                 Incarnation.READY, 1_000 + number, 0, false);
     }
 
