--- a/src/main/java/reedmux/cli/PlayWorld.java
+++ b/src/main/java/reedmux/cli/PlayWorld.java
@@ -59,7 +59,8 @@
         Matcher range = SEEDS.matcher(seeds);
         if (!range.matches() || proxies < 1 || cores < 1 || jobs < 1 || !(pace > 0) || point < 0
                 || point > POINTS) {
-            System.err.println("reedmux: world: --seeds is A..B, --point 1 to 5, the others are numbers above 0");
+            System.err.println("reedmux: world: --seeds is A..B, --point 1 to 5, the others are numbers"
+                    + " above 0");
             return BAD_USAGE;
         }
         long first = Long.parseLong(range.group(1));
--- a/src/main/java/reedmux/item/Agreement.java
+++ b/src/main/java/reedmux/item/Agreement.java
@@ -174,8 +174,8 @@
     }
 
     /**
-     * Takes over all that a fenced store has. What cannot be held beside what is held here stays in doubt, with
-     * those who may have decided on it.
+     * Takes over all that a fenced store has. What cannot be held beside what is held here stays in doubt,
+     * with those who may have decided on it.
      */
     public void handed(long time, List<Item> items, List<Proposal> held, List<List<String>> deciders) {
         now = time;
@@ -191,7 +191,10 @@
         }
     }
 
-    /** Whether nothing in doubt was decided on: all who could have are fenced, and have told us that they hold it. */
+    /**
+     * Whether nothing in doubt was decided on: all who could have are fenced, and have told us that
+     * they hold it.
+     */
     public boolean settled(Set<String> handed) {
         return doubts.values().stream().allMatch(handed::containsAll);
     }
--- a/src/main/java/reedmux/item/Membership.java
+++ b/src/main/java/reedmux/item/Membership.java
@@ -65,7 +65,10 @@
         /** Asks a member for all that it has under the epoch that it is fenced from. */
         void fetch(String from, long epoch);
 
-        /** Whether all that those have told is clear: what they hold is held here, or was never decided on. */
+        /**
+         * Whether all that those have told is clear: what they hold is held here, or was never decided
+         * on.
+         */
         boolean settled(Set<String> handed);
 
         void keepCore(State state, Consumer<Boolean> done);
@@ -523,7 +526,10 @@
         }
     }
 
-    /** Whether what we have may be handed over to who is to be a member: nothing is added under that epoch. */
+    /**
+     * Whether what we have may be handed over to who is to be a member: nothing is added under that
+     * epoch.
+     */
     public boolean handsOver(String to, long epoch) {
         return admits(to, epoch) && member() && safe && now >= soundAt;
     }
--- a/src/main/java/reedmux/item/Quorum.java
+++ b/src/main/java/reedmux/item/Quorum.java
@@ -48,7 +48,8 @@
 
     /** Whether no set that decides is without one of these. */
     public boolean blocked(Collection<String> stores) {
-        return !members.isEmpty() && rest(members, stores) < need(members) || !next.isEmpty() && rest(next, stores) < need(next);
+        return !members.isEmpty() && rest(members, stores) < need(members)
+                || !next.isEmpty() && rest(next, stores) < need(next);
     }
 
     private boolean enough(Set<String> of, Collection<String> stores) {
--- a/src/main/java/reedmux/item/Snapshot.java
+++ b/src/main/java/reedmux/item/Snapshot.java
@@ -45,7 +45,10 @@
         return part.items;
     }
 
-    /** After a cut: the change from which on the rest is to be asked for; below nought where there is none. */
+    /**
+     * After a cut: the change from which on the rest is to be asked for; below nought where there is
+     * none.
+     */
     public long from(String source, long life) {
         Part part = parts.get(source);
         if (part != null && part.life == life && part.upTo >= 0) {
--- a/src/main/java/reedmux/lab/Scenes.java
+++ b/src/main/java/reedmux/lab/Scenes.java
@@ -57,7 +57,8 @@
                 (asked, progress) -> UpgradeScene.run(Files.createTempDirectory("rx"), progress)));
         ALL.put("sizes", new Known("14 and 100 gatekeepers: mass restart, lost zone, replacement; 1 min",
                 (asked, progress) -> SizeScenes.sweep(asked.first, asked.last, progress)));
-        ALL.put("capacity", new Known("the control side at growing sizes, in virtual time: powers and the sum at"
+        ALL.put("capacity",
+                new Known("the control side at growing sizes, in virtual time: powers and the sum at"
                 + " the operators' size, 2 min; --most, --out", (asked, progress) -> CapacityScene.run(
                         asked.most, asked.folder, progress)));
         ALL.put("items", new Known("what one change costs at 30 to 100,000 items, 10 s",
--- a/src/main/java/reedmux/lab/world/CheckerActor.java
+++ b/src/main/java/reedmux/lab/world/CheckerActor.java
@@ -145,7 +145,8 @@
             case 1 -> from.raw(java.util.Arrays.copyOf(whole, 1 + world.random().nextInt(whole.length - 1)));
             case 2, 3 -> { // once more, at once or when the connection may carry another request
                 answer(attempt, from);
-                host.reactor().after(world.random().nextInt(3) == 0 ? 0 : world.random().nextInt(60_000), () ->
+                host.reactor().after(world.random().nextInt(3) == 0 ? 0 : world.random().nextInt(60_000),
+                    () ->
                         from.unasked(whole));
             }
             case 4 -> {
--- a/src/main/java/reedmux/lab/world/SimDisk.java
+++ b/src/main/java/reedmux/lab/world/SimDisk.java
@@ -92,8 +92,8 @@
     }
 
     /**
-     * Steps that were not over have not been; where the power is lost, what was not synced is drawn, each name
-     * by itself, too: some losses take all of it.
+     * Steps that were not over have not been; where the power is lost, what was not synced is drawn, each
+     * name by itself, too: some losses take all of it.
      */
     void crash(boolean power) {
         Map<String, Content> seen = restored();
@@ -145,7 +145,8 @@
     }
 
     /** Names that were made, renamed or removed since their folder's last sync are kept or lost. */
-    private Map<String, Content> drawn(Map<String, Content> last, Map<String, Content> seen, boolean noneLasts,
+    private Map<String, Content> drawn(Map<String, Content> last, Map<String, Content> seen,
+            boolean noneLasts,
             Map<Content, Content> live, Map<Content, Content> synced) {
         Map<Content, Content> durable = new HashMap<>();
         live.forEach((file, now) -> durable.put(now, synced.getOrDefault(file, new Content())));
--- a/src/main/java/reedmux/link/Messages.java
+++ b/src/main/java/reedmux/link/Messages.java
@@ -102,7 +102,10 @@
     /** Asks a fenced store for all that it has since that change of its life. */
     public record Fetch(long epoch, long life, long since) { }
 
-    /** The answer; {@code deciders}: for each call that is held there, whose attempts it has had a vote in. */
+    /**
+     * The answer; {@code deciders}: for each call that is held there, whose attempts it has had a vote
+     * in.
+     */
     public record Fetched(long epoch, Items items, List<List<String>> deciders) { }
 
     /** The operator orders a member out of the core. */
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -449,7 +449,7 @@
     private void answer(Link link) {
         Puller puller = puller(link);
         boolean store = link.other().program().equals(PROGRAM);
-        // A store that has come back is told even that there is nothing new: it counts nobody before it is told.
+        // One that has come back is told even that there is nothing new: it counts nobody before it is told.
         boolean first = store && !puller.begun;
         if (!puller.waits || !first && puller.since >= 0 && puller.merged && replica.changes() <= puller.since
                 || puller.since < 0 && !store && !agreement.whole()) {
--- a/src/test/java/reedmux/item/AgreementTest.java
+++ b/src/test/java/reedmux/item/AgreementTest.java
@@ -474,14 +474,20 @@
         assertEquals(new java.util.TreeSet<>(store.agreement.votedFor("x")).toString(), "[s1, s2]");
     }
 
-    /** What is handed over is held here; what cannot be stays in doubt while somebody else may decide on it. */
+    /**
+     * What is handed over is held here; what cannot be stays in doubt while somebody else may decide on
+     * it.
+     */
     @Test
     public void whatIsHandedOverIsHeldOrInDoubt() throws Invalid {
         Alone store = new Alone();
         store.asked("s1", 1, "x", route("one", 2, "h.example"));
-        Proposal beside = new Proposal("z", new Ballot(1, "s3"), Change.read(call(route("two", 2, "h.example"))));
-        Proposal other = new Proposal("o", new Ballot(1, "s3"), Change.read(call(route("o", 2, "o.example"))));
-        store.agreement.handed(SECOND, List.of(), List.of(beside, other), List.of(List.of("s3"), List.of("s3")));
+        Proposal beside = new Proposal("z", new Ballot(1, "s3"), Change.read(call(route("two", 2,
+                "h.example"))));
+        Proposal other = new Proposal("o", new Ballot(1, "s3"), Change.read(call(route("o", 2,
+                "o.example"))));
+        store.agreement.handed(SECOND, List.of(), List.of(beside, other), List.of(List.of("s3"),
+                List.of("s3")));
         assertTrue(store.replica.holds("o"));
         assertFalse(store.replica.holds("z"));
         assertFalse(store.agreement.settled(Set.of("s1", "s2")));
--- a/src/test/java/reedmux/item/MembershipTest.java
+++ b/src/test/java/reedmux/item/MembershipTest.java
@@ -21,7 +21,10 @@
 import java.util.function.IntUnaryOperator;
 import org.testng.annotations.Test;
 
-/** Changes of the core: links that keep their order among themselves, and messages in every order across them. */
+/**
+ * Changes of the core: links that keep their order among themselves, and messages in every order across
+ * them.
+ */
 public class MembershipTest {
     private static final long SECOND = 1_000_000;
     private static final int ORDERS = 500;
@@ -407,7 +410,10 @@
         System.out.println("join and leave: " + plays + " orders");
     }
 
-    /** What only the lost member and one other have is handed over first: then that other may be lost, too. */
+    /**
+     * What only the lost member and one other have is handed over first: then that other may be lost,
+     * too.
+     */
     @Test
     public void aSecondLossRightAfterAReplacementLosesNothing() {
         int[] replaced = {0};
@@ -435,7 +441,8 @@
                     if (node.up) { // the joiner learns by asking members alone; s1 has not been told yet
                         if (node.ip.equals("s3")) {
                             world.nodes.values().stream().filter(other -> other != node && other.up).forEach(
-                                    other -> node.agreement.met(world.now, other.ip, true, List.of(), List.of()));
+                                    other -> node.agreement.met(world.now, other.ip, true, List.of(),
+                                            List.of()));
                         }
                         world.nodes.values().stream().filter(other -> other != node && other.up).forEach(
                                 other -> node.tellCore(other.ip));
@@ -483,7 +490,10 @@
         System.out.println("two changes: " + plays + " orders");
     }
 
-    /** The power goes at any message of a change, at all stores; with their disks it is carried through or not. */
+    /**
+     * The power goes at any message of a change, at all stores; with their disks it is carried through
+     * or not.
+     */
     @Test
     public void aChangeThatIsHalfDoneWhenThePowerGoesIsCarriedThrough() {
         for (boolean wiped : new boolean[] {false, true}) {
@@ -558,7 +568,10 @@
         System.out.println("frozen holder: " + plays + " orders");
     }
 
-    /** A majority of the first core that slept through two changes decides nothing, and is told of the core. */
+    /**
+     * A majority of the first core that slept through two changes decides nothing, and is told of the
+     * core.
+     */
     @Test
     public void anOldMajorityDecidesNothing() {
         for (boolean learns : new boolean[] {false, true}) {
@@ -589,12 +602,16 @@
                 world.cut.clear();
                 world.settle(3);
                 world.assertCore("s0", "s3", "s4");
-                assertFalse(world.nodes.get("s1").membership.applies(), "who was taken out does not come back");
+                assertFalse(world.nodes.get("s1").membership.applies(),
+                        "who was taken out does not come back");
             }
         }
     }
 
-    /** Without a disk and with no one who knows it, a store has no core; a stale one's is taken until a newer comes. */
+    /**
+     * Without a disk and with no one who knows it, a store has no core; a stale one's is taken until a
+     * newer comes.
+     */
     @Test
     public void aStoreWithoutDiskTakesTheCoreFromOthersAndNeverMakesUpItsOwn() {
         World world = new World(3);
@@ -623,7 +640,10 @@
         world.assertCore("s0", "s1", "s2", "s3", "s4");
     }
 
-    /** A member whose disk comes back empty at its address is the same member; it has all before it counts. */
+    /**
+     * A member whose disk comes back empty at its address is the same member; it has all before it
+     * counts.
+     */
     @Test
     public void aMemberWithoutItsDiskIsTheSameMember() {
         World world = new World(3);
@@ -638,7 +658,10 @@
         assertEquals(world.core("s0").epoch(), 0);
     }
 
-    /** An order to leave is refused where too few would be left, is the same again, and takes out who is down. */
+    /**
+     * An order to leave is refused where too few would be left, is the same again, and takes out who is
+     * down.
+     */
     @Test
     public void ordersToLeave() {
         World world = new World(3);
@@ -669,7 +692,8 @@
 
         Alone(Ballot accepted, Members value, boolean sound) {
             Members core = Members.first(List.of("s0", "s1", "s2"));
-            membership = new Membership("s0", 2, new Membership.State(core, accepted, accepted, value, false), sound,
+            membership = new Membership("s0", 2, new Membership.State(core, accepted, accepted, value,
+                    false), sound,
                     this);
             membership.met(SECOND, "s1", "n1");
             membership.met(SECOND, "s2", "n2");
--- a/src/test/java/reedmux/lab/world/InvariantCheckerTest.java
+++ b/src/test/java/reedmux/lab/world/InvariantCheckerTest.java
@@ -12,7 +12,8 @@
 public class InvariantCheckerTest {
     private static final long SECOND = 1_000_000;
     private static final String ROUTE = "routes/r";
-    private static final String PLANT = "{\"probe\":\"/\",\"connCeiling\":9,\"protocol\":\"h1\",\"tls\":false}";
+    private static final String PLANT =
+            "{\"probe\":\"/\",\"connCeiling\":9,\"protocol\":\"h1\",\"tls\":false}";
     private InvariantChecker watch;
 
     @BeforeMethod
--- a/src/test/java/reedmux/link/CodecTest.java
+++ b/src/test/java/reedmux/link/CodecTest.java
@@ -77,7 +77,8 @@
         assertNull(codec.read(new byte[] {99, 1, 2}));
         assertNull(codec.read(codec.write(new Messages.CoreTold(new Members(1, Map.of("nowhere", "")), false,
                 false))));
-        assertNull(codec.read(codec.write(new Membership.Step(Membership.Kind.ACCEPT, 4, MOTION.ballot(), null,
+        assertNull(codec.read(codec.write(new Membership.Step(Membership.Kind.ACCEPT, 4, MOTION.ballot(),
+                null,
                 null))));
     }
 
--- a/src/test/java/reedmux/store/ReplicaStorageTest.java
+++ b/src/test/java/reedmux/store/ReplicaStorageTest.java
@@ -247,7 +247,8 @@
         }
         assertTrue(most < 10 * 1024 * 1024, most + " bytes");
         Replica next = new Replica();
-        new ReplicaStorage(dir, new DiskEnvironment(new reedmux.disk.Folder(dir)).reactor(), new Codec(), next)
+        new ReplicaStorage(dir, new DiskEnvironment(new reedmux.disk.Folder(dir)).reactor(), new Codec(),
+                next)
                 .load(false, Members.first(List.of("10.0.0.1")));
         assertEquals(List.copyOf(next.inForce()), List.copyOf(replica.inForce()));
         assertEquals(Set.copyOf(next.marks()), Set.copyOf(replica.marks()));
