A call that is decided on during a contact without a wait no longer ends in an exception

Cause: a contact that waits for no call (a proxy's proof, `show`) has an unchangeable set of calls, and `Agreement.released` takes the decided call out of the set of each contact: an UnsupportedOperationException in `decided`. At the store that decides, the 200 is not given and nobody is told; at another one the link that brought the decision ends. Change: that contact has a set of its own. Measured: the new test of ContactTest fails with that exception on the code before, and passes; ContactTest and AgreementTest pass.

--- a/src/main/java/reedmux/item/Agreement.java
+++ b/src/main/java/reedmux/item/Agreement.java
@@ -319,7 +319,7 @@
         }
         long id = ++ids;
         contacts.put(id, new Contact(new HashSet<>(Set.of(self)),
-                settled ? new HashSet<>(replica.held().keySet()) : Set.of(), since, done));
+                settled ? new HashSet<>(replica.held().keySet()) : new HashSet<>(), since, done));
         effects.confirm(id, settled);
         reached(id);
     }
--- a/src/test/java/reedmux/item/ContactTest.java
+++ b/src/test/java/reedmux/item/ContactTest.java
@@ -282,6 +282,25 @@
         assertEquals(told, List.of(503));
     }
 
+    /** A contact for a proxy or a show waits for no call, and a call is decided on meanwhile. */
+    @Test
+    public void aCallIsDecidedOnWhileAContactIsUnderWay() {
+        for (int at = 0; at < 2; at++) {
+            int asked = at;
+            Orders.allOrDrawn(MOST, orders -> {
+                World world = new World();
+                boolean[] reached = {false};
+                world.agreements[asked].contact(world.now, false, told -> reached[0] = told);
+                world.adjust(0, 0, ONE);
+                world.deliver(orders::pick);
+                assertTrue(reached[0]);
+                assertEquals(world.answers[0], Agreement.GOOD);
+                world.settle();
+                assertAgreed(world);
+            });
+        }
+    }
+
     /** A link is gone, and with it the quorum: that is told at once. */
     @Test
     public void withoutLinksTheAnswerIsAtOnceAndNoRefusal() {
