--- a/src/test/java/reedmux/item/DoubtTest.java
+++ b/src/test/java/reedmux/item/DoubtTest.java
@@ -139,7 +139,8 @@
 
     /**
      * As in world --point 1 --cores 3 --seeds 47: the third store is away, and each of the others holds one
-     * of two calls that contend. One gives way within the time that a round has; none stays in the other's way.
+     * of two calls that contend. One gives way within the time that a round has; none stays in the way of
+     * the other.
      */
     @Test
     public void oneOfTwoThatContendGivesWayWhileTheThirdIsAway() {
