--- a/src/main/java/reedmux/item/Agreement.java
+++ b/src/main/java/reedmux/item/Agreement.java
@@ -664,8 +664,9 @@
     }
 
     /**
-     * Whether a call that contends with another may be dropped for it: a quorum has answered this attempt, heeds
-     * none below it, and has not precommitted the call, so that no attempt before can bring it into force.
+     * Whether a call that contends with another may be dropped for it: a quorum has answered this attempt,
+     * heeds none below it, and has not precommitted the call, so that no attempt before can bring it into
+     * force.
      */
     private boolean givesWay(Round round) {
         if (fenced || round.proposal.precommitted() || !round.votes.containsValue(Vote.BUSY)
--- a/src/main/java/reedmux/store/Store.java
+++ b/src/main/java/reedmux/store/Store.java
@@ -297,7 +297,8 @@
         }
         Puller puller = puller(link);
         if (told.ranges().isEmpty()) {
-            puller.repairedAt = replica.changes(); // what changes while ranges are compared is told behind them
+            // What changes while ranges are compared is told behind them.
+            puller.repairedAt = replica.changes();
         }
         if (told.ranges().isEmpty() && !others.isEmpty()) {
             link.say(new Differ(others));
