--- a/src/test/java/reedmux/cli/ExchangeTest.java
+++ b/src/test/java/reedmux/cli/ExchangeTest.java
@@ -42,7 +42,9 @@
  * {@code crowd} has so many consumers ask for health and stay, {@code silent} so many say nothing,
  * {@code take} reads so many bytes, {@code cut} fewer than so many and then the end,
  * {@code skip} reads on to the end of a head, {@code node log} compares what was logged,
- * {@code node deaf} finds that consumers cannot connect yet.
+ * {@code node deaf} finds that consumers cannot connect yet,
+ * {@code counts} waits for a figure at the operators' door, as a call is counted by another thread than the
+ * one whose bytes a provider sees.
  * c1, c2 are consumers, p1, p2 providers, d, d2 are discovery, u1 a peer, r1, r2 gateways of another region,
  * o1 an operator at the door, x1 a gateway that calls our listener for regions. {@code settings} adds a line
  * to the operators' own
@@ -248,6 +250,7 @@
                     int most = Integer.parseInt(rest);
                     assertTrue("all of it came", untilCut(socket(party), most) < most);
                 }
+                case "counts" -> untilCounted(rest);
                 case "skip" -> {
                     while (!readLine(socket(party)).isEmpty()) { }
                 }
@@ -297,6 +300,24 @@
         return came;
     }
 
+    /** Asks the operators' door again and again until this line is among its figures. */
+    private void untilCounted(String line) throws Exception {
+        long end = System.nanoTime() + HANGS * 1_000_000L;
+        String text = "";
+        while (System.nanoTime() < end) {
+            try (Socket socket = new Socket()) {
+                socket.connect(node.operatorAddress(), HANGS);
+                socket.setSoTimeout(HANGS);
+                socket.getOutputStream().write("vars\r\n".getBytes(StandardCharsets.UTF_8));
+                text = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            }
+            if (text.lines().anyMatch(line::equals)) {
+                return;
+            }
+        }
+        fail("never counted " + line + " but " + text);
+    }
+
     /** Connects again and again until nobody listens any more. */
     private void untilRefused() throws Exception {
         while (true) {
