Sight: a proxy tells of its shutdown, a store of a quorum that it has lost

Change: GracefulShutdown owns the end of a proxy's life, decides as before, and writes what was accepted, admitted and left without a response; QuorumMonitor writes after a second without a quorum who of which epoch is missing. Refunds of quota go through RequestAdmission. Result: no decision changed. The whole suite was not run on this commit.

--- a/src/main/java/reedmux/control/consensus/CoreMembership.java
+++ b/src/main/java/reedmux/control/consensus/CoreMembership.java
@@ -1,6 +1,7 @@
 package reedmux.control.consensus;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -101,6 +102,11 @@
         return context.isMember();
     }
 
+    /** The ips of this node and of those that are connected. */
+    public Set<String> connectedIps() {
+        return context.live();
+    }
+
     /** Whether a successor was accepted here, so that nothing new is prepared under this epoch. */
     public boolean isFenced() {
         return acceptor.isFenced();
--- a/src/main/java/reedmux/control/store/StoreServer.java
+++ b/src/main/java/reedmux/control/store/StoreServer.java
@@ -74,8 +74,8 @@
     private long epoch = -1;
     /** Whether this store could join the core; as the peers were told last. */
     private boolean ready;
-    /** When connections with a quorum were last established; below 0 for never. */
-    private long quorumConnectedAt = -1;
+
+    private final QuorumMonitor quorumMonitor;
 
     /**
      * Starts a store: when this returns it listens, with what could be read of its disk.
@@ -85,6 +85,7 @@
      */
     public StoreServer(ProcessSettings settings, Reactor reactor) throws ProcessSettingsException, IOException {
         this.reactor = reactor;
+        quorumMonitor = new QuorumMonitor(reactor);
         if (settings.dataDir() == null) {
             throw settings.invalid(SettingKeys.DATA_DIRECTORY, "is missing: a store needs a disk");
         }
@@ -137,11 +138,9 @@
 
     private void onTick() {
         consensus.onTick(reactor.now());
-        if (consensus.isCurrent()) {
-            quorumConnectedAt = reactor.now();
-        }
         publisher.startProxyContact();
         membership.onTick(reactor.now());
+        quorumMonitor.onTick(consensus.isCurrent(), membership.core(), membership.connectedIps());
         boolean readyNow = membership.isCandidate() && consensus.isCurrent();
         if (readyNow != ready) {
             ready = readyNow;
@@ -193,7 +192,7 @@
                 membership,
                 replica,
                 peers.lastReceivedMicros(),
-                quorumConnectedAt,
+                quorumMonitor.quorumConnectedAt(),
                 reactor.now());
     }
 
--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -131,6 +131,16 @@
         return headReceivedAt;
     }
 
+    /** Whether a request was dispatched whose response has not gone out. */
+    boolean awaitsResponse() {
+        return request != null && dispatched && !responded;
+    }
+
+    /** When the client of the request that is under way stops waiting. */
+    long deadline() {
+        return request.proxyRequest().deadline();
+    }
+
     int bufferedBodyBytes() {
         return requestBody == null ? 0 : requestBody.bufferedBytes();
     }
--- a/src/main/java/reedmux/proxy/ClientFrontend.java
+++ b/src/main/java/reedmux/proxy/ClientFrontend.java
@@ -1,5 +1,6 @@
 package reedmux.proxy;
 
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -8,7 +9,6 @@
 import reedmux.common.http1.Http1Head;
 import reedmux.control.configuration.RequestLimits;
 import reedmux.proxy.request.RequestEvent;
-import reedmux.proxy.request.RequestPort;
 import reedmux.proxy.request.RequestTracker;
 
 /**
@@ -26,7 +26,7 @@
     private final StartupGate startup;
     private final RequestAdmission admission;
     private final RequestTracker tracker;
-    private final RequestPort port;
+    private final GracefulShutdown shutdown;
     private final int maxClients;
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     /** The limits as configured now, and what clients may do until the end of a transition. */
@@ -34,7 +34,6 @@
 
     private RequestLimits transitionLimits;
     private long transitionEndsAt;
-    private boolean draining;
 
     ClientFrontend(
             Reactor reactor,
@@ -42,14 +41,14 @@
             StartupGate startup,
             RequestAdmission admission,
             RequestTracker tracker,
-            RequestPort port,
+            GracefulShutdown shutdown,
             int maxClients) {
         this.reactor = reactor;
         this.controlPlane = controlPlane;
         this.startup = startup;
         this.admission = admission;
         this.tracker = tracker;
-        this.port = port;
+        this.shutdown = shutdown;
         this.maxClients = maxClients;
     }
 
@@ -64,19 +63,30 @@
         if (clients.size() >= maxClients) {
             connection.close();
         } else {
+            shutdown.onAccepted();
             clients.add(new ClientConnection(this, connection));
         }
     }
 
-    /** From now on every response is the last one on its connection. */
-    void startDraining() {
-        draining = true;
-    }
-
     boolean hasClients() {
         return !clients.isEmpty();
     }
 
+    int connectionCount() {
+        return clients.size();
+    }
+
+    /** The requests that were handed to the tracker and have no response yet. */
+    List<GracefulShutdown.UnansweredRequest> unansweredRequests() {
+        List<GracefulShutdown.UnansweredRequest> unanswered = new ArrayList<>();
+        for (ClientConnection client : clients) {
+            if (client.awaitsResponse()) {
+                unanswered.add(new GracefulShutdown.UnansweredRequest(client.headReceivedAt(), client.deadline()));
+            }
+        }
+        return unanswered;
+    }
+
     /** Closes the connections whose time is over, and those that are idle if {@code closeIdle}. */
     void checkTimeouts(boolean closeIdle) {
         for (ClientConnection client : List.copyOf(clients)) {
@@ -110,7 +120,7 @@
 
     @Override
     public boolean isDraining() {
-        return draining;
+        return shutdown.hasBegun();
     }
 
     @Override
@@ -120,7 +130,12 @@
 
     @Override
     public RequestAdmission.AdmissionResult admit(ClientConnection client, Http1Head head, ClientRequestBody body) {
-        return admission.admit(client, head, body, requestLimits(), body == null ? 0 : bufferedBodyBytes());
+        RequestAdmission.AdmissionResult result =
+                admission.admit(client, head, body, requestLimits(), body == null ? 0 : bufferedBodyBytes());
+        if (result.request() != null) {
+            shutdown.onAdmitted(now());
+        }
+        return result;
     }
 
     private long bufferedBodyBytes() {
@@ -137,7 +152,7 @@
         if (dispatched) {
             tracker.onEvent(now(), new RequestEvent.ClientDisconnected(request.proxyRequest()));
         } else {
-            port.refundQuota(request.proxyRequest());
+            admission.refund(request.proxyRequest());
         }
     }
 
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -37,10 +37,6 @@
     private static final long MAINTENANCE_INTERVAL_MICROS = MICROS_PER_SECOND / 4;
     /** Maintenance that comes this late was held up, and what clients have sent meanwhile is not read yet. */
     private static final long STALL_THRESHOLD_MICROS = MICROS_PER_SECOND;
-    /** While draining, idle connections are kept this long: balancers still send new ones for about two seconds. */
-    private static final long DRAIN_KEEP_IDLE_MICROS = 3 * MICROS_PER_SECOND;
-    /** The process ends this long before the grace of a shutdown does. */
-    private static final long SHUTDOWN_MARGIN_MICROS = MICROS_PER_SECOND / 3;
     /** Descriptors that are no clients': checkers, the control plane, files. */
     private static final int RESERVED_DESCRIPTORS = 400;
 
@@ -60,13 +56,13 @@
     private final RequestTracker tracker;
     private final CheckerConnectionPool checkerConnections;
     private final StartupGate startup;
+    private final RequestAdmission admission;
     private final ClientFrontend clients;
-    private final long shutdownGraceMicros;
+    private final GracefulShutdown shutdown;
     private final long startedAt;
     private SessionView view = SessionView.of(List.of());
     private long lastMaintenanceAt;
     private boolean ready;
-    private long drainingSince = -1;
 
     /**
      * Starts a proxy on a reactor.
@@ -94,10 +90,11 @@
         tracker = new RequestTracker(this, loadBalancer, retryBudget, incarnation);
         checkerConnections = new CheckerConnectionPool(reactor, tracker);
         startup = new StartupGate(reactor, controlPlane, loadBalancer, startedAt);
-        RequestAdmission admission = new RequestAdmission(reactor, controlPlane, startup, quotas);
-        clients = new ClientFrontend(reactor, controlPlane, startup, admission, tracker, this, maxClients(settings));
-        shutdownGraceMicros =
-                (long) (settings.number(SettingKeys.SHUTDOWN_GRACE_SECONDS, DEFAULT_GRACE_SECONDS) * MICROS_PER_SECOND);
+        shutdown = new GracefulShutdown((long)
+                (settings.number(SettingKeys.SHUTDOWN_GRACE_SECONDS, DEFAULT_GRACE_SECONDS) * MICROS_PER_SECOND));
+        admission = new RequestAdmission(reactor, controlPlane, startup, quotas);
+        clients =
+                new ClientFrontend(reactor, controlPlane, startup, admission, tracker, shutdown, maxClients(settings));
         controlPlane.connect();
         quotaExchange = new QuotaExchange(settings, reactor, codec, quotas, controlPlane);
         reactor.scheduleEvery(MAINTENANCE_INTERVAL_MICROS, this::runMaintenance);
@@ -159,9 +156,7 @@
 
     @Override
     public void refundQuota(ProxyRequest request) {
-        if (request.tenant() != null) {
-            quotas.refund(request.tenant(), reactor.now());
-        }
+        admission.refund(request);
     }
 
     @Override
@@ -183,7 +178,7 @@
 
     /** Whether clients are to be sent here: from the first time that everything is known, until draining. */
     private boolean isReady() {
-        if (drainingSince >= 0) {
+        if (shutdown.hasBegun()) {
             return false;
         }
         if (!ready) {
@@ -204,25 +199,30 @@
         loadBalancer.updateUtilization();
         checkerConnections.closeUnusable();
         long now = reactor.now();
-        boolean closeIdle = drainingSince >= 0 && now - drainingSince > DRAIN_KEEP_IDLE_MICROS;
+        boolean closeIdle = shutdown.closesIdleConnections(now);
         boolean stalled = now - lastMaintenanceAt > STALL_THRESHOLD_MICROS;
         lastMaintenanceAt = now;
         if (!stalled) {
             clients.checkTimeouts(closeIdle);
         }
-        boolean graceOver = drainingSince >= 0 && now - drainingSince > shutdownGraceMicros - SHUTDOWN_MARGIN_MICROS;
-        if (closeIdle && !clients.hasClients() || graceOver) {
-            tracker.onEvent(now, new RequestEvent.ProxyShutdown());
-            reactor.stop();
+        if (closeIdle && !clients.hasClients() || shutdown.isOver(now)) {
+            end();
         }
     }
 
+    private void end() {
+        tracker.onEvent(reactor.now(), new RequestEvent.ProxyShutdown());
+        reactor.info(shutdown.summary(reactor.now(), clients.unansweredRequests()));
+        reactor.stop();
+    }
+
     /** Starts draining: readiness is withdrawn, clients that still come are served, and the end follows. */
     @Override
     public void beginShutdown() {
-        if (drainingSince < 0) {
-            drainingSince = reactor.now();
-            clients.startDraining();
+        if (!shutdown.hasBegun()) {
+            shutdown.begin(reactor.now());
+            reactor.info("shuts down, with " + clients.connectionCount() + " connections and "
+                    + clients.unansweredRequests().size() + " requests");
         }
     }
 
--- a/src/main/java/reedmux/proxy/RequestAdmission.java
+++ b/src/main/java/reedmux/proxy/RequestAdmission.java
@@ -94,6 +94,13 @@
         return new AdmissionResult(request, null);
     }
 
+    /** Gives back what a request that was certainly not executed has used of its tenant's quota. */
+    void refund(ProxyRequest request) {
+        if (request.tenant() != null) {
+            quotas.refund(request.tenant(), reactor.now());
+        }
+    }
+
     /** The tenant whose key the request carries, or null. */
     private static TenantItem authenticate(ConfigurationTable table, Http1Head head) {
         String authorization = head.count("Authorization") == 1 ? head.get("Authorization") : null;
