--- a/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
+++ b/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
@@ -147,6 +147,11 @@
         requests.onRequestExecuted(id, checker, service, tenant, now);
     }
 
+    /** Whether a checker has begun to execute a request. */
+    boolean hasExecuted(String id) {
+        return requests.hasExecuted(id);
+    }
+
     /** A client has received a response; {@code sealedBy}: the checker that sent it completely, or null. */
     void onResponse(String id, int status, String sealedBy, long now) {
         requests.onResponse(id, status, sealedBy, now);
--- a/src/main/java/reedmux/simulation/cluster/Deployment.java
+++ b/src/main/java/reedmux/simulation/cluster/Deployment.java
@@ -85,6 +85,11 @@
             seeds = ips;
         }
 
+        /** The process that runs one of its programs. */
+        SimulatedProcess process(String role) {
+            return processes.get(role);
+        }
+
         boolean isShuttingDown() {
             return shuttingDown;
         }
--- a/src/main/java/reedmux/simulation/cluster/RequestInvariants.java
+++ b/src/main/java/reedmux/simulation/cluster/RequestInvariants.java
@@ -148,6 +148,11 @@
         }
     }
 
+    boolean hasExecuted(String id) {
+        ObservedRequest request = requests.get(id);
+        return request != null && !request.executedBy.isEmpty();
+    }
+
     private void checkDrain(String id, String checker, String proxy, long now) {
         Long drainedAt = drainAcknowledgedAt.get(checker);
         if (drainedAt != null
--- /dev/null
+++ b/src/test/java/reedmux/simulation/cluster/ProxyShutdownClusterTest.java
@@ -0,0 +1,130 @@
+package reedmux.simulation.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import reedmux.common.http1.Http1Head;
+import reedmux.simulation.harness.OneShotHttpCall;
+import reedmux.simulation.harness.PersistentHttpClient;
+
+/** Clients that stay with a proxy which was told to end, until it is gone; with the programs as they are. */
+public class ProxyShutdownClusterTest {
+    private static final long SECOND = 1_000_000;
+    private static final int CLIENTS = 12;
+    private static final long RESPONSE_TIMEOUT = 5 * SECOND;
+
+    private ServingDeployment serving;
+    private Deployment.DeployedNode edge;
+    private long signalAt;
+    private long endedAt;
+    private int served;
+    private int rejected;
+    private int executedAndLost;
+    private final List<Long> servedAt = new ArrayList<>();
+
+    /** One client's requests, the next one as soon as the last one has ended. */
+    private final class OrderingClient implements PersistentHttpClient.Conversation {
+        private final String name;
+        private final int timeLeftMillis;
+        private final PersistentHttpClient client;
+        private int number;
+        private String id;
+
+        private OrderingClient(String name, int timeLeftMillis, boolean ignoresClose) {
+            this.name = name;
+            this.timeLeftMillis = timeLeftMillis;
+            client = new PersistentHttpClient(
+                    serving.outside().reactor(),
+                    serving.deployment().frontAddress(edge),
+                    RESPONSE_TIMEOUT,
+                    ignoresClose,
+                    this);
+        }
+
+        @Override
+        public byte[] nextRequest() {
+            if (endedAt > 0) {
+                return null;
+            }
+            id = name + '.' + ++number;
+            serving.invariants()
+                    .onRequestSent(
+                            id,
+                            edge.name(),
+                            false,
+                            null,
+                            null,
+                            null,
+                            serving.simulation().now());
+            return OneShotHttpCall.request(
+                    "POST",
+                    "/r0/x",
+                    "h.example",
+                    "an order",
+                    "Reedmux-Attempt-Id: " + id + "\r\n",
+                    "Reedmux-Time-Left-Ms: " + timeLeftMillis + "\r\n",
+                    "Authorization: Bearer key-0-first.\r\n");
+        }
+
+        @Override
+        public void onResponse(Http1Head head, byte[] body) {
+            if (head.status() == 200) {
+                served++;
+                servedAt.add(serving.simulation().now());
+            } else {
+                rejected++;
+                assertTrue(head.status() == 503 || head.status() == 429, "status " + head.status());
+                assertTrue(head.get("Retry-After") != null, "a rejection says when to come back");
+            }
+        }
+
+        @Override
+        public void onLost(String reason) {
+            if (serving.invariants().hasExecuted(id)) {
+                executedAndLost++;
+            }
+            if (endedAt == 0) { // the platform sends it here again
+                serving.outside().reactor().scheduleAfter(10_000, client::start);
+            }
+        }
+    }
+
+    @DataProvider
+    public Object[][] clients() {
+        return new Object[][] {{2_500, false}, {2_500, true}, {60_000, false}, {700, true}};
+    }
+
+    /** Whatever was passed on to a checker has its response, however late after SIGTERM it has come. */
+    @Test(dataProvider = "clients")
+    public void whatIsPassedOnAfterSigtermIsAnswered(int timeLeftMillis, boolean ignoresClose) {
+        serving = new ServingDeployment(11, line -> {});
+        edge = serving.deployment().proxies().get(0);
+        endedAt = 0;
+        served = 0;
+        rejected = 0;
+        executedAndLost = 0;
+        servedAt.clear();
+        SimulatedProcess process = edge.process("proxy");
+        process.onExit(() -> endedAt = serving.simulation().now());
+        for (int i = 0; i < CLIENTS; i++) {
+            serving.outside()
+                    .reactor()
+                    .execute(new OrderingClient("c" + i, timeLeftMillis, ignoresClose).client::start);
+        }
+        serving.simulation().runFor(2 * SECOND);
+        signalAt = serving.simulation().now();
+        edge.terminate(300_000);
+        serving.simulation().runFor(8 * SECOND);
+        assertTrue(endedAt > signalAt && endedAt < signalAt + 6 * SECOND, "it ends within the grace period");
+        assertEquals(executedAndLost, 0, "requests that were passed on and have no response");
+        assertEquals(serving.invariants().violations(), List.of());
+        long inTheFirstTwoSeconds = servedAt.stream()
+                .filter(at -> at > signalAt && at < signalAt + 2 * SECOND)
+                .count();
+        assertTrue(inTheFirstTwoSeconds > 20, "the platform still sends clients for two seconds: they are served");
+    }
+}
--- a/src/test/java/reedmux/simulation/cluster/ServingDeployment.java
+++ b/src/test/java/reedmux/simulation/cluster/ServingDeployment.java
@@ -16,6 +16,7 @@
     private final ClusterSimulation simulation;
     private final Deployment deployment;
     private final SimulatedProcess outside;
+    private final ClusterInvariantChecker invariants = new ClusterInvariantChecker();
 
     /** Starts it; {@code seed} determines the simulation, {@code log} gets the lines of the programs. */
     ServingDeployment(long seed, Consumer<String> log) {
@@ -23,7 +24,6 @@
         deployment = new Deployment(simulation, EDGE_MACHINES, CORE_MACHINES, log);
         deployment.start();
         outside = new SimulatedProcess(simulation, machine("10.9.0.1"), "outside", 0, line -> {});
-        ClusterInvariantChecker checker = new ClusterInvariantChecker();
         for (int i = 0; i < CHECKERS; i++) {
             new SimulatedChecker(
                     simulation,
@@ -31,11 +31,11 @@
                     "i-" + i,
                     ConfigurationGenerator.SERVICES[i % ConfigurationGenerator.SERVICES.length],
                     deployment.controlAddresses(),
-                    checker,
+                    invariants,
                     () -> {},
                     ip -> {});
         }
-        new SimulatedOperator(simulation, "10.8.0.1", deployment.controlAddresses(), checker)
+        new SimulatedOperator(simulation, "10.8.0.1", deployment.controlAddresses(), invariants)
                 .changeConfiguration(
                         new ConfigurationGenerator(new Random(1)).initialChange(),
                         ClusterInvariantChecker.ExpectedDecision.ACCEPT,
@@ -56,6 +56,11 @@
         return deployment;
     }
 
+    /** What the checkers have observed. */
+    ClusterInvariantChecker invariants() {
+        return invariants;
+    }
+
     /** A process on a machine of its own. */
     SimulatedProcess outside() {
         return outside;
