Proxy: what is admitted after SIGTERM has its response before the end (LOST)

Cause: a proxy that was told to end kept its listener open and admitted every request until the moment it ended, a third of a second before its grace was over. Where the platform still sends clients (it uses all proxies of a zone of which fewer than half are ready) or clients stay with their connections, the last requests were cut with their checkers at work. Class: admission without regard to the time that is left. Ruled out: an end that came too soon; the process had 5.7 of 6 s. Change: GracefulShutdown has phases. After 3 s (or half of the grace) the listener and idle connections are closed; a request is admitted only if its deadline lies before the end, but for the 2 s in which balancers can't have noticed; what is still coming in shortly before the end is rejected with 503 and Retry-After. InvariantMonitor checks at the end that nothing else is cut, counts violations and fails the simulation and the loopback gateway by them. The whole suite was not run on this commit.

--- a/src/main/java/reedmux/common/eventloop/Reactor.java
+++ b/src/main/java/reedmux/common/eventloop/Reactor.java
@@ -8,6 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.concurrent.Executor;
 import reedmux.common.disk.Volume;
+import reedmux.common.logging.InvariantMonitor;
 import reedmux.common.logging.RingBufferLogger;
 
 /**
@@ -50,6 +51,7 @@
     private final Environment environment;
     private final PriorityQueue<ScheduledTask> timers = new PriorityQueue<>();
     private final RingBufferLogger logger;
+    private final InvariantMonitor invariants;
     /** Shared by all sockets of this thread; its content is copied out before the next read. */
     final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
     /** By kind of warning, in microseconds. */
@@ -67,6 +69,7 @@
     /** A reactor in an environment of its own, as tests and the simulation have it. */
     public Reactor(RingBufferLogger logger, Environment environment) {
         this.logger = logger;
+        invariants = new InvariantMonitor(logger);
         this.environment = environment;
         now = environment.now();
     }
@@ -147,6 +150,11 @@
         };
     }
 
+    /** Where this process checks what must always hold. */
+    public InvariantMonitor invariants() {
+        return invariants;
+    }
+
     /** Logs a line for operators. */
     public void info(String line) {
         logger.info(line);
--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -339,6 +339,17 @@
         }
     }
 
+    /** Rejects the request that is under way if it was not dispatched. */
+    void rejectUndispatched(ProxyResponse rejection) {
+        if (request == null || dispatched || responded) {
+            return;
+        }
+        ClientRequest abandoned = request;
+        keepAlive = false;
+        respond(rejection);
+        handler.onRequestAbandoned(abandoned, false);
+    }
+
     // ---- Closing -----------------------------------------------------------------------------------
 
     private void closeAfterResponse() {
--- a/src/main/java/reedmux/proxy/ClientFrontend.java
+++ b/src/main/java/reedmux/proxy/ClientFrontend.java
@@ -94,6 +94,13 @@
         }
     }
 
+    /** Rejects the requests of which a part is still coming in: nothing of them was sent on. */
+    void rejectUndispatched() {
+        for (ClientConnection client : List.copyOf(clients)) {
+            client.rejectUndispatched(RequestAdmission.leavingRejection());
+        }
+    }
+
     @Override
     public long now() {
         return reactor.now();
@@ -130,12 +137,7 @@
 
     @Override
     public RequestAdmission.AdmissionResult admit(ClientConnection client, Http1Head head, ClientRequestBody body) {
-        RequestAdmission.AdmissionResult result =
-                admission.admit(client, head, body, requestLimits(), body == null ? 0 : bufferedBodyBytes());
-        if (result.request() != null) {
-            shutdown.onAdmitted(now());
-        }
-        return result;
+        return admission.admit(client, head, body, requestLimits(), body == null ? 0 : bufferedBodyBytes());
     }
 
     private long bufferedBodyBytes() {
--- a/src/main/java/reedmux/proxy/GracefulShutdown.java
+++ b/src/main/java/reedmux/proxy/GracefulShutdown.java
@@ -3,17 +3,36 @@
 import java.util.List;
 
 /**
- * The end of a proxy's life: from SIGTERM, at which it is no longer ready and each response becomes the last one on its
- * connection, until the process ends. Says when idle connections are closed and when the process ends, and counts what
- * was taken meanwhile. Times are microseconds of a monotonic clock. For one thread.
+ * The end of a proxy's life, from SIGTERM until the process ends: which requests are still admitted, until when
+ * connections are accepted and kept, and when the process ends. Its phases:
+ *
+ * <ul>
+ *   <li><em>running</em>: before SIGTERM;
+ *   <li><em>leaving</em>: the proxy is not ready, but balancers that have not noticed yet still send clients. They are
+ *       served, each response being the last one on its connection;
+ *   <li><em>draining</em>: the listener and idle connections are closed. What comes over a connection that is still
+ *       open is admitted only if its deadline lies before the end of the process, and else rejected at once;
+ *   <li><em>ended</em>: once no connection is left, and at the latest a margin before the grace period is over.
+ * </ul>
+ *
+ * <p>Invariant: a request that is without a response when the process ends was received before the balancers can have
+ * noticed, and its deadline lies behind that end. All others have their response, if only at their deadline.
+ *
+ * <p>Times are microseconds of a monotonic clock. No I/O; for one thread.
  */
 final class GracefulShutdown {
     private static final long MICROS_PER_SECOND = 1_000_000;
     private static final long MICROS_PER_MILLI = 1000;
-    /** Idle connections are kept this long: balancers still send new ones for about two seconds. */
-    private static final long KEEP_IDLE_MICROS = 3 * MICROS_PER_SECOND;
-    /** The process ends this long before the grace period does. */
-    private static final long END_MARGIN_MICROS = MICROS_PER_SECOND / 3;
+    /** How long balancers send clients after SIGTERM: they ask once a second and need two answers. */
+    private static final long BALANCER_LAG_MICROS = 2 * MICROS_PER_SECOND;
+    /** Connections are accepted, and idle ones kept, this long; later ones would hold up the end. */
+    private static final long MAX_LEAVING_MICROS = 3 * MICROS_PER_SECOND;
+    /** The process ends this long before the grace period does, or a fraction of it where that is short. */
+    private static final long MAX_END_MARGIN_MICROS = MICROS_PER_SECOND / 3;
+
+    private static final int END_MARGIN_DIVISOR = 8;
+    /** Between the last responses and the end, so that they get to their clients. */
+    private static final long FLUSH_MICROS = 100 * MICROS_PER_MILLI;
 
     private static final long NOT_BEGUN = -1;
 
@@ -21,9 +40,15 @@
     private long begunAt = NOT_BEGUN;
     private int acceptedConnections;
     private int admittedRequests;
+    private int rejectedRequests;
     private long lastAdmittedAt;
 
-    /** A request that was dispatched and has no response. */
+    /**
+     * A request that was dispatched and has no response.
+     *
+     * @param receivedAt when its head was complete
+     * @param deadline   when its client stops waiting
+     */
     record UnansweredRequest(long receivedAt, long deadline) {}
 
     /** {@code graceMicros}: after SIGTERM the platform kills the process once this time is over. */
@@ -41,14 +66,39 @@
         return begunAt != NOT_BEGUN;
     }
 
-    /** Whether connections without a request are closed by now. */
-    boolean closesIdleConnections(long now) {
-        return hasBegun() && now - begunAt > KEEP_IDLE_MICROS;
+    /** From when on connections are accepted no more, and those without a request are closed. */
+    long drainsAt() {
+        return begunAt + Math.min(MAX_LEAVING_MICROS, graceMicros / 2);
+    }
+
+    /** By when every request that is admitted has its response; what is not under way by then is rejected. */
+    long lastResponseAt() {
+        return endsAt() - FLUSH_MICROS;
+    }
+
+    /** When the process ends, whatever is under way. */
+    long endsAt() {
+        return begunAt + graceMicros - Math.min(MAX_END_MARGIN_MICROS, graceMicros / END_MARGIN_DIVISOR);
+    }
+
+    /** Whether a balancer that works as it should may not have noticed at that time. */
+    private boolean balancersMayLag(long time) {
+        return time - begunAt <= Math.min(BALANCER_LAG_MICROS, graceMicros / 3);
+    }
+
+    boolean isDraining(long now) {
+        return hasBegun() && now >= drainsAt();
     }
 
-    /** Whether the process has to end now, whatever is under way. */
-    boolean isOver(long now) {
-        return hasBegun() && now - begunAt > graceMicros - END_MARGIN_MICROS;
+    /** Whether a request with that deadline is admitted; otherwise it is rejected at once, before it is sent on. */
+    boolean admits(long now, long deadline) {
+        boolean admitted = !hasBegun() || deadline <= lastResponseAt() || balancersMayLag(now);
+        if (hasBegun()) {
+            admittedRequests += admitted ? 1 : 0;
+            rejectedRequests += admitted ? 0 : 1;
+            lastAdmittedAt = admitted ? now : lastAdmittedAt;
+        }
+        return admitted;
     }
 
     /** A client's connection was accepted. */
@@ -56,18 +106,21 @@
         acceptedConnections += hasBegun() ? 1 : 0;
     }
 
-    /** A request was admitted. */
-    void onAdmitted(long now) {
-        if (hasBegun()) {
-            admittedRequests++;
-            lastAdmittedAt = now;
+    /** Whether the class's invariant allows that these requests get no response. */
+    boolean mayLeaveUnanswered(List<UnansweredRequest> requests) {
+        for (UnansweredRequest request : requests) {
+            if (request.deadline <= lastResponseAt() || !balancersMayLag(request.receivedAt)) {
+                return false;
+            }
         }
+        return true;
     }
 
     /** What operators are told at the end; {@code cut}: the requests that get no response. */
     String summary(long now, List<UnansweredRequest> cut) {
         return "ends " + (now - begunAt) / MICROS_PER_MILLI + " ms after the signal: since then " + acceptedConnections
                 + " connections accepted, " + admittedRequests + " requests admitted, the last one after "
-                + (lastAdmittedAt - begunAt) / MICROS_PER_MILLI + " ms; " + cut.size() + " requests without a response";
+                + (lastAdmittedAt - begunAt) / MICROS_PER_MILLI + " ms, " + rejectedRequests + " rejected; "
+                + cut.size() + " without a response";
     }
 }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -48,6 +48,7 @@
 
     private final String node;
     private final Reactor reactor;
+    private final TcpListener clientListener;
     private final ControlPlaneClient controlPlane;
     private final LoadBalancer loadBalancer;
     private final QuotaTracker quotas;
@@ -74,7 +75,8 @@
         this.reactor = reactor;
         node = settings.node();
         // Before anything else, so that clients of a restarted proxy wait for it and are not refused.
-        new TcpListener(reactor, settings.socketAddress(SettingKeys.FRONT_SOCKET), this::onClientAccepted);
+        clientListener =
+                new TcpListener(reactor, settings.socketAddress(SettingKeys.FRONT_SOCKET), this::onClientAccepted);
         new TcpListener(reactor, settings.socketAddress(SettingKeys.READY_SOCKET), this::onReadinessClientAccepted);
         startedAt = reactor.now();
         lastMaintenanceAt = startedAt;
@@ -90,9 +92,9 @@
         tracker = new RequestTracker(this, loadBalancer, retryBudget, incarnation);
         checkerConnections = new CheckerConnectionPool(reactor, tracker);
         startup = new StartupGate(reactor, controlPlane, loadBalancer, startedAt);
-        shutdown = new GracefulShutdown((long)
-                (settings.number(SettingKeys.SHUTDOWN_GRACE_SECONDS, DEFAULT_GRACE_SECONDS) * MICROS_PER_SECOND));
-        admission = new RequestAdmission(reactor, controlPlane, startup, quotas);
+        double graceSeconds = settings.number(SettingKeys.SHUTDOWN_GRACE_SECONDS, DEFAULT_GRACE_SECONDS);
+        shutdown = new GracefulShutdown((long) (graceSeconds * MICROS_PER_SECOND));
+        admission = new RequestAdmission(reactor, controlPlane, startup, shutdown, quotas);
         clients =
                 new ClientFrontend(reactor, controlPlane, startup, admission, tracker, shutdown, maxClients(settings));
         controlPlane.connect();
@@ -199,31 +201,50 @@
         loadBalancer.updateUtilization();
         checkerConnections.closeUnusable();
         long now = reactor.now();
-        boolean closeIdle = shutdown.closesIdleConnections(now);
+        boolean draining = shutdown.isDraining(now);
         boolean stalled = now - lastMaintenanceAt > STALL_THRESHOLD_MICROS;
         lastMaintenanceAt = now;
         if (!stalled) {
-            clients.checkTimeouts(closeIdle);
+            clients.checkTimeouts(draining);
         }
-        if (closeIdle && !clients.hasClients() || shutdown.isOver(now)) {
+        if (draining && !clients.hasClients()) {
             end();
         }
     }
 
-    private void end() {
-        tracker.onEvent(reactor.now(), new RequestEvent.ProxyShutdown());
-        reactor.info(shutdown.summary(reactor.now(), clients.unansweredRequests()));
-        reactor.stop();
-    }
-
-    /** Starts draining: readiness is withdrawn, clients that still come are served, and the end follows. */
+    /** Begins what {@link GracefulShutdown} describes: readiness is withdrawn, and the end follows. */
     @Override
     public void beginShutdown() {
-        if (!shutdown.hasBegun()) {
-            shutdown.begin(reactor.now());
-            reactor.info("shuts down, with " + clients.connectionCount() + " connections and "
-                    + clients.unansweredRequests().size() + " requests");
+        if (shutdown.hasBegun()) {
+            return;
         }
+        shutdown.begin(reactor.now());
+        reactor.info("shuts down, with " + clients.connectionCount() + " connections and "
+                + clients.unansweredRequests().size() + " requests");
+        reactor.scheduleAt(shutdown.drainsAt(), this::drain);
+        reactor.scheduleAt(shutdown.lastResponseAt(), this::rejectWhatWaits);
+        reactor.scheduleAt(shutdown.endsAt(), this::end);
+    }
+
+    private void drain() {
+        clientListener.close();
+        clients.checkTimeouts(true);
+    }
+
+    private void rejectWhatWaits() {
+        tracker.onEvent(reactor.now(), new RequestEvent.ProxyShutdown());
+        clients.rejectUndispatched();
+    }
+
+    private void end() {
+        List<GracefulShutdown.UnansweredRequest> cut = clients.unansweredRequests();
+        reactor.info(shutdown.summary(reactor.now(), cut));
+        reactor.invariants()
+                .check(
+                        shutdown.mayLeaveUnanswered(cut),
+                        "a request that is admitted after SIGTERM has its response before the process ends",
+                        () -> cut.toString());
+        reactor.stop();
     }
 
     @Override
--- a/src/main/java/reedmux/proxy/RequestAdmission.java
+++ b/src/main/java/reedmux/proxy/RequestAdmission.java
@@ -27,6 +27,9 @@
     private static final long MIN_RETRY_AFTER_START_MICROS = RETRY_AFTER_MICROS / 2;
 
     private static final long MIN_RETRY_AFTER_QUOTA_MICROS = RETRY_AFTER_MICROS / 4;
+    /** Another proxy can take the request at once. */
+    private static final long RETRY_ELSEWHERE_MICROS = 50_000;
+
     private static final long NO_RETRY_AFTER = -1;
     /** The time that a request has which names none: an hour. */
     private static final long DEFAULT_TIME_LEFT_MILLIS = 3_600_000;
@@ -36,15 +39,22 @@
     private final Reactor reactor;
     private final ControlPlaneClient controlPlane;
     private final StartupGate startup;
+    private final GracefulShutdown shutdown;
     private final QuotaTracker quotas;
 
     /** A request that is admitted, or else the response that rejects it; the other one is null. */
     record AdmissionResult(ClientRequest request, ProxyResponse rejection) {}
 
-    RequestAdmission(Reactor reactor, ControlPlaneClient controlPlane, StartupGate startup, QuotaTracker quotas) {
+    RequestAdmission(
+            Reactor reactor,
+            ControlPlaneClient controlPlane,
+            StartupGate startup,
+            GracefulShutdown shutdown,
+            QuotaTracker quotas) {
         this.reactor = reactor;
         this.controlPlane = controlPlane;
         this.startup = startup;
+        this.shutdown = shutdown;
         this.quotas = quotas;
     }
 
@@ -84,16 +94,24 @@
         if (body != null && bufferedBytes > MAX_BUFFERED_BODY_BYTES) {
             return reject(503, "too many bodies are coming in", RETRY_AFTER_MICROS);
         }
+        long deadline = client.headReceivedAt() + Math.min(timeLeftMillis * 1000, route.timeoutMicros());
+        if (!shutdown.admits(reactor.now(), deadline)) {
+            return new AdmissionResult(null, leavingRejection());
+        }
         if (tenant != null && !quotas.admit(tenant, reactor.now())) {
             long retryAfterMicros = quotas.retryAfterMicros(tenant, reactor.now());
             return reject(429, "the quota is used up", Math.max(MIN_RETRY_AFTER_QUOTA_MICROS, retryAfterMicros));
         }
         ClientRequest request = new ClientRequest(client, head, attemptId, tenant == null ? null : tenant.name(), body);
-        long deadline = client.headReceivedAt() + Math.min(timeLeftMillis * 1000, route.timeoutMicros());
         request.setProxyRequest(new ProxyRequest(route, tenant, request, deadline));
         return new AdmissionResult(request, null);
     }
 
+    /** The response to what comes too late for this process. */
+    static ProxyResponse leavingRejection() {
+        return new ProxyResponse.LocalResponse(503, "this process ends", RETRY_ELSEWHERE_MICROS);
+    }
+
     /** Gives back what a request that was certainly not executed has used of its tenant's quota. */
     void refund(ProxyRequest request) {
         if (request.tenant() != null) {
--- a/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
+++ b/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
@@ -86,6 +86,11 @@
         log.report("FAULT", process + " ends by itself");
     }
 
+    /** A program has found one of its own invariants violated. */
+    void onInvariantViolation(String violation) {
+        log.report("INVARIANT", violation);
+    }
+
     // ---- Configuration -----------------------------------------------------------------------------
     /**
      * A version was sent for the first time.
--- a/src/main/java/reedmux/simulation/cluster/Deployment.java
+++ b/src/main/java/reedmux/simulation/cluster/Deployment.java
@@ -37,6 +37,7 @@
     private final List<InetSocketAddress> controlAddresses = new ArrayList<>();
     private final List<String> initialSeeds = new ArrayList<>();
     private Consumer<String> unexpectedExitListener = process -> {};
+    private Consumer<String> violationListener = violation -> {};
 
     /** A machine with its programs. */
     final class DeployedNode {
@@ -117,6 +118,9 @@
                             case "registry" -> new Registry(boot, host.reactor());
                             default -> new Proxy(boot, host.reactor());
                         };
+                host.reactor()
+                        .invariants()
+                        .setListener(violation -> violationListener.accept(name + '/' + role + ": " + violation));
                 processes.put(role, host);
                 programs.put(role, program);
                 host.onExit(() -> simulation.scheduleAfter(RESTART_DELAY_MICROS, () -> {
@@ -235,6 +239,11 @@
         unexpectedExitListener = hears;
     }
 
+    /** Sets who is told of the invariants that the programs themselves find violated. */
+    void onInvariantViolation(Consumer<String> listener) {
+        violationListener = listener;
+    }
+
     void start() {
         cores.forEach(DeployedNode::start);
         edges.forEach(DeployedNode::start);
--- a/src/main/java/reedmux/simulation/cluster/SimulatedDay.java
+++ b/src/main/java/reedmux/simulation/cluster/SimulatedDay.java
@@ -91,6 +91,7 @@
         clients = new SimulatedClients(simulation, deployment, invariants);
         invariants.setQuota(ConfigurationGenerator.QUOTA_RATE, ConfigurationGenerator.QUOTA_BURST);
         deployment.onUnexpectedExit(invariants::onUnexpectedExit);
+        deployment.onInvariantViolation(invariants::onInvariantViolation);
         for (int i = 0; i < 2; i++) {
             operators.add(
                     new SimulatedOperator(simulation, "10.8.0." + (i + 1), deployment.controlAddresses(), invariants));
--- a/src/main/java/reedmux/simulation/harness/LoopbackGateway.java
+++ b/src/main/java/reedmux/simulation/harness/LoopbackGateway.java
@@ -295,6 +295,12 @@
     @Override
     public void close() throws IOException {
         reactors.forEach(Reactor::stop);
+        int violations = reactors.stream()
+                .mapToInt(reactor -> reactor.invariants().violations())
+                .sum();
+        if (violations > 0) {
+            throw new IllegalStateException(violations + " invariants were violated");
+        }
         try (Stream<Path> all = Files.walk(dataDirectory)) {
             all.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
         }
--- a/src/test/java/reedmux/simulation/cluster/ServingDeployment.java
+++ b/src/test/java/reedmux/simulation/cluster/ServingDeployment.java
@@ -22,6 +22,7 @@
     ServingDeployment(long seed, Consumer<String> log) {
         simulation = new ClusterSimulation(seed);
         deployment = new Deployment(simulation, EDGE_MACHINES, CORE_MACHINES, log);
+        deployment.onInvariantViolation(invariants::onInvariantViolation);
         deployment.start();
         outside = new SimulatedProcess(simulation, machine("10.9.0.1"), "outside", 0, line -> {});
         for (int i = 0; i < CHECKERS; i++) {
