Core: a member that is gone for good gives its place to who joins (CONFIG)

Cause: a machine that takes another's place under another name and address was added to the core, and the one that is gone stayed a member for ever: only the same name, or an operator's order, took a member out. After two such replacements two of four members were left, which is no quorum, and no change of the core could mend that any more. Class: a quorum that counts who will never answer again. Ruled out: a proposal that stays undecided and the closing fault; changes had no answer from the second loss on, 64 s before it. Change: UnreachableMembers; after 1.5 s out of reach a member counts as dead. Who joins takes the place of its own name, else of a dead member; the core grows only after 2.5 s in which all members answer; a dead member beyond the size that is needed (2 x tolerated + 1, at least 3) is removed. Who was taken for dead joins again (readmitted to the dialed machines); who is ordered out is told so by the leader, as it now needs to know. An invariant counts dead members that stay while the leader could remove them.

--- a/src/main/java/reedmux/control/consensus/CoreContext.java
+++ b/src/main/java/reedmux/control/consensus/CoreContext.java
@@ -14,8 +14,12 @@
     final CoreMembershipPort port;
     /** The core of the latest epoch known; null where none is. */
     CoreMembers core;
-    /** Whether this node was a member and was taken out, so that it doesn't ask to join. */
+    /** Whether this node was a member and was taken out by order, so that it doesn't ask to join. */
     boolean removed;
+    /** Whether the leader has told this node that it is to be removed by order. */
+    boolean removalOrdered;
+    /** Which members this node can't reach. */
+    final UnreachableMembers unreachable = new UnreachableMembers();
     /** The other nodes that are connected, by ip. */
     final Map<String, CorePeer> peers = new LinkedHashMap<>();
     /**
--- a/src/main/java/reedmux/control/consensus/CoreMembership.java
+++ b/src/main/java/reedmux/control/consensus/CoreMembership.java
@@ -20,6 +20,10 @@
  * <p>It differs from Raft's joint consensus in that the old core stops deciding during a change, which takes a few
  * round trips, and in that no log carries the membership.
  *
+ * <p>Members that are gone for good leave by themselves ({@link CoreChangePlanner}): a member that is out of reach
+ * gives its place to who joins, or is removed while the core stays large enough. Otherwise each machine that is
+ * replaced would leave a member behind, until those that are left are no quorum any more.
+ *
  * <p>Pure: no I/O, no clock; what is to be done goes to the {@link CoreMembershipPort}. Confined to one thread. Times
  * are in microseconds of a monotonic clock and never go back.
  */
@@ -30,11 +34,18 @@
      */
     private static final long DISK_LOSS_DELAY_MICROS = 4_000_000;
 
+    /** How long a dead member may stay while it could be removed; rounds that fail are repeated meanwhile. */
+    private static final long MAX_DEAD_MEMBER_MICROS = 10_000_000;
+
+    private static final long NEVER = -1;
+
     private final CoreContext context;
     private final EpochAcceptor acceptor;
     private final CoreChangePlanner planner;
     private final EpochProposer proposer;
     private CoreLeader leader = new CoreLeader("", -1, 0);
+    /** Since when this node as the leader could remove a dead member. */
+    private long removableSince = NEVER;
 
     /**
      * Begins with what was found on the disk.
@@ -209,7 +220,7 @@
 
     /** Begins the epoch of a core that is decided on. */
     private void install(CoreMembers next) {
-        context.removed = (context.removed || isMember()) && !next.contains(context.self);
+        context.removed = (context.removed || isRemovedForGood(next)) && !next.contains(context.self);
         context.port.log("core of epoch " + next.epoch() + ": " + next.nodeNames());
         context.core = next;
         acceptor.reset();
@@ -224,6 +235,18 @@
         planner.onInstalled();
     }
 
+    /**
+     * Whether this node was removed by order, or another machine of its name has its place. Who was out of reach and
+     * taken for dead may join again.
+     */
+    private boolean isRemovedForGood(CoreMembers next) {
+        if (!isMember()) {
+            return false;
+        }
+        String name = context.core.nodeNames().get(context.self);
+        return context.removalOrdered || !name.isEmpty() && next.findIp(name) != null;
+    }
+
     private void updateLeader() {
         String first = "";
         if (context.core != null) {
@@ -256,14 +279,35 @@
         }
     }
 
+    /** The leader tells this node that it is to be removed by order of the operator. */
+    public void onRemovalOrder() {
+        context.removalOrdered = true;
+    }
+
     /** To be called several times a second: goes on with what is half done, and begins what is wanted. */
     public void onTick(long time) {
         context.now = time;
         updateLeader();
         planner.expireRemovals();
         if (context.core != null) {
+            context.unreachable.update(context);
             acceptor.requestHandovers();
             proposer.onTick(isLeader());
+            checkDeadMembersLeave();
+        }
+    }
+
+    /** Violated where the leader could change the core for long and members that are dead still count. */
+    private void checkDeadMembersLeave() {
+        boolean couldRemove = isLeader() && context.mayVote() && planner.deadMemberToRemove() != null;
+        if (!couldRemove) {
+            removableSince = NEVER;
+        } else if (removableSince == NEVER) {
+            removableSince = context.now;
+        } else if (context.now - removableSince > MAX_DEAD_MEMBER_MICROS) {
+            context.port.invariantViolated("dead members leave a core that is large enough without them: "
+                    + planner.deadMemberToRemove() + " of " + context.core.nodeNames());
+            removableSince = NEVER;
         }
     }
 
--- a/src/main/java/reedmux/control/consensus/CoreMembershipPort.java
+++ b/src/main/java/reedmux/control/consensus/CoreMembershipPort.java
@@ -12,6 +12,9 @@
     /** Sends a message of a round; it may be lost. */
     void sendEpochMessage(String to, EpochMessage message);
 
+    /** Tells a member that it is to be removed by order; ends as {@link CoreMembership#onRemovalOrder} there. */
+    void sendRemovalOrder(String to);
+
     /** Tells a peer which core is known here; ends as {@link CoreMembership#onCoreAnnounced} there. */
     void announceCore(String to);
 
@@ -30,6 +33,9 @@
     /** Another core holds from now on, or this node is fenced or no longer fenced. */
     void coreChanged();
 
+    /** What must always hold does not. */
+    void invariantViolated(String violation);
+
     /** Writes a line to the log. */
     void log(String line);
 }
--- a/src/main/java/reedmux/control/rpc/Messages.java
+++ b/src/main/java/reedmux/control/rpc/Messages.java
@@ -254,8 +254,24 @@
      */
     public record StoreStatusRequest(long id, String subject, String afterName, int limit) {}
 
-    /** A call that removes a member from the core. */
-    public record CoreRemovalRequest(long id, String node) {}
+    /**
+     * A call that removes a member from the core. Under the id {@link #ORDER_ID} it is the leader's word to the member
+     * itself, which is not responded to.
+     */
+    public record CoreRemovalRequest(long id, String node) {
+        /** Calls of operators have ids from 1 on. */
+        private static final long ORDER_ID = 0;
+
+        /** The leader's word to a member. */
+        public static CoreRemovalRequest order(String node) {
+            return new CoreRemovalRequest(ORDER_ID, node);
+        }
+
+        /** Whether it is the leader's word to the member itself. */
+        public boolean isOrder() {
+            return id == ORDER_ID;
+        }
+    }
 
     /** The HTTP status and body that the operator is to receive. */
     public record OperatorResponse(long id, int status, String body) {}
--- a/src/main/java/reedmux/control/store/CoreAddresses.java
+++ b/src/main/java/reedmux/control/store/CoreAddresses.java
@@ -94,6 +94,13 @@
         return toAddresses(added, port);
     }
 
+    /** Takes a machine that would join the core for one to dial again; returns its address at a port. */
+    List<InetSocketAddress> readmit(String ip, int port) {
+        removed.remove(ip);
+        machines.add(ip);
+        return toAddresses(List.of(ip), port);
+    }
+
     private List<InetSocketAddress> toAddresses(Iterable<String> ips, int port) {
         List<InetSocketAddress> addresses = new ArrayList<>();
         for (String ip : ips) {
--- a/src/main/java/reedmux/control/store/MessageDispatcher.java
+++ b/src/main/java/reedmux/control/store/MessageDispatcher.java
@@ -123,7 +123,12 @@
         long now = reactor.now();
         String from = connection.peer().ip();
         if (message instanceof CoreMembershipNotice notice) {
+            if (notice.ready()) {
+                server.onCandidate(from);
+            }
             membership.onCoreAnnounced(now, from, notice.core(), notice.ready(), notice.fenced());
+        } else if (message instanceof CoreRemovalRequest request && request.isOrder()) {
+            membership.onRemovalOrder();
         } else if (message instanceof EpochMessage epochMessage) {
             peers.onProposalFrom(connection);
             membership.onEpochMessage(now, from, epochMessage);
--- a/src/main/java/reedmux/control/store/StoreServer.java
+++ b/src/main/java/reedmux/control/store/StoreServer.java
@@ -26,6 +26,7 @@
 import reedmux.control.rpc.MessageCodec;
 import reedmux.control.rpc.Messages;
 import reedmux.control.rpc.Messages.CoreMembershipNotice;
+import reedmux.control.rpc.Messages.CoreRemovalRequest;
 import reedmux.control.rpc.Messages.DecisionNotice;
 import reedmux.control.rpc.Messages.Hello;
 import reedmux.control.rpc.Messages.ProposalRecord;
@@ -206,6 +207,14 @@
         }
     }
 
+    @Override
+    public void sendRemovalOrder(String to) {
+        RpcConnection connection = peers.outgoingTo(to);
+        if (connection != null) {
+            connection.sendMessage(CoreRemovalRequest.order(to));
+        }
+    }
+
     @Override
     public void announceCore(String to) {
         RpcConnection connection = peers.anyTo(to);
@@ -256,6 +265,18 @@
         }
     }
 
+    @Override
+    public void invariantViolated(String violation) {
+        reactor.invariants().check(false, violation, () -> "epoch " + epoch);
+    }
+
+    /** A store that isn't a member would become one: it is dialed, also where it was a member before. */
+    void onCandidate(String ip) {
+        if (membership.core() != null && !membership.core().contains(ip)) {
+            peers.dialMissing(coreAddresses.readmit(ip, settings.storePort()));
+        }
+    }
+
     // ---- Port of the consensus ---------------------------------------------------------------------
 
     @Override
--- /dev/null
+++ b/src/test/java/reedmux/control/consensus/CoreReplacementTest.java
@@ -0,0 +1,101 @@
+package reedmux.control.consensus;
+
+import static org.testng.Assert.assertEquals;
+
+import org.testng.annotations.Test;
+
+/** Machines that are replaced, that are away, and that leave: who of them is a member of the core afterwards. */
+public class CoreReplacementTest {
+
+    /** One after another is gone for good, and another machine, of another name and address, comes in its place. */
+    @Test
+    public void machinesReplacedUnderOtherNamesDoNotUseUpTheCore() {
+        ChangingCoreCluster cluster = new ChangingCoreCluster(3);
+        for (int i = 0; i < 5; i++) {
+            cluster.crash(cluster.node("s" + i));
+            cluster.settle(1);
+            cluster.join("s" + (i + 3), "n" + (i + 3));
+            cluster.settle(4); // it counts from then on, and the next one may go
+            assertChangeIsTaken(cluster, "s" + (i + 2), "r" + i);
+        }
+        cluster.assertCore("s5", "s6", "s7");
+    }
+
+    /** As above, but the new machine comes before the old one ends, as in planned work. */
+    @Test
+    public void machinesThatEndOnceTheirSuccessorsAreThereDoNotUseUpTheCore() {
+        ChangingCoreCluster cluster = new ChangingCoreCluster(3);
+        for (int i = 0; i < 5; i++) {
+            cluster.join("s" + (i + 3), "n" + (i + 3));
+            cluster.settle(2);
+            cluster.crash(cluster.node("s" + i));
+            cluster.settle(4);
+            assertChangeIsTaken(cluster, "s" + (i + 2), "r" + i);
+        }
+        cluster.assertCore("s5", "s6", "s7");
+    }
+
+    /** A member that is only away gives its place up to who joins, and joins again once it is back. */
+    @Test
+    public void memberThatIsTakenForDeadJoinsAgain() {
+        ChangingCoreCluster cluster = new ChangingCoreCluster(3);
+        cluster.join("s3", "n3");
+        cluster.settle(3);
+        cluster.assertCore("s0", "s1", "s2", "s3");
+        cluster.crash(cluster.node("s1"));
+        cluster.settle(3);
+        cluster.assertCore("s0", "s2", "s3");
+        cluster.node("s1").start(true);
+        cluster.settle(3);
+        cluster.assertCore("s0", "s1", "s2", "s3");
+    }
+
+    /** A core that would be too small without them keeps its dead members. */
+    @Test
+    public void deadMembersStayWhereTheCoreWouldBeTooSmall() {
+        ChangingCoreCluster cluster = new ChangingCoreCluster(3);
+        cluster.crash(cluster.node("s1"));
+        cluster.settle(20);
+        cluster.assertCore("s0", "s1", "s2");
+        cluster.node("s1").start(true);
+        cluster.settle(2);
+        cluster.assertCore("s0", "s1", "s2");
+        assertEquals(cluster.core("s0").epoch(), 0);
+    }
+
+    /** A short absence, as of a restart, changes nothing. */
+    @Test
+    public void memberThatRestartsStaysAMember() {
+        ChangingCoreCluster cluster = new ChangingCoreCluster(4);
+        cluster.crash(cluster.node("s2"));
+        cluster.settle(1);
+        cluster.node("s2").start(true);
+        cluster.settle(3);
+        cluster.assertCore("s0", "s1", "s2", "s3");
+        assertEquals(cluster.core("s0").epoch(), 0);
+    }
+
+    /** Who was removed by order stays out, also after a restart. */
+    @Test
+    public void memberThatWasRemovedByOrderDoesNotJoinAgain() {
+        ChangingCoreCluster cluster = new ChangingCoreCluster(4);
+        RecordedReply removal = new RecordedReply();
+        cluster.node("s0").membership.requestRemoval(cluster.now, "n3", removal);
+        cluster.settle(2);
+        assertEquals(removal.status, OperationStatus.OK);
+        cluster.crash(cluster.node("s3"));
+        cluster.settle(1);
+        cluster.node("s3").start(true);
+        cluster.settle(40);
+        cluster.assertCore("s0", "s1", "s2");
+    }
+
+    private static void assertChangeIsTaken(ChangingCoreCluster cluster, String ip, String route) {
+        RecordedReply reply = cluster.change(
+                cluster.node(ip),
+                ConfigurationRequests.change(ConfigurationRequests.route(route, 2, route + ".example")));
+        cluster.links.deliverAll();
+        cluster.settle(1);
+        assertEquals(reply.status, OperationStatus.OK, ip + ' ' + cluster.core(ip));
+    }
+}
--- a/src/test/java/reedmux/control/consensus/VirtualNode.java
+++ b/src/test/java/reedmux/control/consensus/VirtualNode.java
@@ -155,6 +155,12 @@
                 () -> cluster.node(to).membership.onEpochMessage(cluster.now, ip, message));
     }
 
+    @Override
+    public void sendRemovalOrder(String to) {
+        cluster.network.send(
+                ip, to, "removal order", () -> cluster.node(to).membership.onRemovalOrder());
+    }
+
     @Override
     public void announceCore(String to) {
         CoreMembers core = membership.core();
@@ -204,6 +210,11 @@
         }
     }
 
+    @Override
+    public void invariantViolated(String violation) {
+        throw new AssertionError(violation);
+    }
+
     @Override
     public void coreChanged() {
         consensus.setFenced(membership.isFenced());
