--- a/src/main/java/reedmux/cli/ProgramCommand.java
+++ b/src/main/java/reedmux/cli/ProgramCommand.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
 import java.util.concurrent.Callable;
+import java.util.function.Consumer;
 import reedmux.common.eventloop.Reactor;
 import reedmux.common.logging.RingBufferLogger;
 import reedmux.common.settings.ProcessSettings;
@@ -19,9 +20,6 @@
  * passes on signals and changes of the settings file.
  */
 abstract class ProgramCommand implements Callable<Integer> {
-    /** Setting up signal handlers loads many classes of the JDK; until the program serves, that time is not there. */
-    private static final long SIGNAL_HANDLERS_DELAY_MICROS = 700_000;
-
     private static final int LOG_CAPACITY_LINES = 500;
     /** The file may change without a SIGHUP, so its time of modification is looked at as well. */
     private static final long SETTINGS_CHECK_INTERVAL_MICROS = 2_000_000;
@@ -56,20 +54,18 @@
     }
 
     private void serve(ProcessSettings settings, Reactor reactor) throws ProcessSettingsException, IOException {
+        RunningProgram running = new RunningProgram(reactor, Path.of(settings.file()));
+        running.handleSignals();
         reactor.info("begins");
-        Program program = start(settings, reactor);
+        running.program = start(settings, reactor);
         reactor.info("listens");
-        Path file = Path.of(settings.file());
-        reactor.scheduleAfter(SIGNAL_HANDLERS_DELAY_MICROS, () -> {
-            Signals.on("TERM", () -> reactor.execute(program::beginShutdown), reactor::info);
-            Signals.on("HUP", () -> reactor.execute(() -> reload(file, program, reactor)), reactor::info);
-        });
+        Path file = running.file;
         FileTime[] lastSeen = {lastModified(file)};
         reactor.scheduleEvery(SETTINGS_CHECK_INTERVAL_MICROS, () -> {
             FileTime now = lastModified(file);
             if (now != null && !now.equals(lastSeen[0])) {
                 lastSeen[0] = now;
-                reload(file, program, reactor);
+                running.reload();
             }
         });
         reactor.run();
@@ -84,13 +80,69 @@
         }
     }
 
-    /** Has the program take up the file; one that cannot be used is logged and changes nothing. */
-    private static void reload(Path file, Program program, Reactor reactor) {
-        try {
-            program.reload(ProcessSettings.load(file));
-            reactor.info("settings read again");
-        } catch (ProcessSettingsException e) {
-            reactor.info("settings: " + e.getMessage() + "; the old ones stay");
+    /**
+     * A program that starts or runs, and what it does at signals. They are handled before it listens: by default the
+     * JVM would end at once, with what has come in meanwhile. Until the reactor runs they wait in its queue.
+     */
+    private static final class RunningProgram {
+        private final Reactor reactor;
+        private final Path file;
+        /** Set before the reactor runs. */
+        private Program program;
+
+        private RunningProgram(Reactor reactor, Path file) {
+            this.reactor = reactor;
+            this.file = file;
+        }
+
+        /** In classes and not in lambdas, which would take longer before the program listens. */
+        private void handleSignals() {
+            Runnable shutdown = new Runnable() {
+                @Override
+                public void run() {
+                    program.beginShutdown();
+                }
+            };
+            Runnable reload = new Runnable() {
+                @Override
+                public void run() {
+                    reload();
+                }
+            };
+            Consumer<String> log = new Consumer<>() {
+                @Override
+                public void accept(String line) {
+                    reactor.info(line);
+                }
+            };
+            Signals.on("TERM", new ReactorTask(reactor, shutdown), log);
+            Signals.on("HUP", new ReactorTask(reactor, reload), log);
+        }
+
+        /** Has the program take up the file; one that cannot be used is logged and changes nothing. */
+        private void reload() {
+            try {
+                program.reload(ProcessSettings.load(file));
+                reactor.info("settings read again");
+            } catch (ProcessSettingsException e) {
+                reactor.info("settings: " + e.getMessage() + "; the old ones stay");
+            }
+        }
+    }
+
+    /** Runs a task on the reactor's thread. */
+    private static final class ReactorTask implements Runnable {
+        private final Reactor reactor;
+        private final Runnable task;
+
+        private ReactorTask(Reactor reactor, Runnable task) {
+            this.reactor = reactor;
+            this.task = task;
+        }
+
+        @Override
+        public void run() {
+            reactor.execute(task);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/reedmux/cli/SoakCommand.java
@@ -0,0 +1,97 @@
+package reedmux.cli;
+
+import com.github.rvesse.airline.HelpOption;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+import reedmux.simulation.soak.SoakOptions;
+import reedmux.simulation.soak.SoakOutcome;
+import reedmux.simulation.soak.SoakRun;
+
+/** Runs the programs as processes on loopback under faults that overlap. */
+@Command(name = "soak", description = "runs real processes on loopback under signals, kills and losses that overlap")
+public final class SoakCommand implements Callable<Integer> {
+    /** The second part of a soak's loopback addresses: seeds that run beside each other get different ones. */
+    private static final int FIRST_NETWORK = 20;
+
+    private static final int NETWORKS = 100;
+
+    @AirlineModule
+    private HelpOption<SoakCommand> help;
+
+    @Option(name = "--seeds", title = "A..B", description = "the runs, one after the other, each drawn from its seed")
+    private String seeds = "1..5";
+
+    @Option(name = "--seconds", title = "N", description = "for which faults are injected in each run")
+    private int seconds = 20;
+
+    @Option(name = "--proxies", title = "N", description = "proxies, spread over three zones")
+    private int proxies = 5;
+
+    @Option(name = "--cores", title = "N", description = "core machines, each with a store and a registry")
+    private int cores = 3;
+
+    @Option(name = "--checkers", title = "N", description = "stand-ins for checkers")
+    private int checkers = 6;
+
+    @Option(name = "--clients", title = "N", description = "clients that send one request after another")
+    private int clients = 16;
+
+    @Option(name = "--keep", title = "DIR", description = "keeps settings, disks and logs of runs that fail there")
+    private String keep;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        if (help != null && help.showHelpIfRequested()) {
+            return ExitCode.OK;
+        }
+        SeedRange range = SeedRange.parse(seeds);
+        if (range == null || seconds < 1 || proxies < 1 || cores < 3 || checkers < 1 || clients < 1) {
+            System.err.println("reedmux: soak: --seeds is A..B, --cores at least 3, the others are numbers above 0");
+            return ExitCode.BAD_USAGE;
+        }
+        int failed = 0;
+        for (long seed = range.first(); seed <= range.last(); seed++) {
+            failed += run(new SoakOptions(seed, seconds, proxies, cores, checkers, clients)) ? 0 : 1;
+        }
+        System.out.println(range.last() - range.first() + 1 + " runs, " + failed + " with violations");
+        return failed == 0 ? ExitCode.OK : ExitCode.FAILED;
+    }
+
+    private boolean run(SoakOptions options) throws IOException, InterruptedException {
+        Path directory = Files.createTempDirectory("reedmux-soak");
+        SoakOutcome outcome =
+                SoakRun.run(options, directory, FIRST_NETWORK + (int) Math.floorMod(options.seed(), (long) NETWORKS));
+        System.out.printf(
+                "seed %d: %d of %d requests served, %d processes started, %d faults, %d violations%n",
+                outcome.seed(),
+                outcome.served(),
+                outcome.requests(),
+                outcome.processes(),
+                outcome.faults().size(),
+                outcome.violations().size());
+        outcome.violations().forEach(violation -> System.out.println("    " + violation));
+        if (!outcome.violations().isEmpty()) {
+            outcome.faults().forEach(fault -> System.out.println("        " + fault));
+        }
+        if (keep != null && !outcome.violations().isEmpty()) {
+            Files.move(directory, Path.of(keep).resolve("seed-" + options.seed()));
+        } else {
+            delete(directory);
+        }
+        return outcome.violations().isEmpty();
+    }
+
+    private static void delete(Path directory) throws IOException {
+        try (Stream<Path> files = Files.walk(directory)) {
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(path -> path.toFile().delete());
+        }
+    }
+}
--- a/src/main/java/reedmux/cli/SystemCommands.java
+++ b/src/main/java/reedmux/cli/SystemCommands.java
@@ -10,7 +10,7 @@
 /** The sub-commands of the system: its three programs and the operators' tools. Parsed by Airline. */
 final class SystemCommands {
     private static final Set<String> COMMAND_NAMES =
-            Set.of("proxy", "registry", "store", "check", "rehearse", "world", "show", "core");
+            Set.of("proxy", "registry", "store", "check", "rehearse", "world", "soak", "show", "core");
 
     private SystemCommands() {}
 
@@ -21,7 +21,8 @@
     /** Runs the command that the first argument names and returns its exit code. */
     static int run(String[] args) {
         try {
-            if (args.length == 1 && !Set.of("check", "world", "show", "core").contains(args[0])) {
+            if (args.length == 1
+                    && !Set.of("check", "world", "soak", "show", "core").contains(args[0])) {
                 // As the platform starts it: without the option parser a start takes 0.1 s of CPU less.
                 return withoutOptions(args[0]).call();
             }
@@ -57,6 +58,7 @@
         builder.withCommand(CheckCommand.class);
         builder.withCommand(RehearseCommand.class);
         builder.withCommand(WorldCommand.class);
+        builder.withCommand(SoakCommand.class);
         builder.withCommand(ShowCommand.class);
         builder.withCommand(CoreCommand.class);
         return builder.build().parse(args);
--- a/src/main/java/reedmux/common/settings/Signals.java
+++ b/src/main/java/reedmux/common/settings/Signals.java
@@ -1,44 +1,39 @@
 package reedmux.common.settings;
 
-import java.lang.reflect.Proxy;
 import java.util.function.Consumer;
+import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Handlers for the signals that the platform sends. */
 public final class Signals {
 
     private Signals() {}
 
+    private static final class TaskHandler implements SignalHandler {
+        private final Runnable task;
+
+        private TaskHandler(Runnable task) {
+            this.task = task;
+        }
+
+        @Override
+        public void handle(Signal signal) {
+            task.run();
+        }
+    }
+
     /**
-     * Runs a task at each signal of a name, on a thread of the JVM. The JDK's class for signals is not part of its
-     * documented interface, and the compiler warns of a direct use in a way that cannot be suppressed, so it is called
-     * by reflection. Without it the program runs all the same, and the log says so.
+     * Runs a task at each signal of a name, on a thread of the JVM; without it the JVM ends at SIGTERM and SIGHUP. The
+     * JDK's class for signals is not part of its documented interface, and may refuse a signal: the program runs all
+     * the same then, and the log says so.
      *
      * @param name the signal without {@code SIG}
      */
     public static void on(String name, Runnable task, Consumer<String> log) {
         try {
-            Class<?> signal = Class.forName("sun.misc.Signal");
-            Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object proxy = Proxy.newProxyInstance(
-                    Signals.class.getClassLoader(), new Class<?>[] {handler}, (self, method, arguments) -> {
-                        switch (method.getName()) {
-                            case "handle" -> task.run();
-                            case "equals" -> {
-                                return self == arguments[0];
-                            }
-                            case "hashCode" -> {
-                                return System.identityHashCode(self);
-                            }
-                            default -> {
-                                return "at SIG" + name;
-                            }
-                        }
-                        return null;
-                    });
-            signal.getMethod("handle", signal, handler)
-                    .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
-        } catch (ReflectiveOperationException | RuntimeException e) {
-            log.accept("SIG" + name + " is not handled here: " + e);
+            Signal.handle(new Signal(name), new TaskHandler(task));
+        } catch (IllegalArgumentException e) {
+            log.accept("SIG" + name + " is not handled here: " + e.getMessage());
         }
     }
 }
--- a/src/main/java/reedmux/simulation/cluster/CheckerFleet.java
+++ b/src/main/java/reedmux/simulation/cluster/CheckerFleet.java
@@ -41,7 +41,7 @@
                 simulation,
                 machine,
                 id,
-                ConfigurationGenerator.SERVICES[service],
+                ConfigurationGenerator.SERVICES.get(service),
                 deployment.controlAddresses(),
                 invariants,
                 () -> checkers.remove(started[0]),
--- a/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
+++ b/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
@@ -10,7 +10,7 @@
  * those of requests, and {@link FaultSchedule} the faults for which they make allowance. Times are microseconds of
  * simulated time; no I/O.
  */
-final class ClusterInvariantChecker {
+public final class ClusterInvariantChecker {
     /** Fewer requests after a closing fault say nothing about the recovery. */
     private static final int MIN_RECOVERY_REQUESTS = 20;
 
@@ -23,8 +23,10 @@
     static final String NO_EFFECT = "none";
 
     /** How a change of the operator is to be decided. */
-    enum ExpectedDecision {
+    public enum ExpectedDecision {
+        /** It is valid whatever else is sent meanwhile. */
         ACCEPT,
+        /** It is invalid. */
         REJECT,
         /** Of two concurrent changes that are invalid together, either may be rejected. */
         EITHER
@@ -35,17 +37,18 @@
     private final ConfigurationInvariants configuration = new ConfigurationInvariants(faults, log);
     private final RequestInvariants requests = new RequestInvariants(faults, log, configuration);
 
-    List<String> violations() {
+    /** What was violated so far. */
+    public List<String> violations() {
         return log.violations();
     }
 
     /** Requests of clients that were served, probes not counted. */
-    long servedCount() {
+    public long servedCount() {
         return requests.servedCount();
     }
 
     /** Requests of clients, probes not counted. */
-    long requestCount() {
+    public long requestCount() {
         return requests.requestCount();
     }
 
@@ -56,12 +59,12 @@
 
     // ---- Faults ------------------------------------------------------------------------------------
     /** A machine, by node or address, had a fault from one time to another. */
-    void addMachineFault(String machine, long from, long to) {
+    public void addMachineFault(String machine, long from, long to) {
         faults.addMachineFault(machine, from, to);
     }
 
     /** The core had a fault that was undone by {@code to}; {@code majorityLost}: no majority ran in contact. */
-    void addCoreFault(long from, long to, boolean majorityLost) {
+    public void addCoreFault(long from, long to, boolean majorityLost) {
         faults.addCoreFault(from, to, majorityLost);
     }
 
@@ -82,12 +85,12 @@
     }
 
     /** A process has ended, or does not start, without having been asked to shut down. */
-    void onUnexpectedExit(String process) {
+    public void onUnexpectedExit(String process) {
         log.report("FAULT", process + " ends by itself");
     }
 
     /** A program has found one of its own invariants violated. */
-    void onInvariantViolation(String violation) {
+    public void onInvariantViolation(String violation) {
         log.report("INVARIANT", violation);
     }
 
@@ -126,29 +129,29 @@
     }
 
     /** What the operator reads at the end; null if nobody responded. A lost change violates {@code rule}. */
-    void checkFinalRead(String text, String rule, long sentAt) {
+    public void checkFinalRead(String text, String rule, long sentAt) {
         configuration.checkFinalRead(text, rule, sentAt);
     }
 
     /** What a machine has responded to a read that was sent at {@code sentAt}. */
-    void checkRead(String text, long sentAt) {
+    public void checkRead(String text, long sentAt) {
         configuration.checkRead(text, sentAt);
     }
 
     // ---- Requests and checkers ---------------------------------------------------------------------
     /** A client has sent a request; {@code service} is null for a probe. */
-    void onRequestSent(
+    public void onRequestSent(
             String id, String proxy, boolean idempotent, String tenant, String service, String route, long now) {
         requests.onRequestSent(id, proxy, idempotent, tenant, service, route, now);
     }
 
     /** A request has reached the checker that it was meant for. */
-    void onRequestArrived(String id, String service, long now) {
+    public void onRequestArrived(String id, String service, long now) {
         requests.onRequestArrived(id, service, now);
     }
 
     /** A checker begins to execute a request. */
-    void onRequestExecuted(String id, String checker, String service, String tenant, long now) {
+    public void onRequestExecuted(String id, String checker, String service, String tenant, long now) {
         requests.onRequestExecuted(id, checker, service, tenant, now);
     }
 
@@ -158,7 +161,7 @@
     }
 
     /** A client has received a response; {@code sealedBy}: the checker that sent it completely, or null. */
-    void onResponse(String id, int status, String sealedBy, long now) {
+    public void onResponse(String id, int status, String sealedBy, long now) {
         requests.onResponse(id, status, sealedBy, now);
     }
 
@@ -167,6 +170,15 @@
         requests.onConnectionLost(id, cutOff, planned, now);
     }
 
+    /**
+     * A proxy has closed the connection of a request without a response, or given none in time.
+     *
+     * @param excused whether the proxy was killed or held up meanwhile, or the checker has broken off
+     */
+    public void onServerClosed(String id, boolean excused) {
+        requests.onServerClosed(id, excused);
+    }
+
     /** A checker's drain was acknowledged by a control machine. */
     void onDrainAcknowledged(String checker, String by, long now) {
         requests.onDrainAcknowledged(checker, by, now);
--- a/src/main/java/reedmux/simulation/cluster/ConfigurationGenerator.java
+++ b/src/main/java/reedmux/simulation/cluster/ConfigurationGenerator.java
@@ -11,8 +11,10 @@
 import reedmux.control.configuration.ItemJson;
 
 /** Generates the changes that operators send, valid and invalid, and the requests that use or probe their items. */
-final class ConfigurationGenerator {
-    static final String[] SERVICES = {"desk", "intake"};
+public final class ConfigurationGenerator {
+    /** The services to which routes lead. */
+    public static final List<String> SERVICES = List.of("desk", "intake");
+
     private static final int ROUTES = 6;
     private static final int TENANTS = 3;
     private static final int LARGE_KEY_COUNT = 400;
@@ -27,7 +29,8 @@
     private final Map<String, List<String>> keysOf = new LinkedHashMap<>();
     private final Map<String, Integer> serviceOf = new LinkedHashMap<>();
 
-    ConfigurationGenerator(Random random) {
+    /** A generator that draws from {@code random}. */
+    public ConfigurationGenerator(Random random) {
         this.random = random;
     }
 
@@ -65,7 +68,7 @@
     }
 
     /** How requests show that an item is in force; see {@link ClusterInvariantChecker#onVersionSent}. */
-    static String visibleEffect(ConfigurationItem item) {
+    public static String visibleEffect(ConfigurationItem item) {
         try {
             if (item.isDeleted()) {
                 return ClusterInvariantChecker.NO_EFFECT;
@@ -80,7 +83,7 @@
     }
 
     /** The first change of a day. */
-    String initialChange() {
+    public String initialChange() {
         List<String> all = new ArrayList<>();
         long at = nextRevision();
         for (String service : SERVICES) {
@@ -92,7 +95,7 @@
         }
         for (int i = 0; i < ROUTES; i++) {
             serviceOf.put("r" + i, i % 2);
-            all.add(routeJson("r" + i, "/r" + i + "/", SERVICES[i % 2], i % 3 != 0, at));
+            all.add(routeJson("r" + i, "/r" + i + "/", SERVICES.get(i % 2), i % 3 != 0, at));
         }
         for (int i = 0; i < TENANTS; i++) {
             keysOf.put("t" + i, new ArrayList<>(List.of("key-" + i + "-first.")));
@@ -109,18 +112,19 @@
     private String movedRouteJson(String name) {
         int to = serviceOf.merge(name, 1, (had, one) -> 1 - had);
         int number = Integer.parseInt(name.substring(1));
-        return routeJson(name, "/" + name + "/", SERVICES[to], number % 3 != 0, nextRevision());
+        return routeJson(name, "/" + name + "/", SERVICES.get(to), number % 3 != 0, nextRevision());
     }
 
     /** A valid change. */
-    String validChange() {
+    public String validChange() {
         String any = "r" + random.nextInt(ROUTES);
         switch (random.nextInt(6)) {
             case 0 -> {
                 String name = "a" + addedNames++;
                 extraRoutes.add(name);
                 return callJson(
-                        List.of(routeJson(name, "/" + name + "/", SERVICES[random.nextInt(2)], true, nextRevision())),
+                        List.of(routeJson(
+                                name, "/" + name + "/", SERVICES.get(random.nextInt(2)), true, nextRevision())),
                         "");
             }
             case 1 -> {
@@ -136,7 +140,7 @@
                     replacedRoutes.add("routes/" + name);
                     long at = nextRevision();
                     return callJson(
-                            List.of(routeJson(name + 'n', "/" + name + "/", SERVICES[0], true, at)),
+                            List.of(routeJson(name + 'n', "/" + name + "/", SERVICES.get(0), true, at)),
                             "\"routes\":[{\"name\":\"" + name + "\",\"revision\":" + at + "}]");
                 }
             }
@@ -160,7 +164,7 @@
     }
 
     /** Two changes, each valid alone; the key is whether they are valid together, too. */
-    Map.Entry<Boolean, List<String>> concurrentPair() {
+    public Map.Entry<Boolean, List<String>> concurrentPair() {
         switch (random.nextInt(3)) {
             case 0 -> {
                 String prefix = "/w" + addedNames++ + "/";
@@ -168,9 +172,11 @@
                 return Map.entry(
                         false,
                         List.of(
-                                callJson(List.of(routeJson(name + 'x', prefix, SERVICES[0], true, nextRevision())), ""),
                                 callJson(
-                                        List.of(routeJson(name + 'y', prefix, SERVICES[1], true, nextRevision())),
+                                        List.of(routeJson(name + 'x', prefix, SERVICES.get(0), true, nextRevision())),
+                                        ""),
+                                callJson(
+                                        List.of(routeJson(name + 'y', prefix, SERVICES.get(1), true, nextRevision())),
                                         "")));
             }
             case 1 -> {
@@ -209,8 +215,8 @@
             return List.of(callJson(List.of(one), ""), callJson(List.of(tenantJson(name, at)), ""));
         }
         return List.of(
-                callJson(List.of(routeJson(any, "/" + any + "/", SERVICES[0], repeats, at)), ""),
-                callJson(List.of(routeJson(any, "/" + any + "/", SERVICES[1], repeats, at)), ""));
+                callJson(List.of(routeJson(any, "/" + any + "/", SERVICES.get(0), repeats, at)), ""),
+                callJson(List.of(routeJson(any, "/" + any + "/", SERVICES.get(1), repeats, at)), ""));
     }
 
     /** Changes of which each is valid only once the one before is in force. */
@@ -273,12 +279,12 @@
     }
 
     /** An invalid change. */
-    String invalidChange() {
+    public String invalidChange() {
         String name = "bad" + addedNames++;
         return switch (random.nextInt(6)) {
             case 0 -> callJson(List.of(routeJson(name, "/" + name + "/", "nobody", true, nextRevision())), "");
-            case 1 -> callJson(List.of(routeJson(name, "/r1/", SERVICES[0], true, nextRevision())), "");
-            case 2 -> callJson(List.of(routeJson(name, name + "/", SERVICES[0], true, nextRevision())), "");
+            case 1 -> callJson(List.of(routeJson(name, "/r1/", SERVICES.get(0), true, nextRevision())), "");
+            case 2 -> callJson(List.of(routeJson(name, name + "/", SERVICES.get(0), true, nextRevision())), "");
             case 3 -> callJson(List.of(movedRouteJson("r0")), "").replace("h.example", "");
             case 4 -> {
                 String whole = validChange();
@@ -298,7 +304,7 @@
     }
 
     /** A request on a route that stays. */
-    SimulatedClients.PlannedRequest planRequest() {
+    public SimulatedClients.PlannedRequest planRequest() {
         return planRequest("t" + random.nextInt(TENANTS));
     }
 
@@ -311,7 +317,7 @@
                 number % 3 != 0,
                 "key-" + tenant + "-first.",
                 name,
-                SERVICES[serviceOf.get("r" + number)],
+                SERVICES.get(serviceOf.get("r" + number)),
                 "routes/r" + number,
                 "tenants/t" + tenant);
     }
--- a/src/main/java/reedmux/simulation/cluster/GrowthExperiment.java
+++ b/src/main/java/reedmux/simulation/cluster/GrowthExperiment.java
@@ -65,7 +65,7 @@
                     simulation,
                     machine,
                     "i-" + i,
-                    ConfigurationGenerator.SERVICES[i % 2],
+                    ConfigurationGenerator.SERVICES.get(i % 2),
                     deployment.controlAddresses(),
                     unheard,
                     () -> {},
--- a/src/main/java/reedmux/simulation/cluster/RequestInvariants.java
+++ b/src/main/java/reedmux/simulation/cluster/RequestInvariants.java
@@ -42,6 +42,8 @@
         private final List<String> executedBy = new ArrayList<>();
         private int arrivals;
         private int status = -1;
+        /** Whether its connection was closed without a response and without an excuse. */
+        private boolean closed;
 
         private ObservedRequest(
                 long sentAt, String proxy, boolean idempotent, String tenant, String service, String route) {
@@ -130,6 +132,7 @@
             return;
         }
         request.executedBy.add(checker);
+        reportIfExecutedAndClosed(id, request);
         if (configuration.leadsElsewhere(request.route, service)) {
             log.report("ROUTE", id + " runs at " + service + ", where no version of " + request.route + " leads");
         }
@@ -216,6 +219,26 @@
         }
     }
 
+    /**
+     * The proxy has closed the connection without a response. Unless it has an excuse, the request must not have been
+     * passed on, neither before that nor after it.
+     */
+    void onServerClosed(String id, boolean excused) {
+        ObservedRequest request = requests.get(id);
+        if (!excused) {
+            request.closed = true;
+            reportIfExecutedAndClosed(id, request);
+        }
+    }
+
+    private void reportIfExecutedAndClosed(String id, ObservedRequest request) {
+        if (request.closed && !request.executedBy.isEmpty()) {
+            log.report(
+                    "LOST",
+                    id + " ran at " + request.executedBy + ", and " + request.proxy + " ends without an answer");
+        }
+    }
+
     /** A checker's drain was acknowledged by a control machine. */
     void onDrainAcknowledged(String checker, String by, long now) {
         if (!faults.isInContact(by, now, now)) {
--- a/src/main/java/reedmux/simulation/cluster/SimulatedOperator.java
+++ b/src/main/java/reedmux/simulation/cluster/SimulatedOperator.java
@@ -3,21 +3,32 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Random;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import reedmux.common.eventloop.Reactor;
 import reedmux.control.configuration.ConfigurationChangeFormat;
 import reedmux.control.configuration.ConfigurationItem;
 import reedmux.control.configuration.InvalidConfigurationException;
 import reedmux.simulation.harness.OneShotHttpCall;
 
-/** One operator: sends a change unchanged to one control machine after the other until the response is clear. */
-final class SimulatedOperator {
+/**
+ * One operator: sends a change unchanged to one control machine after the other until the response is clear. For the
+ * reactor's thread, in virtual time or on real sockets.
+ */
+public final class SimulatedOperator {
     private static final long CALL_TIMEOUT_MICROS = 1_000_000;
     private static final long GIVE_UP_MICROS = 12_000_000;
     private static final long FIRST_BACKOFF_MICROS = 100_000;
     private static final long MAX_BACKOFF_MICROS = 800_000;
     private static final byte[] READ_REQUEST = OneShotHttpCall.request("GET", "/v1/Config.Read", "control", "");
-    private final SimulatedProcess process;
+    private final Reactor reactor;
+    private final LongSupplier clock;
+    private final Random random;
+    /** Receives a word for each response, by which two runs can be compared. */
+    private final Consumer<String> digest;
+
     private final ClusterInvariantChecker invariants;
     private final List<InetSocketAddress> controlAddresses;
     /** The share of clear responses that are lost on their way; such a change is sent again later. */
@@ -31,21 +42,45 @@
 
     SimulatedOperator(
             ClusterSimulation simulation, String ip, List<InetSocketAddress> control, ClusterInvariantChecker watch) {
-        process = new SimulatedProcess(
-                simulation,
-                new SimulatedMachine(simulation, ip, Deployment.ZONES[0], false),
-                "operator " + ip,
-                0,
-                line -> {});
-        this.invariants = watch;
-        this.controlAddresses = control;
+        this(
+                new SimulatedProcess(
+                                simulation,
+                                new SimulatedMachine(simulation, ip, Deployment.ZONES[0], false),
+                                "operator " + ip,
+                                0,
+                                line -> {})
+                        .reactor(),
+                simulation::now,
+                simulation.random(),
+                control,
+                watch,
+                simulation::addToDigest);
     }
 
-    SimulatedMachine machine() {
-        return process.machine();
+    /**
+     * An operator on a reactor.
+     *
+     * @param clock   in microseconds; the reactor's own stands still between its events
+     * @param control the control addresses that it knows; a live list
+     * @param digest  receives a word for each response, by which two runs can be compared
+     */
+    public SimulatedOperator(
+            Reactor reactor,
+            LongSupplier clock,
+            Random random,
+            List<InetSocketAddress> control,
+            ClusterInvariantChecker watch,
+            Consumer<String> digest) {
+        this.reactor = reactor;
+        this.clock = clock;
+        this.random = random;
+        this.digest = digest;
+        this.invariants = watch;
+        this.controlAddresses = control;
     }
 
-    void loseResponses(double share, long sentAgainAfter) {
+    /** Loses a share of the clear responses on their way; such a change is sent again after that time. */
+    public void loseResponses(double share, long sentAgainAfter) {
         lostResponseShare = share;
         resendMicros = sentAgainAfter;
     }
@@ -65,12 +100,13 @@
     }
 
     /** How requests show that a version is in force. */
-    interface VisibleEffect {
+    public interface VisibleEffect {
+        /** The effect of an item; see {@link ClusterInvariantChecker#onVersionSent}. */
         String of(ConfigurationItem item);
     }
 
     /** Sends a change; {@code done} receives the last status, 0 if it was given up. */
-    void changeConfiguration(
+    public void changeConfiguration(
             String body, ClusterInvariantChecker.ExpectedDecision proper, VisibleEffect shows, Consumer<Integer> done) {
         List<ConfigurationItem> items;
         try {
@@ -78,7 +114,7 @@
         } catch (InvalidConfigurationException e) {
             items = List.of(); // it cannot be read in full
         }
-        long now = process.now();
+        long now = clock.getAsLong();
         items.forEach(item -> invariants.onVersionSent(item, shows.of(item), now));
         pendingChanges++;
         send(body, items, proper, now, FIRST_BACKOFF_MICROS, null, status -> {
@@ -88,7 +124,7 @@
     }
 
     private InetSocketAddress randomAddress() {
-        return controlAddresses.get(process.simulation().random().nextInt(controlAddresses.size()));
+        return controlAddresses.get(random.nextInt(controlAddresses.size()));
     }
 
     /** A random address other than the last one, if there is another. */
@@ -111,34 +147,31 @@
         InetSocketAddress to = otherAddress(last);
         sentListener.accept(to.getAddress().getHostAddress());
         call(to, OneShotHttpCall.post("/v1/Config.Adjust", body), (status, text) -> {
-            process.simulation().addToDigest("adjust " + status);
+            digest.accept("adjust " + status);
             lastAcknowledgedBy = status == 200 ? to.getAddress().getHostAddress() : lastAcknowledgedBy;
             boolean clear = status == 200 || status >= 400 && status < 500 && status != 408 && status != 429;
-            if (clear && lostResponseShare > 0 && process.simulation().random().nextDouble() < lostResponseShare) {
+            if (clear && lostResponseShare > 0 && random.nextDouble() < lostResponseShare) {
                 if (status == 200) {
-                    invariants.onChangeAcknowledged(items, proper, since, process.now());
+                    invariants.onChangeAcknowledged(items, proper, since, clock.getAsLong());
                 } else {
-                    invariants.onChangeRejected(items, proper, true, since, process.now());
+                    invariants.onChangeRejected(items, proper, true, since, clock.getAsLong());
                 }
-                process.reactor()
-                        .scheduleAfter(
-                                resendMicros,
-                                () -> send(body, items, proper, process.now(), FIRST_BACKOFF_MICROS, to, done));
+                reactor.scheduleAfter(
+                        resendMicros,
+                        () -> send(body, items, proper, clock.getAsLong(), FIRST_BACKOFF_MICROS, to, done));
             } else if (status == 200) {
-                invariants.onChangeAcknowledged(items, proper, since, process.now());
+                invariants.onChangeAcknowledged(items, proper, since, clock.getAsLong());
                 done.accept(status);
             } else if (clear) {
-                invariants.onChangeRejected(items, proper, true, since, process.now());
+                invariants.onChangeRejected(items, proper, true, since, clock.getAsLong());
                 done.accept(status);
-            } else if (process.now() - since > GIVE_UP_MICROS) {
-                invariants.onChangeRejected(items, proper, false, since, process.now());
+            } else if (clock.getAsLong() - since > GIVE_UP_MICROS) {
+                invariants.onChangeRejected(items, proper, false, since, clock.getAsLong());
                 done.accept(0);
             } else {
-                process.reactor()
-                        .scheduleAfter(
-                                pause,
-                                () -> send(
-                                        body, items, proper, since, Math.min(MAX_BACKOFF_MICROS, 2 * pause), to, done));
+                reactor.scheduleAfter(
+                        pause,
+                        () -> send(body, items, proper, since, Math.min(MAX_BACKOFF_MICROS, 2 * pause), to, done));
             }
         });
     }
@@ -148,14 +181,10 @@
     }
 
     private void call(InetSocketAddress to, byte[] call, OperatorCallback told) {
-        process.reactor().execute(() -> {
+        reactor.execute(() -> {
             try {
                 new OneShotHttpCall(
-                        process.reactor(),
-                        to,
-                        call,
-                        CALL_TIMEOUT_MICROS,
-                        (status, head, text) -> told.onResponse(status, text));
+                        reactor, to, call, CALL_TIMEOUT_MICROS, (status, head, text) -> told.onResponse(status, text));
             } catch (IOException e) {
                 told.onResponse(0, e.getMessage());
             }
@@ -163,10 +192,10 @@
     }
 
     /** Reads the configuration once from a random control machine. */
-    void readOnce() {
-        long sentAt = process.now();
+    public void readOnce() {
+        long sentAt = clock.getAsLong();
         call(randomAddress(), READ_REQUEST, (status, text) -> {
-            process.simulation().addToDigest("read " + status);
+            digest.accept("read " + status);
             if (status == 200) {
                 invariants.checkRead(text, sentAt);
             }
@@ -174,15 +203,15 @@
     }
 
     /** Reads the configuration, with retries until a time; passes on the text, or null, and when the read was sent. */
-    void readUntil(long until, BiConsumer<String, Long> done) {
-        long sentAt = process.now();
+    public void readUntil(long until, BiConsumer<String, Long> done) {
+        long sentAt = clock.getAsLong();
         call(randomAddress(), READ_REQUEST, (status, text) -> {
             if (status == 200) {
                 done.accept(text, sentAt);
-            } else if (process.now() > until) {
+            } else if (clock.getAsLong() > until) {
                 done.accept(null, sentAt);
             } else {
-                process.reactor().scheduleAfter(FIRST_BACKOFF_MICROS, () -> readUntil(until, done));
+                reactor.scheduleAfter(FIRST_BACKOFF_MICROS, () -> readUntil(until, done));
             }
         });
     }
--- /dev/null
+++ b/src/main/java/reedmux/simulation/soak/SoakChecker.java
@@ -0,0 +1,140 @@
+package reedmux.simulation.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import reedmux.common.eventloop.Connection;
+import reedmux.common.eventloop.Reactor;
+import reedmux.common.eventloop.TcpListener;
+import reedmux.common.http1.Http1Head;
+import reedmux.common.http1.Http1ServerConnection;
+import reedmux.simulation.cluster.ClusterInvariantChecker;
+import reedmux.simulation.harness.OneShotHttpCall;
+
+/** A stand-in for a checker, which works on some requests at once, queues a few more and may crash. */
+final class SoakChecker {
+    private static final int SLOTS = 6;
+    private static final int MAX_QUEUED = 12;
+    private static final long HEARTBEAT_INTERVAL_MICROS = 400_000;
+    private static final long CALL_TIMEOUT_MICROS = 1_000_000;
+    private static final int MIN_WORK_MICROS = 30_000;
+    private static final int WORK_RANGE_MICROS = 170_000;
+    /** One request in so many takes long. */
+    private static final int LONG_REQUEST_SHARE = 12;
+
+    private static final long LONG_WORK_MICROS = 900_000;
+
+    private final Reactor reactor;
+    private final Random random;
+    private final ClusterInvariantChecker invariants;
+    private final List<InetSocketAddress> controlAddresses;
+    private final String id;
+    private final String service;
+    private final String zone;
+    private final TcpListener listener;
+    private final Set<Connection> connections = new LinkedHashSet<>();
+    private final Deque<Runnable> queue = new ArrayDeque<>();
+    private int busy;
+    private long sequence;
+    private int controlIndex;
+    private boolean crashed;
+
+    /** Starts at a free port of {@code ip}; {@code control} is a live list. */
+    SoakChecker(
+            Reactor reactor,
+            Random random,
+            ClusterInvariantChecker invariants,
+            List<InetSocketAddress> control,
+            String id,
+            String ip,
+            int number)
+            throws IOException {
+        this.reactor = reactor;
+        this.random = random;
+        this.invariants = invariants;
+        this.controlAddresses = control;
+        this.id = id;
+        service = SoakRun.serviceOf(number);
+        zone = SoakRun.zoneOf(number);
+        controlIndex = number;
+        listener = new TcpListener(reactor, new InetSocketAddress(ip, 0), this::onAccepted);
+        sendHeartbeat();
+    }
+
+    private void onAccepted(Connection connection) {
+        connections.removeIf(known -> !known.isOpen());
+        connections.add(connection);
+        new Http1ServerConnection(reactor, connection, this::serve);
+    }
+
+    private void serve(Http1ServerConnection.Http1Request call, Http1ServerConnection from) {
+        Http1Head head = call.head();
+        String attempt = head.get("Reedmux-Attempt-Id");
+        String target = head.get("Reedmux-Target-Instance");
+        if (target != null && !target.equals(id)) {
+            from.respond(Http1Head.response(421).add("Reedmux-Instance-Id", id), new byte[0]);
+        } else if (busy < SLOTS) {
+            execute(head, attempt, from);
+        } else if (queue.size() < MAX_QUEUED) {
+            queue.add(() -> execute(head, attempt, from));
+        } else {
+            from.respond(Http1Head.response(503).add("Reedmux-Not-Executed", "1"), new byte[0]);
+        }
+    }
+
+    private void execute(Http1Head head, String attempt, Http1ServerConnection from) {
+        if (crashed) {
+            return;
+        }
+        busy++;
+        invariants.onRequestArrived(attempt, service, reactor.now());
+        invariants.onRequestExecuted(attempt, id, service, head.get("Reedmux-Tenant"), reactor.now());
+        long work = random.nextInt(LONG_REQUEST_SHARE) == 0
+                ? LONG_WORK_MICROS
+                : MIN_WORK_MICROS + random.nextInt(WORK_RANGE_MICROS);
+        reactor.scheduleAfter(work, () -> {
+            from.respond(
+                    Http1Head.response(200).add("Reedmux-Attempt-Id", attempt).add("Reedmux-Server-Seal", id),
+                    (id + ' ' + service + ' ' + attempt).getBytes(StandardCharsets.UTF_8));
+            busy--;
+            if (!queue.isEmpty()) {
+                queue.poll().run();
+            }
+        });
+    }
+
+    private void sendHeartbeat() {
+        if (crashed) {
+            return;
+        }
+        try {
+            InetSocketAddress at = listener.address();
+            String body = "{\"plant\":\"" + service + "\",\"address\":\""
+                    + at.getAddress().getHostAddress() + ':' + at.getPort() + "\",\"zone\":\"" + zone
+                    + "\",\"revision\":\"v1\",\"capacity\":" + SLOTS
+                    + ",\"phase\":\"ready\",\"coldLeftMs\":0,\"seq\":" + ++sequence + '}';
+            new OneShotHttpCall(
+                    reactor,
+                    controlAddresses.get(controlIndex % controlAddresses.size()),
+                    OneShotHttpCall.post("/v1/Instances.Heartbeat/" + id, body),
+                    CALL_TIMEOUT_MICROS,
+                    (status, head, text) -> controlIndex += status / 100 == 2 ? 0 : 1);
+        } catch (IOException e) {
+            controlIndex++;
+        }
+        reactor.scheduleAfter(HEARTBEAT_INTERVAL_MICROS, this::sendHeartbeat);
+    }
+
+    /** Ends without notice, with its requests unanswered. */
+    void crash() {
+        crashed = true;
+        listener.close();
+        connections.forEach(Connection::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/simulation/soak/SoakMachine.java
@@ -0,0 +1,257 @@
+package reedmux.simulation.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import reedmux.common.eventloop.Reactor;
+
+/**
+ * A machine of the soak: an address of the loopback network with one or two programs, which are started again whenever
+ * they end, as the platform does. For the reactor's thread.
+ */
+final class SoakMachine {
+    static final int FRONT_PORT_OFFSET = 21;
+    static final int READINESS_PORT_OFFSET = 22;
+    static final int CONTROL_PORT_OFFSET = 20;
+    static final long GRACE_MICROS = 6_000_000;
+    /** The platform is late, too; beyond that a process counts as one that does not end. */
+    private static final long GRACE_TOLERANCE_MICROS = 1_500_000;
+
+    private static final int PORT_RANGE_WIDTH = 10;
+    private static final long RESTART_DELAY_MICROS = 300_000;
+
+    /** What all machines of a soak share. */
+    interface Fleet {
+
+        Reactor reactor();
+
+        int firstPort();
+
+        Path directory();
+
+        /** The addresses of the seeds, as the settings of a start have them. */
+        List<String> seeds();
+
+        void onViolation(String violation);
+
+        void onStarted();
+    }
+
+    private final Fleet fleet;
+    private final String name;
+    private final String ip;
+    private final String zone;
+    private final List<String> programs;
+    private final Map<String, ProgramProcess> processes = new LinkedHashMap<>();
+    /** Whether the whole system starts for the first time. */
+    private boolean coldStart;
+
+    private boolean removed;
+    /** Whether its ends are wanted: by a signal that was sent, until its programs have been started again. */
+    private boolean endExpected;
+
+    private long faultUntil;
+
+    SoakMachine(Fleet fleet, String name, String ip, String zone, List<String> programs, boolean coldStart) {
+        this.fleet = fleet;
+        this.name = name;
+        this.ip = ip;
+        this.zone = zone;
+        this.programs = programs;
+        this.coldStart = coldStart;
+    }
+
+    String name() {
+        return name;
+    }
+
+    String ip() {
+        return ip;
+    }
+
+    InetSocketAddress address(int portOffset) {
+        return new InetSocketAddress(ip, fleet.firstPort() + portOffset);
+    }
+
+    boolean isRemoved() {
+        return removed;
+    }
+
+    boolean isRunning() {
+        return processes.size() == programs.size()
+                && processes.values().stream().allMatch(ProgramProcess::isAlive);
+    }
+
+    /** Whether it was killed or held up so lately that clients may have noticed. */
+    boolean isFaulty(long since) {
+        return faultUntil >= since;
+    }
+
+    /** Until when clients may notice an unplanned fault of this machine. */
+    void noteFault(long until) {
+        faultUntil = Math.max(faultUntil, until);
+    }
+
+    Path outputOf(String program) {
+        return fleet.directory().resolve(name + '-' + program + ".log");
+    }
+
+    List<String> programs() {
+        return programs;
+    }
+
+    // ---- Starts and ends ---------------------------------------------------------------------------
+
+    void start() {
+        programs.forEach(this::start);
+        coldStart = false;
+    }
+
+    private void start(String program) {
+        if (removed) {
+            return;
+        }
+        try {
+            Path settings = fleet.directory().resolve(name + '-' + program + ".toml");
+            writeSettings(settings);
+            ProgramProcess process = new ProgramProcess(program, settings, outputOf(program));
+            processes.put(program, process);
+            fleet.onStarted();
+            process.onExit(code -> fleet.reactor().execute(() -> onExit(program, process, code)));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void onExit(String program, ProgramProcess process, int code) {
+        if (processes.get(program) != process) {
+            return;
+        }
+        if (!endExpected && !removed) {
+            fleet.onViolation("FAULT: " + name + '/' + program + " ends by itself with " + code);
+        }
+        fleet.reactor().scheduleAfter(RESTART_DELAY_MICROS, () -> {
+            if (processes.get(program) == process) {
+                start(program);
+                endExpected = false;
+            }
+        });
+    }
+
+    /** Sends SIGTERM; who has not ended within the grace period is killed, and reported. */
+    void terminate() {
+        endExpected = true;
+        signal("TERM");
+        List<ProgramProcess> told = List.copyOf(processes.values());
+        long signalledAt = fleet.reactor().now();
+        fleet.reactor().scheduleAfter(GRACE_MICROS + GRACE_TOLERANCE_MICROS, () -> {
+            boolean overdue = told.stream().anyMatch(ProgramProcess::isAlive);
+            if (overdue && !isFaulty(signalledAt)) {
+                fleet.onViolation("GRACE: " + name + " still runs long after SIGTERM");
+            }
+            told.stream().filter(ProgramProcess::isAlive).forEach(process -> signal(process, "KILL"));
+        });
+    }
+
+    /** Kills its programs without notice. */
+    void kill() {
+        endExpected = true;
+        noteFault(fleet.reactor().now() + RESTART_DELAY_MICROS);
+        signal("KILL");
+    }
+
+    /** Ends it for good. */
+    void remove(boolean planned) {
+        removed = true;
+        if (planned) {
+            terminate();
+        } else {
+            kill();
+        }
+    }
+
+    /** Holds its programs up for a while. */
+    void pause(long micros) {
+        List<ProgramProcess> paused = List.copyOf(processes.values());
+        noteFault(fleet.reactor().now() + micros);
+        paused.forEach(process -> signal(process, "STOP"));
+        fleet.reactor().scheduleAfter(micros, () -> paused.forEach(process -> signal(process, "CONT")));
+    }
+
+    /** The settings have changed: tells the programs, but for those that end at any signal as they just begin. */
+    void hangUp() {
+        try {
+            for (String program : programs) {
+                writeSettings(fleet.directory().resolve(name + '-' + program + ".toml"));
+            }
+            for (ProgramProcess process : processes.values()) {
+                if (process.hasBegun()) {
+                    process.signal("HUP");
+                }
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Replaces the file at once, so that a process that starts doesn't read a part of it. */
+    private void writeSettings(Path file) throws IOException {
+        Path next = file.resolveSibling(file.getFileName() + ".new");
+        Files.writeString(next, settings());
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    private void signal(String signal) {
+        processes.values().forEach(process -> signal(process, signal));
+    }
+
+    private static void signal(ProgramProcess process, String signal) {
+        try {
+            process.signal(signal);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Ends its programs at the end of the soak; for any thread once the reactor has stopped. */
+    void destroy() throws InterruptedException {
+        removed = true;
+        for (ProgramProcess process : processes.values()) {
+            process.killAndWait();
+        }
+    }
+
+    private String settings() {
+        int firstPort = fleet.firstPort();
+        StringBuilder text = new StringBuilder("node = \"" + name + "\"\nip = \"" + ip + "\"\nzone = \"" + zone + "\"\n"
+                + "portRange = [" + firstPort + ", " + (firstPort + PORT_RANGE_WIDTH) + "]\ncoldStart = " + coldStart
+                + "\nperiodMs = 1000\nseeds = [");
+        for (String seed : fleet.seeds()) {
+            text.append('"')
+                    .append(seed)
+                    .append(':')
+                    .append(firstPort + CONTROL_PORT_OFFSET)
+                    .append("\", ");
+        }
+        text.append("]\n");
+        if (programs.contains("store")) {
+            text.append("dataDir = \"").append(fleet.directory().resolve(name)).append("\"\n");
+        }
+        text.append("[sockets]\n");
+        appendSocket(text, "front", FRONT_PORT_OFFSET);
+        appendSocket(text, "ready", READINESS_PORT_OFFSET);
+        appendSocket(text, "control", CONTROL_PORT_OFFSET);
+        text.append("[tolerance]\nmachines = 1\n[envelope]\ngraceS = ").append(GRACE_MICROS / 1_000_000);
+        return text.append("\nretryRatio = 0.2\nretrySlack = 56\n").toString();
+    }
+
+    private void appendSocket(StringBuilder text, String socket, int portOffset) {
+        text.append(socket + " = \"" + ip + ':' + (fleet.firstPort() + portOffset) + "\"\n");
+    }
+}
--- /dev/null
+++ b/src/main/java/reedmux/simulation/soak/SoakOptions.java
@@ -0,0 +1,13 @@
+package reedmux.simulation.soak;
+
+/**
+ * What a soak consists of.
+ *
+ * @param seed     of all its random choices
+ * @param seconds  for which faults are injected
+ * @param proxies  processes that serve clients
+ * @param cores    machines of the core, each with a store and a registry
+ * @param checkers stand-ins for checkers
+ * @param clients  clients that send one request after another
+ */
+public record SoakOptions(long seed, int seconds, int proxies, int cores, int checkers, int clients) {}
--- /dev/null
+++ b/src/main/java/reedmux/simulation/soak/SoakRun.java
@@ -0,0 +1,422 @@
+package reedmux.simulation.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import reedmux.common.eventloop.Reactor;
+import reedmux.common.logging.InvariantMonitor;
+import reedmux.common.logging.RingBufferLogger;
+import reedmux.simulation.cluster.ClusterInvariantChecker;
+import reedmux.simulation.cluster.ConfigurationGenerator;
+import reedmux.simulation.cluster.SimulatedOperator;
+import reedmux.simulation.harness.OneShotHttpCall;
+
+/**
+ * One soak: starts the processes, has clients, operators and faults go on beside each other for a while, and then
+ * checks that the gateway is whole again, that nothing acknowledged is lost, that no program has found an invariant
+ * violated, and that all end in order.
+ *
+ * <p>Everything but {@link #run} runs on the thread of one reactor.
+ */
+public final class SoakRun implements SoakMachine.Fleet {
+    private static final long SECOND = 1_000_000;
+    private static final String[] ZONES = {"zone-a", "zone-b", "zone-c"};
+    private static final String HOST_PREFIX = "127.";
+    private static final int MAX_FIRST_PORT = 60_000;
+    private static final int CHECKER_HOST = 200;
+    private static final int SEEDS = 3;
+    /** How long the start of all processes may take, and the recovery after the last fault. */
+    private static final long START_TIMEOUT_MICROS = 90 * SECOND;
+
+    private static final long RECOVERY_TIMEOUT_MICROS = 25 * SECOND;
+    private static final long POLL_MICROS = SECOND / 4;
+    private static final int MAX_CHANGE_INTERVAL_MICROS = 400_000;
+    private static final int MAX_READ_INTERVAL_MICROS = 300_000;
+    private static final long FINAL_READ_MICROS = 5 * SECOND;
+    private static final double LOST_RESPONSE_SHARE = 0.1;
+    private static final long RUN_TIMEOUT_SECONDS = 600;
+
+    private final SoakOptions options;
+    private final Path directory;
+    private final int firstPort;
+    private final Reactor reactor;
+    private final Random random;
+    private final ClusterInvariantChecker invariants = new ClusterInvariantChecker();
+    private final ConfigurationGenerator configurations;
+    private final List<SoakMachine> all = new ArrayList<>();
+    private final List<SoakMachine> proxies = new ArrayList<>();
+    private final List<SoakMachine> cores = new ArrayList<>();
+    private final List<SoakChecker> checkers = new ArrayList<>();
+    private final List<SoakClient> clients = new ArrayList<>();
+    private final List<SimulatedOperator> operators = new ArrayList<>();
+    private final List<InetSocketAddress> controlAddresses = new ArrayList<>();
+    private final List<String> faultLog = new ArrayList<>();
+    private final SoakFaults faults;
+    private final CompletableFuture<Void> finished = new CompletableFuture<>();
+    private final String network;
+    private int startedProcesses;
+    private int startedCheckers;
+    private int addedCores;
+    private long faultsSince;
+    private boolean changing = true;
+
+    private SoakRun(SoakOptions options, Path directory, int network) throws IOException {
+        this.options = options;
+        this.directory = directory;
+        this.network = HOST_PREFIX + network + '.';
+        random = new Random(options.seed());
+        configurations = new ConfigurationGenerator(new Random(options.seed() + 1));
+        firstPort = findFirstPort(this.network + "0.1");
+        reactor = new Reactor(new RingBufferLogger("soak", 100, System.err::println, System::nanoTime));
+        faults = new SoakFaults(this, reactor, random, invariants, this::logFault);
+        for (int i = 0; i < 2; i++) {
+            operators.add(new SimulatedOperator(
+                    reactor,
+                    reactor::now,
+                    new Random(options.seed() + 2 + i),
+                    controlAddresses,
+                    invariants,
+                    word -> {}));
+        }
+    }
+
+    /**
+     * Runs one soak.
+     *
+     * @param directory for settings, disks and logs; empty
+     * @param network the second part of its loopback addresses, so that several can run beside each other
+     */
+    public static SoakOutcome run(SoakOptions options, Path directory, int network)
+            throws IOException, InterruptedException {
+        SoakRun soak = new SoakRun(options, directory, network);
+        Thread thread = new Thread(soak::runReactor, "soak-" + options.seed());
+        thread.setDaemon(true);
+        soak.reactor.execute(soak::startAll);
+        thread.start();
+        try {
+            soak.finished.get(RUN_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            soak.invariants.onInvariantViolation("the soak does not end: " + e);
+        } finally {
+            soak.reactor.stop();
+            thread.join();
+            for (SoakMachine machine : soak.all) {
+                machine.destroy();
+            }
+        }
+        soak.checkOutputs();
+        return new SoakOutcome(
+                options.seed(),
+                soak.invariants.violations(),
+                soak.faultLog,
+                soak.invariants.requestCount(),
+                soak.invariants.servedCount(),
+                soak.startedProcesses);
+    }
+
+    private void runReactor() {
+        try {
+            reactor.run();
+        } catch (IOException e) {
+            finished.completeExceptionally(e);
+        }
+    }
+
+    /** A port that is free at one address; the range begins with it, at all addresses. */
+    private static int findFirstPort(String ip) throws IOException {
+        try (ServerSocket probe = new ServerSocket()) {
+            probe.bind(new InetSocketAddress(ip, 0));
+            return Math.min(MAX_FIRST_PORT, probe.getLocalPort());
+        }
+    }
+
+    static String serviceOf(int number) {
+        return ConfigurationGenerator.SERVICES.get(number % ConfigurationGenerator.SERVICES.size());
+    }
+
+    static String zoneOf(int number) {
+        return ZONES[number % ZONES.length];
+    }
+
+    // ---- The fleet ---------------------------------------------------------------------------------
+
+    @Override
+    public Reactor reactor() {
+        return reactor;
+    }
+
+    @Override
+    public int firstPort() {
+        return firstPort;
+    }
+
+    @Override
+    public Path directory() {
+        return directory;
+    }
+
+    @Override
+    public List<String> seeds() {
+        return cores.stream().limit(SEEDS).map(SoakMachine::ip).toList();
+    }
+
+    @Override
+    public void onViolation(String violation) {
+        invariants.onInvariantViolation(violation);
+    }
+
+    @Override
+    public void onStarted() {
+        startedProcesses++;
+    }
+
+    /** The proxies; a live list. */
+    List<SoakMachine> proxies() {
+        return proxies;
+    }
+
+    /** The machines of the core; a live list. */
+    List<SoakMachine> cores() {
+        return cores;
+    }
+
+    private SoakMachine newMachine(String name, String ip, int number, List<String> programs, boolean coldStart) {
+        SoakMachine machine = new SoakMachine(this, name, ip, zoneOf(number), programs, coldStart);
+        all.add(machine);
+        return machine;
+    }
+
+    /** Starts one more core machine, of a new name and address, with an empty disk. */
+    void addCore() {
+        int number = options.cores() + addedCores++;
+        SoakMachine core = newMachine(
+                "core-" + number, network + "1." + (number + 1), number, List.of("store", "registry"), false);
+        cores.add(core);
+        core.start();
+        // operators and checkers hear of it later
+        reactor.scheduleAfter(SECOND, () -> controlAddresses.add(core.address(SoakMachine.CONTROL_PORT_OFFSET)));
+    }
+
+    /** Ends a core machine for good. */
+    void removeCore(SoakMachine core, boolean planned) {
+        cores.remove(core);
+        core.remove(planned);
+        reactor.scheduleAfter(SECOND, () -> controlAddresses.remove(core.address(SoakMachine.CONTROL_PORT_OFFSET)));
+    }
+
+    /** Crashes a checker and starts another one. */
+    void replaceChecker(Random drawn) {
+        logFault("a checker crashes");
+        checkers.remove(drawn.nextInt(checkers.size())).crash();
+        startChecker();
+    }
+
+    private void startChecker() {
+        int number = startedCheckers++;
+        String ip = network + "3." + (1 + number % CHECKER_HOST);
+        try {
+            checkers.add(new SoakChecker(reactor, random, invariants, controlAddresses, "c-" + number, ip, number));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void logFault(String what) {
+        faultLog.add(String.format("%.3f %s", (reactor.now() - faultsSince) / 1e6, what));
+    }
+
+    // ---- Course ------------------------------------------------------------------------------------
+
+    private void startAll() {
+        for (int i = 0; i < options.cores(); i++) {
+            cores.add(newMachine("core-" + i, network + "1." + (i + 1), i, List.of("store", "registry"), true));
+        }
+        for (int i = 0; i < options.proxies(); i++) {
+            proxies.add(newMachine("edge-" + i, network + "2." + (i + 1), i, List.of("proxy"), true));
+        }
+        cores.forEach(core -> controlAddresses.add(core.address(SoakMachine.CONTROL_PORT_OFFSET)));
+        all.forEach(SoakMachine::start);
+        for (int i = 0; i < options.checkers(); i++) {
+            startChecker();
+        }
+        long begun = reactor.now();
+        invariants.addCoreFault(begun, begun + START_TIMEOUT_MICROS, true); // what is late in a start is no fault
+        changeUntilTaken(
+                configurations.initialChange(),
+                begun + START_TIMEOUT_MICROS,
+                "the start",
+                () -> awaitReady(begun + START_TIMEOUT_MICROS, "the start", this::beginTraffic));
+    }
+
+    /** Sends a change until it is acknowledged. */
+    private void changeUntilTaken(String body, long deadline, String phase, Runnable then) {
+        operators
+                .get(0)
+                .changeConfiguration(
+                        body,
+                        ClusterInvariantChecker.ExpectedDecision.ACCEPT,
+                        ConfigurationGenerator::visibleEffect,
+                        status -> {
+                            if (status == 200) {
+                                then.run();
+                            } else if (reactor.now() > deadline) {
+                                fail("after " + phase + " no change is acknowledged");
+                            } else {
+                                changeUntilTaken(body, deadline, phase, then);
+                            }
+                        });
+    }
+
+    /** Goes on once all proxies are ready. */
+    private void awaitReady(long deadline, String phase, Runnable then) {
+        int[] open = {proxies.size()};
+        int[] ready = {0};
+        for (SoakMachine proxy : proxies) {
+            askReadiness(proxy, isReady -> {
+                ready[0] += isReady ? 1 : 0;
+                if (--open[0] > 0) {
+                    return;
+                }
+                if (ready[0] == proxies.size()) {
+                    then.run();
+                } else if (reactor.now() > deadline) {
+                    fail("after " + phase + " only " + ready[0] + " of " + proxies.size() + " proxies are ready");
+                } else {
+                    reactor.scheduleAfter(POLL_MICROS, () -> awaitReady(deadline, phase, then));
+                }
+            });
+        }
+    }
+
+    private void askReadiness(SoakMachine proxy, Consumer<Boolean> answer) {
+        try {
+            new OneShotHttpCall(
+                    reactor,
+                    proxy.address(SoakMachine.READINESS_PORT_OFFSET),
+                    OneShotHttpCall.request("GET", "/v1/readiness", "ready", ""),
+                    SECOND,
+                    (status, head, text) -> answer.accept(status == 200));
+        } catch (IOException e) {
+            answer.accept(false);
+        }
+    }
+
+    private void fail(String why) {
+        onViolation(why);
+        finished.complete(null);
+    }
+
+    private void beginTraffic() {
+        faultsSince = reactor.now();
+        operators.forEach(operator -> operator.loseResponses(LOST_RESPONSE_SHARE, SECOND / 2));
+        for (int i = 0; i < options.clients(); i++) {
+            SoakClient client =
+                    new SoakClient(reactor, random, invariants, configurations::planRequest, proxies, "q" + i);
+            clients.add(client);
+            client.start();
+        }
+        sendChanges();
+        sendReads();
+        long end = faultsSince + options.seconds() * SECOND;
+        faults.start(end);
+        reactor.scheduleAt(end, this::awaitCalm);
+    }
+
+    private void sendChanges() {
+        if (!changing) {
+            return;
+        }
+        switch (random.nextInt(8)) {
+            case 0 -> change(1, configurations.invalidChange(), ClusterInvariantChecker.ExpectedDecision.REJECT);
+            case 1, 2 -> {
+                var pair = configurations.concurrentPair();
+                var expected = pair.getKey()
+                        ? ClusterInvariantChecker.ExpectedDecision.ACCEPT
+                        : ClusterInvariantChecker.ExpectedDecision.EITHER;
+                change(0, pair.getValue().get(0), expected);
+                change(1, pair.getValue().get(1), expected);
+            }
+            default -> change(0, configurations.validChange(), ClusterInvariantChecker.ExpectedDecision.ACCEPT);
+        }
+        reactor.scheduleAfter(1 + random.nextInt(MAX_CHANGE_INTERVAL_MICROS), this::sendChanges);
+    }
+
+    private void change(int operator, String body, ClusterInvariantChecker.ExpectedDecision expected) {
+        operators
+                .get(operator)
+                .changeConfiguration(body, expected, ConfigurationGenerator::visibleEffect, status -> {});
+    }
+
+    private void sendReads() {
+        if (!changing) {
+            return;
+        }
+        operators.get(random.nextInt(operators.size())).readOnce();
+        reactor.scheduleAfter(1 + random.nextInt(MAX_READ_INTERVAL_MICROS), this::sendReads);
+    }
+
+    /** The last fault was injected: once what is under way is over, the gateway has to be whole again. */
+    private void awaitCalm() {
+        changing = false;
+        long calmAt = Math.max(reactor.now() + SoakMachine.GRACE_MICROS, faults.coreHealthyAt());
+        reactor.scheduleAt(calmAt, () -> {
+            operators.forEach(operator -> operator.loseResponses(0, 0));
+            long deadline = reactor.now() + RECOVERY_TIMEOUT_MICROS;
+            awaitReady(
+                    deadline,
+                    "the faults",
+                    () -> changeUntilTaken(configurations.validChange(), deadline, "the faults", this::readBack));
+        });
+    }
+
+    private void readBack() {
+        operators.get(0).readUntil(reactor.now() + FINAL_READ_MICROS, (text, sentAt) -> {
+            invariants.checkFinalRead(text, "CONFIG", sentAt);
+            terminateAll();
+        });
+    }
+
+    /** All proxies get SIGTERM under load and end by themselves. */
+    private void terminateAll() {
+        logFault("all proxies get SIGTERM");
+        proxies.forEach(proxy -> proxy.remove(true));
+        reactor.scheduleAfter(SoakMachine.GRACE_MICROS + 2 * SECOND, () -> {
+            clients.forEach(SoakClient::stop);
+            finished.complete(null);
+        });
+    }
+
+    // ---- Outputs -----------------------------------------------------------------------------------
+
+    /** What programs have written of invariants and of errors that nobody expects. */
+    private void checkOutputs() throws IOException {
+        for (SoakMachine machine : all) {
+            for (String program : machine.programs()) {
+                Path output = machine.outputOf(program);
+                if (Files.exists(output)) {
+                    Files.readAllLines(output).stream()
+                            .filter(SoakRun::isAlarming)
+                            .limit(3)
+                            .forEach(line -> invariants.onInvariantViolation(machine.name() + ": " + line));
+                }
+            }
+        }
+    }
+
+    private static boolean isAlarming(String line) {
+        return line.contains(InvariantMonitor.LOG_PREFIX)
+                || line.contains("Exception")
+                || line.contains("OutOfMemoryError");
+    }
+}
--- a/src/test/java/reedmux/simulation/cluster/ServingDeployment.java
+++ b/src/test/java/reedmux/simulation/cluster/ServingDeployment.java
@@ -30,7 +30,7 @@
                     simulation,
                     machine("10.3.0." + (i + 1)),
                     "i-" + i,
-                    ConfigurationGenerator.SERVICES[i % ConfigurationGenerator.SERVICES.length],
+                    ConfigurationGenerator.SERVICES.get(i % ConfigurationGenerator.SERVICES.size()),
                     deployment.controlAddresses(),
                     invariants,
                     () -> {},
--- a/src/test/java/reedmux/simulation/cluster/ShowClusterTest.java
+++ b/src/test/java/reedmux/simulation/cluster/ShowClusterTest.java
@@ -107,7 +107,7 @@
         assertEquals(entries(second).size(), 1);
         assertEquals(second.get("next"), null);
         assertEquals(
-                entries(show(1, "Checkers?service=" + ConfigurationGenerator.SERVICES[0]))
+                entries(show(1, "Checkers?service=" + ConfigurationGenerator.SERVICES.get(0)))
                         .size(),
                 2);
         TreeSet<String> keys = new TreeSet<>();
--- /dev/null
+++ b/src/test/java/reedmux/simulation/soak/SoakTest.java
@@ -0,0 +1,124 @@
+package reedmux.simulation.soak;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.stream.Stream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Real processes and signals: a short soak of a few seeds, and what a long one has found. */
+public class SoakTest {
+    private static final long[] SEEDS = {1, 2};
+    private static final int SECONDS = 15;
+    private static final int FIRST_NETWORK = 130;
+
+    private Path directory;
+
+    @BeforeMethod
+    public void createDirectory() throws IOException {
+        directory = Files.createTempDirectory("reedmux-soak-test");
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void deleteDirectory() throws IOException {
+        try (Stream<Path> files = Files.walk(directory)) {
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(path -> path.toFile().delete());
+        }
+    }
+
+    /** Each seed beside the other. */
+    @Test
+    public void noInvariantIsViolatedUnderOverlappingFaults()
+            throws IOException, ExecutionException, InterruptedException {
+        List<CompletableFuture<SoakOutcome>> runs = new ArrayList<>();
+        for (int i = 0; i < SEEDS.length; i++) {
+            SoakOptions options = new SoakOptions(SEEDS[i], SECONDS, 4, 3, 5, 10);
+            Path ofRun = Files.createDirectory(directory.resolve("seed-" + SEEDS[i]));
+            int network = FIRST_NETWORK + i;
+            runs.add(CompletableFuture.supplyAsync(() -> run(options, ofRun, network)));
+        }
+        for (CompletableFuture<SoakOutcome> run : runs) {
+            SoakOutcome outcome = run.get();
+            assertEquals(
+                    outcome.violations(),
+                    List.of(),
+                    "seed " + outcome.seed() + "\n" + String.join("\n", outcome.faults()) + "\n");
+            assertTrue(outcome.served() > 100, outcome.served() + " of " + outcome.requests() + " served");
+        }
+    }
+
+    private static SoakOutcome run(SoakOptions options, Path directory, int network) {
+        try {
+            return SoakRun.run(options, directory, network);
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A program handles signals before it listens: SIGHUP does not end it, and SIGTERM ends it in order. */
+    @Test
+    public void signalsDuringTheStartOfAProgramAreHandled()
+            throws IOException, InterruptedException, ExecutionException, TimeoutException {
+        String ip = "127." + (FIRST_NETWORK + SEEDS.length) + ".0.1";
+        int port;
+        try (ServerSocket probe = new ServerSocket()) {
+            probe.bind(new InetSocketAddress(ip, 0));
+            port = Math.min(60_000, probe.getLocalPort());
+        }
+        Path settings = directory.resolve("store.toml");
+        Files.writeString(
+                settings,
+                "node = \"core-0\"\nip = \"" + ip + "\"\nzone = \"a\"\nportRange = [" + port + ", " + (port + 10)
+                        + "]\ncoldStart = true\nseeds = [\"" + ip + ":" + (port + 20) + "\"]\ndataDir = \""
+                        + directory.resolve("disk") + "\"\n[sockets]\ncontrol = \"" + ip + ":" + (port + 20) + "\"\n");
+        Path output = directory.resolve("store.log");
+        ProgramProcess store = new ProgramProcess("store", settings, output);
+        CompletableFuture<Integer> exit = new CompletableFuture<>();
+        store.onExit(exit::complete);
+        try {
+            await(store::hasBegun);
+            store.signal("HUP");
+            await(() -> Files.readString(output).contains("settings read again"));
+            assertTrue(store.isAlive());
+            store.signal("TERM");
+            assertEquals(exit.get(20, TimeUnit.SECONDS).intValue(), 0);
+        } finally {
+            store.killAndWait();
+        }
+    }
+
+    private interface Condition {
+        boolean holds() throws IOException;
+    }
+
+    /** Polls for at most 20 seconds. */
+    private static void await(Condition condition) throws IOException, InterruptedException {
+        CompletableFuture<Void> never = new CompletableFuture<>();
+        for (int i = 0; i < 1_000; i++) {
+            if (condition.holds()) {
+                return;
+            }
+            try {
+                never.get(20, TimeUnit.MILLISECONDS);
+            } catch (TimeoutException | ExecutionException e) {
+                continue;
+            }
+        }
+        throw new AssertionError("nothing in 20 s");
+    }
+}
