Simulation: core machines are replaced under other names, too

Change: half of the replacements without the old disk have another name. An order to leave that is still pending when a core begins in which the node stays is sent again.

--- a/src/main/java/reedmux/control/consensus/CoreMembership.java
+++ b/src/main/java/reedmux/control/consensus/CoreMembership.java
@@ -221,6 +221,7 @@
     /** Begins the epoch of a core that is decided on. */
     private void install(CoreMembers next) {
         context.removed = (context.removed || isRemovedForGood(next)) && !next.contains(context.self);
+        context.removalOrdered = false; // an order that is still pending is sent again
         context.port.log("core of epoch " + next.epoch() + ": " + next.nodeNames());
         context.core = next;
         acceptor.reset();
--- a/src/main/java/reedmux/simulation/cluster/Deployment.java
+++ b/src/main/java/reedmux/simulation/cluster/Deployment.java
@@ -41,7 +41,7 @@
 
     /** A machine with its programs. */
     final class DeployedNode {
-        private final String name;
+        private String name;
         private SimulatedMachine machine;
         private List<String> seeds;
         private long startedAt;
@@ -175,8 +175,14 @@
             startAfter(downFor);
         }
 
-        /** Replaces the machine by another of the same name at another address, perhaps with its disk. */
-        void replace(String ip, boolean withDisk, long downFor) {
+        /**
+         * Replaces the machine by another at another address.
+         *
+         * @param newName  the new machine's name, which may be that of the old one
+         * @param withDisk whether it takes over the disk
+         */
+        void replace(String ip, String newName, boolean withDisk, long downFor) {
+            name = newName;
             machine.losePower();
             down = true;
             int fall = ++stops;
--- a/src/main/java/reedmux/simulation/cluster/FaultStorm.java
+++ b/src/main/java/reedmux/simulation/cluster/FaultStorm.java
@@ -243,9 +243,10 @@
         } else {
             String ip = "10.1." + deployment.cores().indexOf(node) + '.' + (11 + replacements++);
             boolean withDisk = kind == 5;
-            day.logFault(node.name() + " is replaced at " + ip + (withDisk ? " with its disk" : ""));
+            String name = withDisk || random.nextBoolean() ? node.name() : "core-" + ip;
+            day.logFault(node.name() + " is replaced by " + name + " at " + ip + (withDisk ? " with its disk" : ""));
             coreAddresses.add(ip);
-            node.replace(ip, withDisk, length);
+            node.replace(ip, name, withDisk, length);
         }
         day.setCoreHealthyAt(simulation.now() + length + CONVERGENCE_MICROS);
     }
