--- a/src/main/java/reedmux/simulation/soak/SoakChecker.java
+++ b/src/main/java/reedmux/simulation/soak/SoakChecker.java
@@ -131,10 +131,16 @@
         reactor.scheduleAfter(HEARTBEAT_INTERVAL_MICROS, this::sendHeartbeat);
     }
 
+    /** Cuts all its connections, with their requests unanswered, and goes on. */
+    void cutConnections() {
+        connections.forEach(Connection::close);
+        connections.clear();
+    }
+
     /** Ends without notice, with its requests unanswered. */
     void crash() {
         crashed = true;
         listener.close();
-        connections.forEach(Connection::close);
+        cutConnections();
     }
 }
--- a/src/main/java/reedmux/simulation/soak/SoakFaults.java
+++ b/src/main/java/reedmux/simulation/soak/SoakFaults.java
@@ -27,8 +27,8 @@
     /** A restart takes this long at most, on a machine with as many processes as a soak has. */
     private static final long RESTART_MICROS = 2 * SECOND;
 
-    private static final int PROXY_KINDS = 7;
-    private static final int CORE_KINDS = 7;
+    private static final int PROXY_KINDS = 8;
+    private static final int CORE_KINDS = 9;
 
     private final SoakRun run;
     private final Reactor reactor;
@@ -92,6 +92,7 @@
                 proxy.pause(length);
             }
             case 5 -> run.replaceChecker(random);
+            case 6 -> run.cutChecker(random);
             default -> run.proxies().forEach(this::hangUp);
         }
         later(MAX_INTERVAL_MICROS, this::injectProxyFaults);
@@ -154,6 +155,11 @@
                 run.cores().forEach(SoakMachine::kill);
             }
             case 4 -> run.cores().forEach(this::hangUp);
+            case 5, 6 -> {
+                log.accept(core.name() + " is killed and loses its disk");
+                noteFault(core, RESTART_MICROS);
+                core.loseDisk();
+            }
             default -> replace(core);
         }
     }
--- a/src/main/java/reedmux/simulation/soak/SoakMachine.java
+++ b/src/main/java/reedmux/simulation/soak/SoakMachine.java
@@ -6,9 +6,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import reedmux.common.eventloop.Reactor;
 
 /**
@@ -56,6 +58,9 @@
     /** Whether its ends are wanted: by a signal that was sent, until its programs have been started again. */
     private boolean endExpected;
 
+    /** Whether its disk is lost before the next start. */
+    private boolean diskLost;
+
     private long faultUntil;
 
     SoakMachine(Fleet fleet, String name, String ip, String zone, List<String> programs, boolean coldStart) {
@@ -120,6 +125,10 @@
         try {
             Path settings = fleet.directory().resolve(name + '-' + program + ".toml");
             writeSettings(settings);
+            if (diskLost) {
+                diskLost = false;
+                deleteDisk();
+            }
             ProgramProcess process = new ProgramProcess(program, settings, outputOf(program));
             processes.put(program, process);
             fleet.onStarted();
@@ -166,6 +175,24 @@
         signal("KILL");
     }
 
+    /** Kills its programs; when they start again the disk is empty. */
+    void loseDisk() {
+        diskLost = true;
+        kill();
+    }
+
+    private Path disk() {
+        return fleet.directory().resolve(name);
+    }
+
+    private void deleteDisk() throws IOException {
+        try (Stream<Path> files = Files.walk(disk())) {
+            for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(path);
+            }
+        }
+    }
+
     /** Ends it for good. */
     void remove(boolean planned) {
         removed = true;
@@ -241,7 +268,7 @@
         }
         text.append("]\n");
         if (programs.contains("store")) {
-            text.append("dataDir = \"").append(fleet.directory().resolve(name)).append("\"\n");
+            text.append("dataDir = \"").append(disk()).append("\"\n");
         }
         text.append("[sockets]\n");
         appendSocket(text, "front", FRONT_PORT_OFFSET);
--- a/src/main/java/reedmux/simulation/soak/SoakRun.java
+++ b/src/main/java/reedmux/simulation/soak/SoakRun.java
@@ -100,6 +100,8 @@
     public static SoakOutcome run(SoakOptions options, Path directory, int network)
             throws IOException, InterruptedException {
         SoakRun soak = new SoakRun(options, directory, network);
+        Thread atExit = new Thread(soak::destroyAll);
+        Runtime.getRuntime().addShutdownHook(atExit); // no process outlives a soak that is ended early
         Thread thread = new Thread(soak::runReactor, "soak-" + options.seed());
         thread.setDaemon(true);
         soak.reactor.execute(soak::startAll);
@@ -111,10 +113,9 @@
         } finally {
             soak.reactor.stop();
             thread.join();
-            for (SoakMachine machine : soak.all) {
-                machine.destroy();
-            }
+            soak.destroyAll();
         }
+        Runtime.getRuntime().removeShutdownHook(atExit);
         soak.checkOutputs();
         return new SoakOutcome(
                 options.seed(),
@@ -125,6 +126,16 @@
                 soak.startedProcesses);
     }
 
+    private void destroyAll() {
+        try {
+            for (SoakMachine machine : List.copyOf(all)) {
+                machine.destroy();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void runReactor() {
         try {
             reactor.run();
@@ -222,6 +233,12 @@
         startChecker();
     }
 
+    /** Cuts the connections of a checker. */
+    void cutChecker(Random drawn) {
+        logFault("the connections of a checker are cut");
+        checkers.get(drawn.nextInt(checkers.size())).cutConnections();
+    }
+
     private void startChecker() {
         int number = startedCheckers++;
         String ip = network + "3." + (1 + number % CHECKER_HOST);
