Core: a change waits for no proposer that cannot hand over (CONFIG)

At a hand-over a contending proposal was in doubt until each of its proposers had handed over; a machine that joins, one that is gone, or a vote of unknown origin never does, so the fenced core never got its successor.

--- a/src/main/java/reedmux/control/consensus/Acceptor.java
+++ b/src/main/java/reedmux/control/consensus/Acceptor.java
@@ -1,5 +1,6 @@
 package reedmux.control.consensus;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -154,6 +155,32 @@
         }
     }
 
+    /**
+     * Prepares a precommitted proposal of a fenced node where only what is not precommitted here stands in its way,
+     * which is forgotten: of two that contend only the precommitted one may have been acknowledged, and under a fence
+     * nothing else is precommitted any more.
+     */
+    void adoptInPlaceOfPrepared(Proposal proposal) {
+        List<Proposal> displaced = new ArrayList<>();
+        for (Proposal other : List.copyOf(context.replica.pending().values())) {
+            if (!other.precommitted()
+                    && context.replica.validate(proposal.id(), proposal.items()) != ProposalVerdict.VALID) {
+                context.replica.resolvePending(other.id(), false, List.of());
+                displaced.add(other);
+            }
+        }
+        if (context.replica.validate(proposal.id(), proposal.items()) != ProposalVerdict.VALID) {
+            displaced.forEach(context.replica::addPending);
+            return;
+        }
+        for (Proposal other : displaced) {
+            remove(other.id());
+            context.port.persistDecision(other.id(), other.ballot(), false, List.of());
+            contacts.onProposalResolved(other.id());
+        }
+        adopt(proposal);
+    }
+
     /** The disk has written a pending proposal, or has failed to. */
     void onPersisted(String proposalId, Ballot ballot, boolean written) {
         if (context.replica.isPending(proposalId)) {
--- a/src/main/java/reedmux/control/consensus/ConsensusNode.java
+++ b/src/main/java/reedmux/control/consensus/ConsensusNode.java
@@ -117,7 +117,9 @@
     }
 
     /**
-     * Takes over all that a fenced node has. What can't be pending beside what is pending here stays in doubt.
+     * Takes over all that a fenced node has. A proposal that is not precommitted there gives way to what is pending
+     * here: nobody has committed it with the vote of that node, nor can any more. A precommitted one stays in doubt
+     * where it can't be pending here.
      *
      * @param proposers for each of the pending proposals, who may have decided on it
      */
@@ -126,9 +128,16 @@
         context.now = time;
         merge(items);
         for (int i = 0; i < pending.size(); i++) {
-            String id = pending.get(i).id();
-            acceptor.adopt(pending.get(i));
-            if (!context.replica.isPending(id) && !ballots.isDropped(id)) {
+            Proposal proposal = pending.get(i);
+            String id = proposal.id();
+            acceptor.adopt(proposal);
+            if (!proposal.precommitted() || ballots.isDropped(id)) {
+                continue;
+            }
+            if (!context.replica.isPending(id)) {
+                acceptor.adoptInPlaceOfPrepared(proposal);
+            }
+            if (!context.replica.isPending(id)) {
                 inDoubt.add(id, proposers.get(i));
             }
         }
--- a/src/main/java/reedmux/control/consensus/EpochProposer.java
+++ b/src/main/java/reedmux/control/consensus/EpochProposer.java
@@ -48,6 +48,8 @@
     /** Goes on with the round under way, or begins one as a leader. */
     void onTick(boolean leader) {
         if (round != null && context.now - round.startedAt > ROUND_TIMEOUT_MICROS) {
+            context.port.log("a change of the core is not made in time, " + (round.accepting ? "accepted" : "promised")
+                    + " only by " + round.respondents);
             round = null;
         }
         if (round != null) {
--- a/src/main/java/reedmux/control/consensus/InDoubtProposals.java
+++ b/src/main/java/reedmux/control/consensus/InDoubtProposals.java
@@ -7,7 +7,9 @@
 import java.util.Set;
 
 /**
- * Proposals that another member of the core handed over and that can't be pending here beside what is pending here.
+ * Precommitted proposals that another member of the core handed over and that can't be pending here beside what is
+ * pending here. Those that are not precommitted are never in doubt: whoever has committed one has the precommitted
+ * votes of a quorum, which shares a node with the quorum that hands over.
  *
  * <p>Such a proposal may have been committed by a proposer that has the other member's vote. It is in doubt until
  * each such proposer is fenced and has handed over its own state: it didn't commit the proposal before, or it would
--- a/src/test/java/reedmux/control/consensus/CoreReplacementTest.java
+++ b/src/test/java/reedmux/control/consensus/CoreReplacementTest.java
@@ -2,6 +2,8 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.util.List;
+import java.util.Random;
 import org.testng.annotations.Test;
 
 /** Machines that are replaced, that are away, and that leave: who of them is a member of the core afterwards. */
@@ -90,6 +92,31 @@
         cluster.assertCore("s0", "s1", "s2");
     }
 
+    /** Changes that contend, one of them proposed by the machine that joins, while it takes a dead member's place. */
+    @Test
+    public void changesThatContendDoNotHoldUpAReplacement() {
+        for (int seed = 0; seed < 1500; seed++) {
+            ChangingCoreCluster cluster = new ChangingCoreCluster(3);
+            Random random = new Random(seed);
+            cluster.join("s3", "n3");
+            cluster.settle(1);
+            cluster.crash(cluster.node("s0"));
+            cluster.links.choice = random::nextInt;
+            for (int i = 0; i < 15; i++) {
+                String host = "h" + i + ".example";
+                for (String proposer : List.of("s3", random.nextBoolean() ? "s1" : "s2")) {
+                    String route = ConfigurationRequests.route(proposer + 'r' + i, 2, host);
+                    cluster.change(cluster.node(proposer), ConfigurationRequests.change(route));
+                }
+                cluster.links.deliver(random.nextInt(120));
+                cluster.tick();
+            }
+            cluster.settleInOrder(8);
+            assertChangeIsTaken(cluster, "s1", "last" + seed);
+            cluster.assertCore("s1", "s2", "s3");
+        }
+    }
+
     private static void assertChangeIsTaken(ChangingCoreCluster cluster, String ip, String route) {
         RecordedReply reply = cluster.change(
                 cluster.node(ip),
