Core: what is precommitted elsewhere becomes so at a hand-over (CONFIG)

A proposal that is prepared here and precommitted at another fenced member stayed prepared, so a later hand-over could have it forgotten here although it may be acknowledged; and what did not contend could be forgotten with what did. Change: the precommitted mark is taken over first; only what cannot be pending beside a precommitted proposal is forgotten.

--- a/src/main/java/reedmux/control/consensus/Acceptor.java
+++ b/src/main/java/reedmux/control/consensus/Acceptor.java
@@ -156,29 +156,40 @@
     }
 
     /**
-     * Prepares a precommitted proposal of a fenced node where only what is not precommitted here stands in its way,
-     * which is forgotten: of two that contend only the precommitted one may have been acknowledged, and under a fence
-     * nothing else is precommitted any more.
+     * Takes over a precommitted proposal of a fenced node, if nothing that is precommitted or committed here stands in
+     * its way. What is only prepared here and can't be pending beside it is forgotten: of two that contend only the
+     * precommitted one may have been acknowledged, and under a fence nothing else is precommitted any more.
      */
-    void adoptInPlaceOfPrepared(Proposal proposal) {
-        List<Proposal> displaced = new ArrayList<>();
-        for (Proposal other : List.copyOf(context.replica.pending().values())) {
-            if (!other.precommitted()
-                    && context.replica.validate(proposal.id(), proposal.items()) != ProposalVerdict.VALID) {
-                context.replica.resolvePending(other.id(), false, List.of());
-                displaced.add(other);
-            }
+    void adoptPrecommitted(Proposal proposal) {
+        String id = proposal.id();
+        if (isPrecommitted(id)) {
+            return;
         }
-        if (context.replica.validate(proposal.id(), proposal.items()) != ProposalVerdict.VALID) {
-            displaced.forEach(context.replica::addPending);
+        if (context.replica.isPending(id)) {
+            prepare(proposal);
             return;
         }
-        for (Proposal other : displaced) {
-            remove(other.id());
-            context.port.persistDecision(other.id(), other.ballot(), false, List.of());
-            contacts.onProposalResolved(other.id());
+        List<Proposal> prepared = new ArrayList<>();
+        for (Proposal other : List.copyOf(context.replica.pending().values())) {
+            if (!other.precommitted()) {
+                context.replica.resolvePending(other.id(), false, List.of());
+                prepared.add(other);
+            }
         }
         adopt(proposal);
+        for (Proposal other : prepared) {
+            if (context.replica.validate(other.id(), other.items()) == ProposalVerdict.VALID) {
+                context.replica.addPending(other);
+            } else {
+                forget(other);
+            }
+        }
+    }
+
+    private void forget(Proposal proposal) {
+        remove(proposal.id());
+        context.port.persistDecision(proposal.id(), proposal.ballot(), false, List.of());
+        contacts.onProposalResolved(proposal.id());
     }
 
     /** The disk has written a pending proposal, or has failed to. */
--- a/src/main/java/reedmux/control/consensus/ConsensusNode.java
+++ b/src/main/java/reedmux/control/consensus/ConsensusNode.java
@@ -130,14 +130,12 @@
         for (int i = 0; i < pending.size(); i++) {
             Proposal proposal = pending.get(i);
             String id = proposal.id();
-            acceptor.adopt(proposal);
-            if (!proposal.precommitted() || ballots.isDropped(id)) {
+            if (!proposal.precommitted()) {
+                acceptor.adopt(proposal);
                 continue;
             }
-            if (!context.replica.isPending(id)) {
-                acceptor.adoptInPlaceOfPrepared(proposal);
-            }
-            if (!context.replica.isPending(id)) {
+            acceptor.adoptPrecommitted(proposal);
+            if (!context.replica.isPending(id) && !ballots.isDropped(id)) {
                 inDoubt.add(id, proposers.get(i));
             }
         }
--- a/src/test/java/reedmux/control/consensus/ConsensusNodeTest.java
+++ b/src/test/java/reedmux/control/consensus/ConsensusNodeTest.java
@@ -284,12 +284,30 @@
         Proposal contending =
                 proposal("s3", 1, "z", route("two", 2, "h.example")).asPrecommitted();
         ConsensusNode node = cluster.node.consensus;
+        vote(cluster, "s1", 1, "y", route("other", 2, "other.example"));
         node.onHandover(cluster.now, List.of(), List.of(contending), List.of(List.of("s3")));
         assertTrue(cluster.node.replica.pending().get("z").precommitted());
         assertFalse(cluster.node.replica.isPending("x"));
+        assertTrue(cluster.node.replica.isPending("y"), "what does not contend stays");
         assertTrue(node.resolvesDoubts(Set.of("s1", "s2")));
     }
 
+    /** What is precommitted elsewhere is so here, too: nothing that comes later may take its place. */
+    @Test
+    public void preparedProposalThatIsPrecommittedElsewhereBecomesPrecommitted() throws InvalidConfigurationException {
+        SingleNodeCluster cluster = oneOfFive();
+        vote(cluster, "s1", 1, "x", route("one", 2, "h.example"));
+        Proposal elsewhere =
+                proposal("s1", 2, "x", route("one", 2, "h.example")).asPrecommitted();
+        Proposal contending =
+                proposal("s3", 1, "z", route("two", 2, "h.example")).asPrecommitted();
+        ConsensusNode node = cluster.node.consensus;
+        node.onHandover(cluster.now, List.of(), List.of(elsewhere, contending), List.of(List.of("s1"), List.of("s3")));
+        assertTrue(cluster.node.replica.pending().get("x").precommitted());
+        assertFalse(cluster.node.replica.isPending("z"));
+        assertFalse(node.resolvesDoubts(Set.of("s1", "s2")));
+    }
+
     /** Of two that are precommitted and contend one stays in doubt while somebody else may decide on it. */
     @Test
     public void handedOverProposalStaysInDoubtBesideAnotherThatIsPrecommitted() throws InvalidConfigurationException {
