Soak: whether an end is expected is known of each process

Cause: found by reading. A machine's two programs shared one flag, which the restart of the first one reset: the other one, if it ended later by the same signal, was reported as ending by itself. A lost disk was deleted while one of them might still run. Change: each process has the flag; a lost disk is deleted once no program runs. Result: SoakMachineTest, red with the shared flag put back; SoakTest, ArchitectureTest and the linter pass.

--- a/src/main/java/reedmux/simulation/soak/ProgramProcess.java
+++ b/src/main/java/reedmux/simulation/soak/ProgramProcess.java
@@ -32,6 +32,8 @@
     private final Path output;
     private final long outputBefore;
     private boolean begun;
+    /** Whether a signal that ends it was sent. */
+    private boolean endExpected;
 
     /** Starts a program; {@code output} receives what it writes, behind what is there. */
     ProgramProcess(String program, Path settings, Path output) throws IOException {
@@ -61,6 +63,15 @@
         process.onExit().thenAccept(ended -> task.accept(ended.exitValue()));
     }
 
+    /** A signal that ends it is about to be sent. */
+    void expectEnd() {
+        endExpected = true;
+    }
+
+    boolean isEndExpected() {
+        return endExpected;
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/src/main/java/reedmux/simulation/soak/SoakMachine.java
+++ b/src/main/java/reedmux/simulation/soak/SoakMachine.java
@@ -55,8 +55,6 @@
     private boolean coldStart;
 
     private boolean removed;
-    /** Whether its ends are wanted: by a signal that was sent, until its programs have been started again. */
-    private boolean endExpected;
 
     /** Whether its disk is lost before the next start. */
     private boolean diskLost;
@@ -122,6 +120,10 @@
         if (removed) {
             return;
         }
+        if (diskLost && processes.values().stream().anyMatch(ProgramProcess::isAlive)) {
+            fleet.reactor().scheduleAfter(RESTART_DELAY_MICROS, () -> start(program)); // it still uses the disk
+            return;
+        }
         try {
             Path settings = fleet.directory().resolve(name + '-' + program + ".toml");
             writeSettings(settings);
@@ -142,20 +144,19 @@
         if (processes.get(program) != process) {
             return;
         }
-        if (!endExpected && !removed) {
+        if (!process.isEndExpected() && !removed) {
             fleet.onViolation("FAULT: " + name + '/' + program + " ends by itself with " + code);
         }
         fleet.reactor().scheduleAfter(RESTART_DELAY_MICROS, () -> {
             if (processes.get(program) == process) {
                 start(program);
-                endExpected = false;
             }
         });
     }
 
     /** Sends SIGTERM; who has not ended within the grace period is killed, and reported. */
     void terminate() {
-        endExpected = true;
+        processes.values().forEach(ProgramProcess::expectEnd);
         signal("TERM");
         List<ProgramProcess> told = List.copyOf(processes.values());
         long signalledAt = fleet.reactor().now();
@@ -170,7 +171,7 @@
 
     /** Kills its programs without notice. */
     void kill() {
-        endExpected = true;
+        processes.values().forEach(ProgramProcess::expectEnd);
         noteFault(fleet.reactor().now() + RESTART_DELAY_MICROS);
         signal("KILL");
     }
@@ -205,7 +206,15 @@
 
     /** Holds its programs up for a while. */
     void pause(long micros) {
-        List<ProgramProcess> paused = List.copyOf(processes.values());
+        pause(List.copyOf(processes.values()), micros);
+    }
+
+    /** Holds one of its programs up for a while. */
+    void pause(String program, long micros) {
+        pause(List.of(processes.get(program)), micros);
+    }
+
+    private void pause(List<ProgramProcess> paused, long micros) {
         noteFault(fleet.reactor().now() + micros);
         paused.forEach(process -> signal(process, "STOP"));
         fleet.reactor().scheduleAfter(micros, () -> paused.forEach(process -> signal(process, "CONT")));
