Failing tests: work goes on for clients that have left (GONE)

Cause: in the proxy an attempt goes on unless its body is incomplete, in the gatekeeper unless it was forwarded or its response has begun; both by design of an older rule.

Change: the simulated checkers drop a request whose connection is closed, and DepartureInvariants judges what reaches or occupies a checker after its client left.

--- a/src/main/java/reedmux/common/http1/Http1ServerConnection.java
+++ b/src/main/java/reedmux/common/http1/Http1ServerConnection.java
@@ -31,6 +31,7 @@
 
     private Http1BodyReader bodyReader;
     private ByteArrayOutputStream bodyBytes;
+    private Runnable disconnectListener;
     private boolean responsePending;
     private boolean closeAfterResponse;
     private long idleSince;
@@ -72,8 +73,25 @@
             responsePending = true;
             respond(e.status(), "text/plain", e.getMessage() + '\n');
         }
-        if (connection.isOpen() && connection.isInputEnded() && !responsePending) {
-            connection.close();
+        if (connection.isOpen() && connection.isInputEnded()) {
+            if (!responsePending) {
+                connection.close();
+            } else {
+                reportDisconnect();
+            }
+        }
+    }
+
+    /** Sets who is told, once, that the caller leaves before it has its response; for the request under way. */
+    public void setDisconnectListener(Runnable listener) {
+        disconnectListener = listener;
+    }
+
+    private void reportDisconnect() {
+        Runnable listener = disconnectListener;
+        disconnectListener = null;
+        if (listener != null) {
+            listener.run();
         }
     }
 
@@ -149,6 +167,7 @@
         System.arraycopy(content, 0, message, encodedHead.length, content.length);
         connection.write(message);
         responsePending = false;
+        disconnectListener = null;
         idleSince = reactor.now();
         if (closeAfterResponse) {
             closeWithLinger();
@@ -177,5 +196,6 @@
     @Override
     public void onClosed(String reason) {
         closeAfterResponse = true;
+        reportDisconnect();
     }
 }
--- a/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
+++ b/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
@@ -155,6 +155,31 @@
         requests.onRequestExecuted(id, checker, service, tenant, now);
     }
 
+    /** A checker has executed a request, or has dropped it since its connection was closed. */
+    public void onExecutionEnded(String id, String checker, long now) {
+        requests.departures().onExecutionEnded(id, checker, now);
+    }
+
+    /** A client has left without waiting for the response to its request. */
+    public void onClientLeft(String id, long now) {
+        requests.onClientLeft(id, now);
+    }
+
+    /** Sets how long a request may go on after its client has left; half a second unless it is set. */
+    public void setDepartureLimit(long micros) {
+        requests.departures().setLimit(micros);
+    }
+
+    /** Executions of idempotent requests that ended in time after the departure of their client. */
+    public int executionsEndedByDeparture() {
+        return requests.departures().cancelledCount();
+    }
+
+    /** After the last event: requests that are still executed although their client has left. */
+    public void checkDepartures(long now) {
+        requests.departures().checkUnended(now);
+    }
+
     /** Whether a checker has begun to execute a request. */
     boolean hasExecuted(String id) {
         return requests.hasExecuted(id);
--- /dev/null
+++ b/src/main/java/reedmux/simulation/cluster/DepartureInvariants.java
@@ -0,0 +1,111 @@
+package reedmux.simulation.cluster;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What holds for requests whose client has left without a response: rule GONE. Nothing of them reaches a checker any
+ * more, and the idempotent ones are no longer executed. Others are executed to their end once they have begun, as a
+ * part of an effect is worse than a whole one. Times are microseconds.
+ */
+final class DepartureInvariants {
+    private static final int MICROS_PER_MILLI = 1000;
+    /** From a client's departure until its requests are cancelled everywhere. */
+    private static final long DEFAULT_LIMIT_MICROS = 500 * MICROS_PER_MILLI;
+
+    private static final long RUNNING = Long.MAX_VALUE;
+
+    /** The execution of a request by one checker. */
+    private static final class Execution {
+        private final String checker;
+        private long endedAt = RUNNING;
+
+        private Execution(String checker) {
+            this.checker = checker;
+        }
+    }
+
+    private record Departure(String proxy, boolean idempotent, long leftAt) {}
+
+    private final FaultSchedule faults;
+    private final ViolationLog log;
+    private final Map<String, Departure> departures = new HashMap<>();
+    private final Map<String, List<Execution>> executions = new HashMap<>();
+    private long limitMicros = DEFAULT_LIMIT_MICROS;
+    private int cancelled;
+
+    DepartureInvariants(FaultSchedule faults, ViolationLog log) {
+        this.faults = faults;
+        this.log = log;
+    }
+
+    /** Sets how long a request may go on after its client has left. */
+    void setLimit(long micros) {
+        limitMicros = micros;
+    }
+
+    /** A client has closed its connection, or one direction of it, while its request had no response. */
+    void onClientLeft(String id, String proxy, boolean idempotent, long now) {
+        departures.putIfAbsent(id, new Departure(proxy, idempotent, now));
+    }
+
+    /** A request has reached a checker. */
+    void onArrived(String id, String checker, long now) {
+        Departure departure = departures.get(id);
+        if (departure != null && isLate(departure, now)) {
+            log.report(
+                    "GONE", id + " reaches " + checker + ' ' + millisSince(departure, now) + " after its client left");
+        }
+    }
+
+    void onExecutionBegun(String id, String checker) {
+        executions.computeIfAbsent(id, key -> new ArrayList<>()).add(new Execution(checker));
+    }
+
+    /** An execution has come to its end, or the checker has dropped it. */
+    void onExecutionEnded(String id, String checker, long now) {
+        for (Execution execution : executions.getOrDefault(id, List.of())) {
+            if (execution.checker.equals(checker) && execution.endedAt == RUNNING) {
+                execution.endedAt = now;
+                judge(id, execution, now);
+            }
+        }
+    }
+
+    /** Executions that ended in time after the departure of their client. */
+    int cancelledCount() {
+        return cancelled;
+    }
+
+    /** After the last event: executions that have not ended. */
+    void checkUnended(long now) {
+        executions.forEach((id, all) -> all.stream()
+                .filter(execution -> execution.endedAt == RUNNING)
+                .forEach(execution -> judge(id, execution, now)));
+    }
+
+    private void judge(String id, Execution execution, long now) {
+        Departure departure = departures.get(id);
+        if (departure == null || !departure.idempotent) {
+            return;
+        }
+        if (!isLate(departure, now)) {
+            cancelled++;
+        } else {
+            log.report(
+                    "GONE",
+                    execution.checker + " works on " + id + ' ' + millisSince(departure, now)
+                            + " after its client left");
+        }
+    }
+
+    private boolean isLate(Departure departure, long now) {
+        return now > departure.leftAt + limitMicros && faults.isInContact(departure.proxy, departure.leftAt, now);
+    }
+
+    private static String millisSince(Departure departure, long now) {
+        return (now - departure.leftAt) / MICROS_PER_MILLI + " ms";
+    }
+}
--- a/src/main/java/reedmux/simulation/cluster/RequestInvariants.java
+++ b/src/main/java/reedmux/simulation/cluster/RequestInvariants.java
@@ -66,6 +66,7 @@
     private final FaultSchedule faults;
     private final ViolationLog log;
     private final ConfigurationInvariants configuration;
+    private final DepartureInvariants departures;
     private final Map<String, ObservedRequest> requests = new LinkedHashMap<>();
     private final Map<String, Long> drainAcknowledgedAt = new HashMap<>();
     private final Map<String, Deque<Long>> executionTimes = new HashMap<>();
@@ -85,6 +86,18 @@
         this.faults = faults;
         this.log = log;
         this.configuration = configuration;
+        departures = new DepartureInvariants(faults, log);
+    }
+
+    /** What holds for requests whose client has left. */
+    DepartureInvariants departures() {
+        return departures;
+    }
+
+    /** A client has left while its request had no response. */
+    void onClientLeft(String id, long now) {
+        ObservedRequest request = requests.get(id);
+        departures.onClientLeft(id, request.proxy, request.idempotent, now);
     }
 
     long servedCount() {
@@ -118,6 +131,7 @@
 
     /** A request has reached the checker that it was meant for. */
     void onRequestArrived(String id, String service, long now) {
+        departures.onArrived(id, service, now);
         ObservedRequest request = requests.get(id);
         if (request != null && request.service != null && ++request.arrivals > 1) {
             attempts(service, now).retries++;
@@ -132,6 +146,7 @@
             return;
         }
         request.executedBy.add(checker);
+        departures.onExecutionBegun(id, checker);
         reportIfExecutedAndClosed(id, request);
         if (configuration.leadsElsewhere(request.route, service)) {
             log.report("ROUTE", id + " runs at " + service + ", where no version of " + request.route + " leads");
--- a/src/main/java/reedmux/simulation/cluster/SimulatedChecker.java
+++ b/src/main/java/reedmux/simulation/cluster/SimulatedChecker.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import reedmux.common.eventloop.Reactor;
 import reedmux.common.eventloop.TcpListener;
 import reedmux.common.http1.Http1Head;
 import reedmux.common.http1.Http1ServerConnection;
@@ -20,6 +21,11 @@
     private static final int SLOTS = 3;
     private static final int MAX_QUEUED = 12;
     private static final int PORT = 8080;
+    private static final int MIN_WORK_MICROS = 40_000;
+    private static final int WORK_RANGE_MICROS = 80_000;
+    /** How long a request is to be worked on, in milliseconds; drawn for requests without it. */
+    static final String WORK_MILLIS = "Work-Millis";
+
     private final SimulatedProcess process;
     private final ClusterSimulation simulation;
     private final ClusterInvariantChecker invariants;
@@ -116,7 +122,9 @@
         } else if (busy < SLOTS) {
             execute(head, attempt, from);
         } else if (queue.size() < MAX_QUEUED) {
-            queue.add(() -> execute(head, attempt, from));
+            Runnable waiting = () -> execute(head, attempt, from);
+            queue.add(waiting);
+            from.setDisconnectListener(() -> queue.remove(waiting));
         } else {
             from.respond(Http1Head.response(503).add("Reedmux-Not-Executed", "1"), new byte[0]);
         }
@@ -126,7 +134,8 @@
         busy++;
         invariants.onRequestExecuted(attempt, id, service, head.get("Reedmux-Tenant"), process.now());
         simulation.addToDigest(id + " runs " + attempt);
-        process.reactor().scheduleAfter(40_000 + simulation.random().nextInt(80_000), () -> {
+        Reactor.ScheduledTask work = process.reactor().scheduleAfter(workMicros(head), () -> {
+            from.setDisconnectListener(null);
             if (simulation.random().nextDouble() < lostResponseShare) {
                 from.sendRawAndClose(new byte[0]);
             } else if (faultyResponseShare > 0 && simulation.random().nextDouble() < faultyResponseShare) {
@@ -134,11 +143,27 @@
             } else {
                 respond(attempt, from);
             }
-            busy--;
-            if (!queue.isEmpty()) {
-                queue.poll().run();
-            }
+            endExecution(attempt);
         });
+        from.setDisconnectListener(() -> {
+            work.cancel();
+            endExecution(attempt);
+        });
+    }
+
+    private long workMicros(Http1Head head) {
+        long drawn = MIN_WORK_MICROS + simulation.random().nextInt(WORK_RANGE_MICROS);
+        String millis = head.get(WORK_MILLIS);
+        return millis == null ? drawn : 1000 * Long.parseLong(millis);
+    }
+
+    /** A request is answered, or its connection was closed. */
+    private void endExecution(String attempt) {
+        invariants.onExecutionEnded(attempt, id, process.now());
+        busy--;
+        if (!queue.isEmpty()) {
+            queue.poll().run();
+        }
     }
 
     private void respond(String attempt, Http1ServerConnection from) {
--- a/src/test/java/reedmux/gatekeeper/reducer/ReducerTest.java
+++ b/src/test/java/reedmux/gatekeeper/reducer/ReducerTest.java
@@ -64,6 +64,7 @@
         final List<FinalAnswer> answers = new ArrayList<>();
         final List<UpstreamCall> calls = new ArrayList<>();
         final List<UpstreamCall> stopped = new ArrayList<>();
+        final List<UpstreamCall> connectsStopped = new ArrayList<>();
         final List<String> log = new ArrayList<>();
         boolean cannotStart;
 
@@ -84,7 +85,9 @@
         public void startForwardedCall(UpstreamCall call, ForwardedRequest departure) {}
 
         @Override
-        public void abortConnecting(UpstreamCall call) {}
+        public void abortConnecting(UpstreamCall call) {
+            connectsStopped.add(call);
+        }
 
         @Override
         public void abortCall(UpstreamCall call) {
@@ -220,6 +223,21 @@
         assertNothingIsKept();
     }
 
+    /** What may be repeated is cancelled at its provider; what may not may have run, and is not cut short. */
+    @Test
+    void aConsumerWhoLeavesTakesItsIdempotentCallsAlong() {
+        Invocation idempotent = accept("a", true);
+        Invocation effectful = accept("b", false);
+        reducer.reduce(SECOND, new ReducerEvent.ConsumerDisconnected(idempotent));
+        reducer.reduce(SECOND, new ReducerEvent.ConsumerDisconnected(effectful));
+        assertEquals(List.of(effects.calls.get(0)), effects.stopped);
+        assertEquals(List.of(effects.calls.get(1)), effects.connectsStopped, "it is not sent if it was not yet");
+        endCall(effects.calls.get(0), brokenAt(CallResult.CallStage.ON_WIRE));
+        endCall(effects.calls.get(1), new CallResult.ResponseReceived(200, false, null, new byte[0]));
+        assertEquals(List.of(), effects.answers);
+        assertNothingIsKept();
+    }
+
     /** At each stage after its arrival: no answer, no second call, nothing kept. */
     @Test
     void aConsumerWhoLeavesLeavesNothingBehind() {
