--- a/src/main/java/reedmux/common/eventloop/Connection.java
+++ b/src/main/java/reedmux/common/eventloop/Connection.java
@@ -140,6 +140,18 @@
     }
 
     private void read() throws IOException {
+        if (fillBuffer() != 0) {
+            reportInput();
+        }
+    }
+
+    private void reportInput() throws IOException {
+        handler.onInput();
+        releaseIfEmpty();
+    }
+
+    /** Reads once; returns what the socket's read returned. */
+    private int fillBuffer() throws IOException {
         ByteBuffer readBuffer = reactor.readBuffer.clear();
         int count = socket.read(readBuffer);
         if (count < 0) {
@@ -150,9 +162,43 @@
             readBuffer.flip().get(inputBuffer, inputEnd, count);
             inputEnd += count;
         }
-        if (count != 0) {
-            handler.onInput();
-            releaseIfEmpty();
+        return count;
+    }
+
+    /**
+     * Whether the peer has ended its input or reset the connection by now. Reads the socket, as the selector may not
+     * have reported it yet; the handler is told of what has arrived in a later turn. While reading is paused, an end
+     * that lies behind unread input is not seen.
+     */
+    public boolean pollInputEnded() {
+        if (closed || inputEnded) {
+            return true;
+        } else if (readPaused || !connected) {
+            return false;
+        }
+        try {
+            int count = fillBuffer();
+            boolean arrived = count != 0;
+            while (count > 0 && available() < MAX_GROWTH_BYTES) {
+                count = fillBuffer();
+            }
+            if (arrived) {
+                reactor.execute(this::reportPolledInput);
+            }
+            return inputEnded;
+        } catch (IOException e) {
+            reactor.execute(() -> onFailure(e));
+            return true;
+        }
+    }
+
+    private void reportPolledInput() {
+        try {
+            if (!closed) {
+                reportInput();
+            }
+        } catch (IOException e) {
+            onFailure(e);
         }
     }
 
--- a/src/main/java/reedmux/gatekeeper/http/ConsumerConnection.java
+++ b/src/main/java/reedmux/gatekeeper/http/ConsumerConnection.java
@@ -356,7 +356,7 @@
             // The library takes the end of the input for a half-closed connection and goes on to respond. Here a
             // consumer that closes has gone away, and the policy must know that at once.
             ConsumerExchange exchange = currentExchange;
-            if (exchange != null && !exchange.isAnswered() && !duplexer.isOpen()) {
+            if (exchange != null && exchange.isAwaited() && !duplexer.isOpen()) {
                 session.close(CloseMode.IMMEDIATE);
             }
         }
--- a/src/main/java/reedmux/gatekeeper/http/ConsumerExchange.java
+++ b/src/main/java/reedmux/gatekeeper/http/ConsumerExchange.java
@@ -114,7 +114,12 @@
                 stream.bytesReceived() - rateMeasuredFromBytes);
     }
 
-    /** Whether the response waits for the consumer to parsed. */
+    /** Whether the consumer still has something to wait for: its response, or the rest of a streamed one. */
+    boolean isAwaited() {
+        return !isAnswered() || responseStream != null && !streamEnded;
+    }
+
+    /** Whether the response waits for the consumer to read it. */
     boolean awaitsConsumer() {
         BodyStream stream = responseStream;
         return isAnswered() && (stream == null || streamEnded || stream.awaitsSink());
--- a/src/main/java/reedmux/gatekeeper/reducer/Reducer.java
+++ b/src/main/java/reedmux/gatekeeper/reducer/Reducer.java
@@ -247,12 +247,18 @@
         }
     }
 
-    /** Without its consumer, a body that was coming in will never be complete, and an answer goes nowhere. */
+    /**
+     * Without its consumer, a body that was coming in will never be complete, and an answer goes nowhere: its calls are
+     * cancelled. One that must not run twice may be running by now, and goes on; where it is not sent yet it never is.
+     */
     private void onConsumerDisconnected(Invocation invocation) {
         boolean bodyIncomplete = invocation.message.isStreaming() && invocation.bodyCompletedAt == 0;
         for (UpstreamCall call : invocation.calls) {
-            if (call.responseStartedAt > 0 || bodyIncomplete) {
+            call.consumerLeft = true;
+            if (invocation.repeatable || call.responseStartedAt > 0 || bodyIncomplete) {
                 invocations.abort(call, UpstreamCall.StopReason.CANCELLED);
+            } else if (!call.ended) {
+                context.effects.abortConnecting(call);
             }
         }
         withdraw(invocation);
@@ -367,8 +373,8 @@
     private static AttemptOutcome outcomeOf(UpstreamCall call, CallResult result) {
         AttemptOutcome outcome = result.outcome();
         if (outcome == AttemptOutcome.CONNECT_FAILED) {
-            boolean brokenOffByConsumer =
-                    call.stopReason == UpstreamCall.StopReason.CANCELLED && call.invocation.message.isStreaming();
+            boolean brokenOffByConsumer = call.consumerLeft
+                    || call.stopReason == UpstreamCall.StopReason.CANCELLED && call.invocation.message.isStreaming();
             return brokenOffByConsumer ? AttemptOutcome.NOT_SENT : outcome; // which says nothing of the provider
         }
         if (result instanceof CallResult.ResponseReceived || call.stopReason == UpstreamCall.StopReason.NONE) {
--- a/src/main/java/reedmux/gatekeeper/reducer/UpstreamCall.java
+++ b/src/main/java/reedmux/gatekeeper/reducer/UpstreamCall.java
@@ -25,6 +25,9 @@
 
     StopReason stopReason = StopReason.NONE;
     boolean ended;
+    /** Its consumer left while it was out, so that how it ends without an answer says nothing of the provider. */
+    boolean consumerLeft;
+
     ReducerTimer timeoutTimer;
     ReducerTimer connectTimer;
     boolean neverRan;
--- a/src/main/java/reedmux/proxy/CheckerConnection.java
+++ b/src/main/java/reedmux/proxy/CheckerConnection.java
@@ -140,12 +140,19 @@
         connection.write(head);
         if (body == null) {
             requestWritten = true;
+            reportIfFullySent();
         } else {
             body.setChunkListener(this::writeBody);
             writeBody();
         }
     }
 
+    private void reportIfFullySent() {
+        if (attempt != null && requestWritten && connection.queuedBytes() == 0) {
+            attempt.onFullySent();
+        }
+    }
+
     /** Writes as much of the body as has come in and as the checker takes. */
     private void writeBody() {
         if (attempt == null || requestWritten || !connection.isOpen()) {
@@ -165,6 +172,7 @@
                 connection.write(LAST_CHUNK);
             }
             requestWritten = true;
+            reportIfFullySent();
         }
     }
 
@@ -181,6 +189,7 @@
     @Override
     public void onFlushed() {
         writeBody();
+        reportIfFullySent();
     }
 
     @Override
--- a/src/main/java/reedmux/proxy/CheckerConnectionPool.java
+++ b/src/main/java/reedmux/proxy/CheckerConnectionPool.java
@@ -44,10 +44,15 @@
         try {
             new CheckerConnection(reactor, attempt.checker(), this).start(attempt, request);
         } catch (IOException e) {
-            reactor.execute(() -> onAttemptEnded(null, attempt, ExecutionStatus.NOT_EXECUTED, null));
+            reportUnsent(attempt);
         }
     }
 
+    /** Ends an attempt, in a later turn, of which nothing was or will be sent. */
+    void reportUnsent(RequestAttempt attempt) {
+        reactor.execute(() -> onAttemptEnded(null, attempt, ExecutionStatus.NOT_EXECUTED, null));
+    }
+
     /** Cancels an attempt, if it is still under way; its end is reported as of any other. */
     void cancel(RequestAttempt attempt) {
         if (attempt.connection() instanceof CheckerConnection connection) {
--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -23,6 +23,8 @@
     private static final long MAX_DISCARDED_BODY_BYTES = 1024 * 1024;
     /** Bytes of later requests that are read while one is in flight. */
     private static final int MAX_PIPELINED_BYTES = 64 * 1024;
+    /** What is dropped of later requests, so that the client's end is seen; with more it is given up. */
+    private static final long MAX_DROPPED_PIPELINED_BYTES = 1024 * 1024;
 
     private static final int STATUS_REQUEST_TIMEOUT = 408;
     private static final int STATUS_CONTENT_TOO_LARGE = 413;
@@ -96,6 +98,8 @@
     private boolean keepAlive = true;
     private boolean dispatched;
     private boolean responded;
+    /** Bytes of later requests that were dropped: the response to the open one is the last on the connection. */
+    private long droppedPipelinedBytes;
 
     /** Serves an accepted connection, whose handler it becomes. */
     ClientConnection(ClientRequestHandler handler, Connection connection) {
@@ -141,6 +145,15 @@
         return request.proxyRequest().deadline();
     }
 
+    /**
+     * Whether the client of a request has left by now. A departure that the reactor has not reported yet is handled in
+     * a later turn.
+     */
+    boolean hasLeft(ClientRequest of) {
+        boolean justRead = lastProgressAt == handler.now();
+        return of != request || !justRead && connection.pollInputEnded();
+    }
+
     int bufferedBodyBytes() {
         return requestBody == null ? 0 : requestBody.bufferedBytes();
     }
@@ -171,12 +184,27 @@
         } else if (state == State.READING_BODY || state == State.DISCARDING_BODY) {
             return readBody();
         } else if (state == State.AWAITING_RESPONSE || state == State.DEFERRED) {
-            connection.setReadPaused(connection.available() > MAX_PIPELINED_BYTES);
+            dropExcessPipelinedInput();
             return false;
         }
         return readHead();
     }
 
+    /**
+     * Reads on while a request is open, as only that shows that its client leaves. What is too much to be kept for
+     * later is dropped, and the connection ends behind the response.
+     */
+    private void dropExcessPipelinedInput() {
+        if (droppedPipelinedBytes == 0 && connection.available() <= MAX_PIPELINED_BYTES) {
+            return;
+        }
+        droppedPipelinedBytes += connection.available();
+        connection.skip(connection.available());
+        if (droppedPipelinedBytes > MAX_DROPPED_PIPELINED_BYTES) {
+            disconnect();
+        }
+    }
+
     private boolean readHead() throws MalformedMessageException {
         Http1Head head = headReader.read(connection, handler.requestLimits().maxHeaderBytes());
         if (head == null) {
@@ -263,7 +291,8 @@
         } else if (body != null && !responded && body.isFull()) {
             connection.setReadPaused(true);
         }
-        if (request != null && !dispatched && !responded && (body == null || body.isReadyToSend())) {
+        boolean ready = body == null || body.isReadyToSend();
+        if (request != null && !dispatched && !responded && ready && !connection.pollInputEnded()) {
             dispatched = true;
             handler.dispatch(request);
         }
@@ -308,7 +337,7 @@
             return;
         }
         responded = true;
-        boolean last = !keepAlive || handler.isDraining();
+        boolean last = !keepAlive || handler.isDraining() || droppedPipelinedBytes > 0;
         if (!last) {
             announcedIdleMicros = handler.requestLimits().idleTimeoutMicros();
         }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -142,7 +142,12 @@
 
     @Override
     public void send(RequestAttempt attempt) {
-        checkerConnections.send(attempt);
+        ClientRequest request = (ClientRequest) attempt.request().source();
+        if (request.client().hasLeft(request)) {
+            checkerConnections.reportUnsent(attempt);
+        } else {
+            checkerConnections.send(attempt);
+        }
     }
 
     @Override
@@ -207,7 +212,12 @@
         if (!stalled) {
             clients.checkTimeouts(draining);
         }
-        if (draining && !clients.hasClients()) {
+        reactor.invariants()
+                .check(
+                        tracker.attempts().overdueCancellations(now).isEmpty(),
+                        "an attempt ends when it is cancelled",
+                        () -> tracker.attempts().summary());
+        if (draining && !clients.hasClients() && tracker.attempts().isEmpty()) {
             end();
         }
     }
@@ -239,6 +249,7 @@
     private void end() {
         List<GracefulShutdown.UnansweredRequest> cut = clients.unansweredRequests();
         reactor.info(shutdown.summary(reactor.now(), cut));
+        reactor.info(tracker.attempts().summary());
         reactor.invariants()
                 .check(
                         shutdown.mayLeaveUnanswered(cut),
--- a/src/main/java/reedmux/proxy/loadbalancer/CheckerStats.java
+++ b/src/main/java/reedmux/proxy/loadbalancer/CheckerStats.java
@@ -106,6 +106,22 @@
         awaitingSince = now;
     }
 
+    /**
+     * An attempt was cancelled, as its client has left. That says nothing of the checker, unless it has been silent for
+     * longer than the tolerance: then it is as suspect as it was while the attempt was in flight.
+     */
+    public void onRequestCancelled(long now, long silenceToleranceMicros) {
+        boolean silent = isSilent(now, silenceToleranceMicros);
+        inFlight--;
+        if (silent) {
+            onFailure(now);
+        }
+    }
+
+    private boolean isSilent(long now, long silenceToleranceMicros) {
+        return inFlight > 0 && now - Math.max(lastResponseAt, awaitingSince) > silenceToleranceMicros;
+    }
+
     /** It has responded; {@code ratio}: its latency in multiples of the route's mean, 0 if not known. */
     public void onResponse(long now, double ratio) {
         lastResponseAt = now;
@@ -148,9 +164,9 @@
      * Whether it is used only if no other checker can be: it is in backoff, has requests in flight and was silent for
      * longer than the tolerance, or is heard neither by the registries nor by us.
      */
-    boolean isSuspect(long now, long silenceToleranceMicros) {
+    public boolean isSuspect(long now, long silenceToleranceMicros) {
         return now < backoffUntil
-                || inFlight > 0 && now - Math.max(lastResponseAt, awaitingSince) > silenceToleranceMicros
+                || isSilent(now, silenceToleranceMicros)
                 || incarnation.unresponsive() && now - lastResponseAt > UNRESPONSIVE_GRACE_MICROS;
     }
 
--- a/src/main/java/reedmux/proxy/request/ProxyRequest.java
+++ b/src/main/java/reedmux/proxy/request/ProxyRequest.java
@@ -47,6 +47,10 @@
 
     int unreachedAttempts;
     boolean mayHaveExecuted;
+    /** Its client has left, so that nothing of it is needed any more. */
+    boolean abandoned;
+
+    boolean quotaRefunded;
     final List<RequestAttempt> pendingAttempts = new ArrayList<>();
     /** The ids of checkers that it was sent to. */
     final Set<String> triedCheckers = new HashSet<>();
@@ -86,7 +90,7 @@
 
     /** Whether it was certainly not executed, and no attempt of it can be any more. */
     boolean neverExecuted() {
-        return sentAttempts == 0 && !mayHaveExecuted;
+        return sentAttempts == 0 && !mayHaveExecuted && pendingAttempts.isEmpty();
     }
 
     /** Whether no checker can have received anything of it so far. */
--- a/src/main/java/reedmux/proxy/request/RequestTracker.java
+++ b/src/main/java/reedmux/proxy/request/RequestTracker.java
@@ -56,6 +56,7 @@
     private final RequestPort port;
     private final LoadBalancer loadBalancer;
     private final RetryBudget retryBudget;
+    private final PendingAttempts attempts;
     private final Random random;
     /** The time of the event that is being handled. */
     private long now;
@@ -72,9 +73,15 @@
         this.port = port;
         this.loadBalancer = loadBalancer;
         this.retryBudget = retryBudget;
+        attempts = new PendingAttempts(port);
         random = new Random(seed);
     }
 
+    /** The attempts that have not ended. */
+    public PendingAttempts attempts() {
+        return attempts;
+    }
+
     /** Handles one event; {@code time} in microseconds, never earlier than before. */
     public void onEvent(long time, RequestEvent event) {
         now = time;
@@ -182,6 +189,7 @@
         RequestAttempt attempt = new RequestAttempt(request, checker, now);
         request.triedCheckers.add(checker.id());
         request.pendingAttempts.add(attempt);
+        attempts.add(attempt);
         request.sentAttempts++;
         checker.onRequestStarted(now);
         port.schedule(now + CONNECT_TIMEOUT_MICROS, new RequestEvent.ConnectTimeout(attempt));
@@ -250,6 +258,7 @@
         attempt.markEnded();
         ProxyRequest request = attempt.request();
         request.pendingAttempts.remove(attempt);
+        attempts.remove(attempt);
         updateCheckerStats(attempt, execution, response);
         request.mayHaveExecuted |= execution != ExecutionStatus.NOT_EXECUTED;
         if (execution == ExecutionStatus.NOT_EXECUTED && !attempt.isConnected()) {
@@ -258,6 +267,8 @@
         }
         if (request.state != ProxyRequest.RequestState.COMPLETED) {
             retryOrComplete(attempt, execution, response);
+        } else if (request.abandoned) {
+            refundIfNeverExecuted(request);
         }
         dispatchQueued();
     }
@@ -265,6 +276,11 @@
     private void updateCheckerStats(
             RequestAttempt attempt, ExecutionStatus execution, ProxyResponse.CheckerResponse response) {
         CheckerStats checker = attempt.checker();
+        if (attempt.isCancelled() && response == null) {
+            checker.onRequestCancelled(
+                    now, silenceToleranceMicros(attempt.request().route()));
+            return;
+        }
         checker.onRequestEnded(now);
         if (execution == ExecutionStatus.EXECUTED) {
             String route = attempt.request().route().name();
@@ -352,17 +368,23 @@
 
     private void onClientDisconnected(ProxyRequest request) {
         if (request.state != ProxyRequest.RequestState.COMPLETED) {
-            boolean neverExecuted = request.neverExecuted();
             removeFromQueue(request);
             request.state = ProxyRequest.RequestState.COMPLETED;
-            if (neverExecuted) {
-                port.refundQuota(request);
-            }
-            cancelIfBodyIncomplete(request);
+            request.abandoned = true;
+            attempts.onClientDisconnected(request, now);
+            refundIfNeverExecuted(request);
+        }
+    }
+
+    /** Gives its quota back to a request whose client has left, once it is certain that it was not executed. */
+    private void refundIfNeverExecuted(ProxyRequest request) {
+        if (request.neverExecuted() && !request.quotaRefunded) {
+            request.quotaRefunded = true;
+            port.refundQuota(request);
         }
     }
 
-    /** Nobody will send the rest of a body that is incomplete; other attempts go on, as their checker works on them. */
+    /** At the deadline nobody will send the rest of an incomplete body; a whole request is ended by its checker. */
     private void cancelIfBodyIncomplete(ProxyRequest request) {
         if (!request.source().isFullyReceived()) {
             cancelPendingAttempts(request);
--- a/src/test/java/reedmux/proxy/request/RequestTrackerTest.java
+++ b/src/test/java/reedmux/proxy/request/RequestTrackerTest.java
@@ -272,6 +272,77 @@
         assertTrue(harness.responses.isEmpty());
     }
 
+    /** How far an attempt is as the client leaves, by route; whether it is cancelled, and its quota given back. */
+    @DataProvider
+    public Object[][] departures() {
+        return new Object[][] {
+            {"connecting", true, true, 1},
+            {"connecting", false, true, 1},
+            {"partly sent", true, true, 0},
+            {"partly sent", false, true, 0},
+            {"sent", true, true, 0},
+            {"sent", false, false, 0},
+            {"hedged", true, true, 0}
+        };
+    }
+
+    @Test(dataProvider = "departures")
+    public void departureCancelsWhatDoesNoHarm(String stage, boolean idempotent, boolean cancelled, int refunds) {
+        TrackerHarness harness = new TrackerHarness(3, 100);
+        ProxyRequest request = harness.accept(idempotent, 2);
+        if (stage.equals("hedged")) {
+            harness.runUntil(harness.now + 300 * MICROS_PER_MILLI);
+            assertEquals(harness.sent.size(), 2);
+        }
+        for (RequestAttempt attempt : harness.sent) {
+            if (!stage.equals("connecting")) {
+                attempt.onConnected();
+            }
+            if (!stage.endsWith("ing") && !stage.equals("partly sent")) {
+                attempt.onFullySent();
+            }
+        }
+        int attempts = harness.sent.size();
+        harness.tracker.onEvent(harness.now, new RequestEvent.ClientDisconnected(request));
+        assertEquals(harness.tracker.attempts().isEmpty(), cancelled, stage);
+        harness.runUntil(harness.now + 5_000 * MICROS_PER_MILLI);
+        assertTrue(harness.tracker.attempts().isEmpty(), "every attempt ends");
+        assertEquals(harness.sent.size(), attempts, "nothing is sent for a client that has left");
+        assertTrue(harness.responses.isEmpty());
+        assertEquals(harness.quotaRefunds, refunds, stage);
+    }
+
+    /** Clients that leave say nothing of checkers, but one that is silent does not become sound by it. */
+    @Test
+    public void departureLeavesTheCheckersReputationAsItWas() {
+        for (boolean silent : new boolean[] {false, true}) {
+            TrackerHarness harness = new TrackerHarness(2, 0);
+            ProxyRequest first = harness.accept(true, 1);
+            RequestAttempt attempt = harness.sent.get(0);
+            attempt.onConnected();
+            attempt.onFullySent();
+            harness.runUntil(harness.now + (silent ? 600 : 50) * MICROS_PER_MILLI);
+            harness.tracker.onEvent(harness.now, new RequestEvent.ClientDisconnected(first));
+            assertEquals(attempt.checker().isSuspect(harness.now, 400 * MICROS_PER_MILLI), silent);
+            assertEquals(attempt.checker().inFlight(), 0);
+        }
+    }
+
+    /** The queue's place goes to others, and one that fails after its client left is not retried. */
+    @Test
+    public void nothingIsRetriedForAClientThatHasLeft() {
+        TrackerHarness harness = new TrackerHarness(3, 100);
+        ProxyRequest request = harness.accept(false, 3);
+        RequestAttempt attempt = harness.sent.get(0);
+        attempt.onConnected();
+        attempt.onFullySent();
+        harness.tracker.onEvent(harness.now, new RequestEvent.ClientDisconnected(request));
+        harness.endAttempt(attempt, "shed");
+        assertEquals(harness.sent.size(), 1);
+        assertTrue(harness.responses.isEmpty());
+        assertTrue(harness.tracker.attempts().isEmpty());
+    }
+
     @Test
     public void hedgesASlowIdempotentRequest() {
         TrackerHarness harness = new TrackerHarness(2, 100);
--- a/src/test/java/reedmux/simulation/cluster/ClientDepartureClusterTest.java
+++ b/src/test/java/reedmux/simulation/cluster/ClientDepartureClusterTest.java
@@ -150,4 +150,61 @@
                 !method.equals("GET") || serving.invariants().executionsEndedByDeparture() > 20,
                 serving.invariants().executionsEndedByDeparture() + " executions were ended");
     }
+
+    /** All checkers are full: requests wait in the proxy and in the checkers' queues as their clients leave. */
+    @Test
+    public void whatWaitsIsDroppedWithItsClient() {
+        startServing();
+        long at = serving.simulation().now();
+        for (int i = 0; i < 120; i++) {
+            sendAndLeave(at + i * MILLI, 20 * MILLI + i * MILLI, Ending.CLOSE, i % 3 == 0 ? "POST" : "GET", "");
+        }
+        serving.simulation().runFor(10 * SECOND);
+        serving.invariants().checkDepartures(serving.simulation().now());
+        assertEquals(serving.invariants().violations(), List.of());
+    }
+
+    /** Behind an open request there is more input than the proxy reads ahead: the client's end lies behind that. */
+    @Test
+    public void aDepartureBehindUnreadInputIsNoticed() {
+        startServing();
+        byte[] open = OneShotHttpCall.request(
+                "GET",
+                "/r1/x",
+                "h.example",
+                "",
+                "Reedmux-Attempt-Id: open\r\n",
+                "Reedmux-Time-Left-Ms: 20000\r\n",
+                SimulatedChecker.WORK_MILLIS + ": " + WORK_MILLIS + "\r\n",
+                "Authorization: Bearer key-0-first.\r\n");
+        long at = serving.simulation().now();
+        onClientMachine(at, () -> {
+            serving.invariants().onRequestSent("open", edge.name(), true, null, null, null, at);
+            LeavingClient client = new LeavingClient(open, "POST", "more ".repeat(100_000), WORK_MILLIS);
+            serving.outside().reactor().scheduleAfter(300 * MILLI, () -> {
+                serving.invariants().onClientLeft("open", serving.simulation().now());
+                client.leave(Ending.CLOSE);
+            });
+        });
+        serving.simulation().runFor(10 * SECOND);
+        serving.invariants().checkDepartures(serving.simulation().now());
+        assertEquals(serving.invariants().violations(), List.of());
+        assertTrue(serving.invariants().executionsEndedByDeparture() > 0);
+    }
+
+    /** A proxy that restarts holds requests until it can serve; those whose client leaves meanwhile are dropped. */
+    @Test
+    public void whatWaitsForTheStartIsDroppedWithItsClient() {
+        startServing();
+        edge.terminate(300 * MILLI);
+        long at = serving.simulation().now();
+        for (int i = 0; i < 400; i++) {
+            sendAndLeave(
+                    at + i * 20 * MILLI, 25 * MILLI + i % 7 * MILLI, Ending.CLOSE, i % 3 == 0 ? "POST" : "GET", "");
+        }
+        serving.simulation().runFor(20 * SECOND);
+        serving.invariants().checkDepartures(serving.simulation().now());
+        assertEquals(serving.invariants().violations(), List.of());
+        assertTrue(serving.invariants().executionsEndedByDeparture() > 10);
+    }
 }
--- a/src/test/java/reedmux/simulation/region/ScaleScenariosTest.java
+++ b/src/test/java/reedmux/simulation/region/ScaleScenariosTest.java
@@ -48,7 +48,11 @@
     /** At fourteen the bounds on attempts are enough; a hundred push a provider over that they think warm. */
     @Test
     void aHundredNeedToKnowWhoIsCold() {
-        breaks(HistoryRule.COLD, ScaleScenarios.play(ScaleScenario.JOIN, 100, 200, 3, InjectedFault.TELLS_NO_START));
+        for (int seed : new int[] {1, 4, 5}) {
+            breaks(
+                    HistoryRule.COLD,
+                    ScaleScenarios.play(ScaleScenario.JOIN, 100, 200, seed, InjectedFault.TELLS_NO_START));
+        }
     }
 
     private static void breaks(HistoryRule rule, ScaleRun result) {
