--- a/src/main/java/reedmux/cli/SoakCommand.java
+++ b/src/main/java/reedmux/cli/SoakCommand.java
@@ -72,7 +72,8 @@
         SoakOutcome outcome =
                 SoakRun.run(options, directory, FIRST_NETWORK + (int) Math.floorMod(options.seed(), (long) NETWORKS));
         System.out.printf(
-                "seed %d: %d of %d requests served, %d executions ended by departures, %d processes started, %d faults, %d violations%n",
+                "seed %d: %d of %d requests served, %d executions ended by departures, "
+                        + "%d processes started, %d faults, %d violations%n",
                 outcome.seed(),
                 outcome.served(),
                 outcome.requests(),
--- a/src/main/java/reedmux/cli/WarmUp.java
+++ b/src/main/java/reedmux/cli/WarmUp.java
@@ -161,6 +161,9 @@
         @Override
         public void abortConnecting(UpstreamCall call) {}
 
+        @Override
+        public void abortUnlessSent(UpstreamCall call) {}
+
         @Override
         public void abortCall(UpstreamCall call) {}
 
--- a/src/main/java/reedmux/gatekeeper/http/ProviderClient.java
+++ b/src/main/java/reedmux/gatekeeper/http/ProviderClient.java
@@ -52,6 +52,11 @@
         ((UpstreamExchange) call.transport()).abort();
     }
 
+    /** Aborts a call of which the provider cannot have received the whole request. */
+    public void abortUnlessSent(UpstreamCall call) {
+        ((UpstreamExchange) call.transport()).abortUnlessSent();
+    }
+
     /** Ends a call whose connection is not established yet. */
     public void abortConnect(UpstreamCall call) {
         ((UpstreamExchange) call.transport()).abortConnect();
--- a/src/main/java/reedmux/gatekeeper/http/UpstreamExchange.java
+++ b/src/main/java/reedmux/gatekeeper/http/UpstreamExchange.java
@@ -111,6 +111,13 @@
         pool.abort(this);
     }
 
+    /** Aborts the call unless its request has been written completely. */
+    void abortUnlessSent() {
+        if (!isFullySent()) {
+            abort();
+        }
+    }
+
     void abortConnect() {
         Future<?> future = connectFuture;
         if (connection == null && future != null) {
--- a/src/main/java/reedmux/gatekeeper/reducer/Reducer.java
+++ b/src/main/java/reedmux/gatekeeper/reducer/Reducer.java
@@ -258,7 +258,7 @@
             if (invocation.repeatable || call.responseStartedAt > 0 || bodyIncomplete) {
                 invocations.abort(call, UpstreamCall.StopReason.CANCELLED);
             } else if (!call.ended) {
-                context.effects.abortConnecting(call);
+                context.effects.abortUnlessSent(call);
             }
         }
         withdraw(invocation);
--- a/src/main/java/reedmux/gatekeeper/reducer/ReducerEffects.java
+++ b/src/main/java/reedmux/gatekeeper/reducer/ReducerEffects.java
@@ -25,6 +25,9 @@
     /** Closes the call's connection unless it has come up by now. */
     void abortConnecting(UpstreamCall call);
 
+    /** Closes the call's connection unless the whole request has been written by now. */
+    void abortUnlessSent(UpstreamCall call);
+
     /** Closes the call's connection; the end comes as an event, unless the call has just ended by itself. */
     void abortCall(UpstreamCall call);
 
--- a/src/main/java/reedmux/gatekeeper/service/ServiceRuntime.java
+++ b/src/main/java/reedmux/gatekeeper/service/ServiceRuntime.java
@@ -341,6 +341,11 @@
         providerClient.abortConnect(call);
     }
 
+    @Override
+    public void abortUnlessSent(UpstreamCall call) {
+        providerClient.abortUnlessSent(call);
+    }
+
     @Override
     public void abortCall(UpstreamCall call) {
         providerClient.abort(call);
--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -21,6 +21,8 @@
     private static final long UNSENT_RESPONSE_LINGER_MICROS = 10 * MICROS_PER_SECOND;
     /** What is read and dropped of a body whose request has its response; a longer one ends the connection. */
     private static final long MAX_DISCARDED_BODY_BYTES = 1024 * 1024;
+    /** Bytes behind a head that are read while it waits for the start of the proxy. */
+    private static final int MAX_DEFERRED_BYTES = 64 * 1024;
     /** Bytes of later requests that are read while one is in flight. */
     private static final int MAX_PIPELINED_BYTES = 64 * 1024;
     /** What is dropped of later requests, so that the client's end is seen; with more it is given up. */
@@ -183,9 +185,12 @@
             return false;
         } else if (state == State.READING_BODY || state == State.DISCARDING_BODY) {
             return readBody();
-        } else if (state == State.AWAITING_RESPONSE || state == State.DEFERRED) {
+        } else if (state == State.AWAITING_RESPONSE) {
             dropExcessPipelinedInput();
             return false;
+        } else if (state == State.DEFERRED) {
+            connection.setReadPaused(connection.available() > MAX_DEFERRED_BYTES); // it may be the request's own body
+            return false;
         }
         return readHead();
     }
@@ -231,6 +236,7 @@
             return;
         }
         deferredHead = null;
+        connection.setReadPaused(false);
         try {
             beginRequest(head);
         } catch (MalformedMessageException e) {
--- a/src/main/java/reedmux/simulation/region/RunningGatekeeper.java
+++ b/src/main/java/reedmux/simulation/region/RunningGatekeeper.java
@@ -183,6 +183,12 @@
         }
     }
 
+    /** Here a request is written as a whole as soon as its connection is up. */
+    @Override
+    public void abortUnlessSent(UpstreamCall call) {
+        abortConnecting(call);
+    }
+
     @Override
     public void abortCall(UpstreamCall call) {
         SimulatedCall simulated = (SimulatedCall) call.transport();
--- a/src/test/java/reedmux/common/eventloop/ScriptedEnvironment.java
+++ b/src/test/java/reedmux/common/eventloop/ScriptedEnvironment.java
@@ -52,6 +52,7 @@
         private boolean connected;
         private boolean ended;
         private boolean broken;
+        private boolean brokenBehindInput;
         private boolean closed;
         private boolean reads;
         private boolean writes;
@@ -78,6 +79,14 @@
             input.add(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
+        /** Input with the end of the connection behind it, all of which is there before anybody reads. */
+        public void receiveAndEnd(String text, boolean reset) {
+            input.add(text.getBytes(StandardCharsets.ISO_8859_1));
+            ended = !reset;
+            brokenBehindInput = reset;
+            notifyHandler(true, false);
+        }
+
         public void endInput() {
             ended = true;
             notifyHandler(true, false);
@@ -150,7 +159,9 @@
         public int read(ByteBuffer into) throws IOException {
             check();
             byte[] next = input.poll();
-            if (next == null) {
+            if (next == null && brokenBehindInput) {
+                throw new IOException("Connection reset by peer");
+            } else if (next == null) {
                 return ended ? -1 : 0;
             }
             int some = Math.min(next.length, into.remaining());
--- a/src/test/java/reedmux/gatekeeper/reducer/ReducerTest.java
+++ b/src/test/java/reedmux/gatekeeper/reducer/ReducerTest.java
@@ -64,7 +64,7 @@
         final List<FinalAnswer> answers = new ArrayList<>();
         final List<UpstreamCall> calls = new ArrayList<>();
         final List<UpstreamCall> stopped = new ArrayList<>();
-        final List<UpstreamCall> connectsStopped = new ArrayList<>();
+        final List<UpstreamCall> stoppedUnlessSent = new ArrayList<>();
         final List<String> log = new ArrayList<>();
         boolean cannotStart;
 
@@ -85,8 +85,11 @@
         public void startForwardedCall(UpstreamCall call, ForwardedRequest departure) {}
 
         @Override
-        public void abortConnecting(UpstreamCall call) {
-            connectsStopped.add(call);
+        public void abortConnecting(UpstreamCall call) {}
+
+        @Override
+        public void abortUnlessSent(UpstreamCall call) {
+            stoppedUnlessSent.add(call);
         }
 
         @Override
@@ -231,7 +234,7 @@
         reducer.reduce(SECOND, new ReducerEvent.ConsumerDisconnected(idempotent));
         reducer.reduce(SECOND, new ReducerEvent.ConsumerDisconnected(effectful));
         assertEquals(List.of(effects.calls.get(0)), effects.stopped);
-        assertEquals(List.of(effects.calls.get(1)), effects.connectsStopped, "it is not sent if it was not yet");
+        assertEquals(List.of(effects.calls.get(1)), effects.stoppedUnlessSent, "it is not sent if it was not yet");
         endCall(effects.calls.get(0), brokenAt(CallResult.CallStage.ON_WIRE));
         endCall(effects.calls.get(1), new CallResult.ResponseReceived(200, false, null, new byte[0]));
         assertEquals(List.of(), effects.answers);
--- a/src/test/java/reedmux/proxy/ClientConnectionTest.java
+++ b/src/test/java/reedmux/proxy/ClientConnectionTest.java
@@ -23,6 +23,7 @@
         final List<ClientRequest> abandoned = new ArrayList<>();
         RequestLimits limits = new RequestLimits(300, 8 << 20, 3 * MICROS_PER_SECOND, 15 * MICROS_PER_SECOND);
         int closed;
+        boolean starting;
 
         ScriptedEnvironment.ScriptedSocket socket;
         final ClientConnection client;
@@ -62,7 +63,7 @@
 
         @Override
         public boolean deferUntilStarted(ClientConnection who, Http1Head head) {
-            return false;
+            return starting;
         }
 
         @Override
@@ -189,4 +190,46 @@
         harness.socket.receive("y".repeat(400_000));
         assertTrue(upload.isComplete());
     }
+
+    /** Its own body may be long, and is no later request. */
+    @Test
+    public void keepsTheBodyOfARequestThatWaitsForTheStart() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.starting = true;
+        harness.socket.receive("POST /x HTTP/1.1\r\nHost: h\r\nReedmux-Attempt-Id: a\r\n"
+                + "Content-Length: 300000\r\n\r\n" + "y".repeat(300_000));
+        assertEquals(harness.dispatched.size(), 0);
+        harness.starting = false;
+        harness.client.resumeDeferred();
+        harness.socket.receive("");
+        assertEquals(harness.dispatched.size(), 1);
+        assertEquals(harness.dispatched.get(0).body().bufferedBytes(), 300_000);
+    }
+
+    /** Whoever sends more than is read ahead is answered once, and what was dropped is never taken for a request. */
+    @Test
+    public void endsBehindTheResponseWhereLaterInputWasDropped() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.socket.receive(get("one"));
+        harness.socket.receive(get("two") + "y".repeat(100_000));
+        harness.socket.receive(get("three"));
+        harness.client.respond(harness.dispatched.get(0), localResponse(200));
+        harness.pass(MICROS_PER_SECOND);
+        assertTrue(harness.socket.writtenText().contains("Connection: close"), harness.socket.writtenText());
+        assertTrue(harness.socket.isClosed());
+        assertEquals(harness.dispatched.size(), 1);
+    }
+
+    /** Its client's end has come in together with it: it is not dispatched, and its quota is given back. */
+    @Test
+    public void doesNotDispatchARequestWhoseClientHasLeft() throws IOException {
+        for (boolean reset : new boolean[] {false, true}) {
+            ClientHarness harness = new ClientHarness();
+            harness.socket.receiveAndEnd(get("one"), reset);
+            harness.sockets.runReactorOnce();
+            assertEquals(harness.dispatched.size(), 0);
+            assertEquals(harness.abandoned.size(), 1);
+            assertEquals(harness.closed, 1);
+        }
+    }
 }
