A client's end is seen behind input that is too long to be kept

Cause: a request whose client had left behind more than 64 KiB of further input was dispatched all the same, found by reading.

Change: before a dispatch the proxy reads on, bounded, and drops what it would not keep. The soak's checkers report the arrival of a request when it arrives; a violation names the proxy and whether the request is idempotent.

Result: ClientConnectionTest.doesNotDispatchARequestWhoseClientHasLeft has the case, red before.

--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -153,7 +153,19 @@
      */
     boolean hasLeft(ClientRequest of) {
         boolean justRead = lastProgressAt == handler.now();
-        return of != request || !justRead && connection.pollInputEnded();
+        return of != request || !justRead && endsByNow();
+    }
+
+    /** Whether the client has left by now; its end may lie behind later requests that are too long to be kept. */
+    private boolean endsByNow() {
+        while (!connection.pollInputEnded()) {
+            boolean wholeRequest = bodyReader == null;
+            if (!wholeRequest || connection.available() == 0 || !hasExcessPipelinedInput()) {
+                return false;
+            }
+            dropExcessPipelinedInput();
+        }
+        return true;
     }
 
     int bufferedBodyBytes() {
@@ -195,12 +207,16 @@
         return readHead();
     }
 
+    private boolean hasExcessPipelinedInput() {
+        return droppedPipelinedBytes > 0 || connection.available() >= MAX_PIPELINED_BYTES;
+    }
+
     /**
      * Reads on while a request is open, as only that shows that its client leaves. What is too much to be kept for
      * later is dropped, and the connection ends behind the response.
      */
     private void dropExcessPipelinedInput() {
-        if (droppedPipelinedBytes == 0 && connection.available() <= MAX_PIPELINED_BYTES) {
+        if (!hasExcessPipelinedInput()) {
             return;
         }
         droppedPipelinedBytes += connection.available();
@@ -298,7 +314,7 @@
             connection.setReadPaused(true);
         }
         boolean ready = body == null || body.isReadyToSend();
-        if (request != null && !dispatched && !responded && ready && !connection.pollInputEnded()) {
+        if (request != null && !dispatched && !responded && ready && !endsByNow()) {
             dispatched = true;
             handler.dispatch(request);
         }
--- a/src/main/java/reedmux/simulation/cluster/DepartureInvariants.java
+++ b/src/main/java/reedmux/simulation/cluster/DepartureInvariants.java
@@ -55,8 +55,7 @@
     void onArrived(String id, String checker, long now) {
         Departure departure = departures.get(id);
         if (departure != null && isLate(departure, now)) {
-            log.report(
-                    "GONE", id + " reaches " + checker + ' ' + millisSince(departure, now) + " after its client left");
+            log.report("GONE", id + " reaches " + checker + ' ' + describe(departure, now));
         }
     }
 
@@ -94,10 +93,7 @@
         if (!isLate(departure, now)) {
             cancelled++;
         } else {
-            log.report(
-                    "GONE",
-                    execution.checker + " works on " + id + ' ' + millisSince(departure, now)
-                            + " after its client left");
+            log.report("GONE", execution.checker + " works on " + id + ' ' + describe(departure, now));
         }
     }
 
@@ -105,7 +101,8 @@
         return now > departure.leftAt + limitMicros && faults.isInContact(departure.proxy, departure.leftAt, now);
     }
 
-    private static String millisSince(Departure departure, long now) {
-        return (now - departure.leftAt) / MICROS_PER_MILLI + " ms";
+    private static String describe(Departure departure, long now) {
+        return (now - departure.leftAt) / MICROS_PER_MILLI + " ms after its client left " + departure.proxy
+                + (departure.idempotent ? "" : "; it is not idempotent");
     }
 }
--- a/src/main/java/reedmux/simulation/soak/SoakChecker.java
+++ b/src/main/java/reedmux/simulation/soak/SoakChecker.java
@@ -82,7 +82,10 @@
         String target = head.get("Reedmux-Target-Instance");
         if (target != null && !target.equals(id)) {
             from.respond(Http1Head.response(421).add("Reedmux-Instance-Id", id), new byte[0]);
-        } else if (busy < SLOTS) {
+            return;
+        }
+        invariants.onRequestArrived(attempt, service, reactor.now());
+        if (busy < SLOTS) {
             execute(head, attempt, from);
         } else if (queue.size() < MAX_QUEUED) {
             Runnable waiting = () -> execute(head, attempt, from);
@@ -98,7 +101,6 @@
             return;
         }
         busy++;
-        invariants.onRequestArrived(attempt, service, reactor.now());
         invariants.onRequestExecuted(attempt, id, service, head.get("Reedmux-Tenant"), reactor.now());
         Execution execution = new Execution(attempt, from, workMicros(head));
         executions.add(execution);
--- a/src/test/java/reedmux/proxy/ClientConnectionTest.java
+++ b/src/test/java/reedmux/proxy/ClientConnectionTest.java
@@ -223,9 +223,9 @@
     /** Its client's end has come in together with it: it is not dispatched, and its quota is given back. */
     @Test
     public void doesNotDispatchARequestWhoseClientHasLeft() throws IOException {
-        for (boolean reset : new boolean[] {false, true}) {
+        for (int further : new int[] {0, 100, 300_000, -1}) {
             ClientHarness harness = new ClientHarness();
-            harness.socket.receiveAndEnd(get("one"), reset);
+            harness.socket.receiveAndEnd(get("one") + "y".repeat(Math.max(0, further)), further < 0);
             harness.sockets.runReactorOnce();
             assertEquals(harness.dispatched.size(), 0);
             assertEquals(harness.abandoned.size(), 1);
