A hedged attempt ends with the connection of its client

Cause: the slower of two attempts went on after the response, also where the client closed its connection then; found by going through the paths on which nobody waits.

Change: when a client's connection is closed, the idempotent attempts of requests that came over it end. While the client stays they go on, as their latency and silence are what tells a slow or hung checker from a sound one.

Result: RequestTrackerTest.hedgedAttemptEndsWithTheConnectionOfItsClient fails without it.

--- a/src/main/java/reedmux/proxy/ClientFrontend.java
+++ b/src/main/java/reedmux/proxy/ClientFrontend.java
@@ -161,6 +161,7 @@
     @Override
     public void onClientClosed(ClientConnection client) {
         clients.remove(client);
+        tracker.onEvent(now(), new RequestEvent.ClientConnectionClosed(client));
         startup.onClientClosed(client);
     }
 }
--- a/src/main/java/reedmux/proxy/ClientRequest.java
+++ b/src/main/java/reedmux/proxy/ClientRequest.java
@@ -55,6 +55,11 @@
         return body;
     }
 
+    @Override
+    public Object connection() {
+        return client;
+    }
+
     @Override
     public boolean isReplayable() {
         return body == null || body.isReplayable();
--- a/src/main/java/reedmux/proxy/request/PendingAttempts.java
+++ b/src/main/java/reedmux/proxy/request/PendingAttempts.java
@@ -45,15 +45,35 @@
         departures++;
         for (RequestAttempt attempt : List.copyOf(request.pendingAttempts)) {
             if (attempt.mayBeCancelled()) {
-                cancelled++;
-                attempt.markCancelled(now);
-                port.cancel(attempt);
+                cancel(attempt, now);
             } else {
                 leftToFinish++;
             }
         }
     }
 
+    /**
+     * A client's connection is closed: cancels the hedged attempts that still go on for requests which have their
+     * response. While the client stays they show how fast their checkers are.
+     */
+    void onClientConnectionClosed(Object connection, long now) {
+        for (RequestAttempt attempt : List.copyOf(attempts)) {
+            ProxyRequest request = attempt.request();
+            boolean answered = request.state == ProxyRequest.RequestState.COMPLETED;
+            if (answered && request.source().connection() == connection && attempt.mayBeCancelled()) {
+                cancel(attempt, now);
+            }
+        }
+    }
+
+    private void cancel(RequestAttempt attempt, long now) {
+        if (!attempt.hasEnded() && !attempt.isCancelled()) {
+            cancelled++;
+            attempt.markCancelled(now);
+            port.cancel(attempt);
+        }
+    }
+
     /** The attempts that violate the invariant. */
     public List<RequestAttempt> overdueCancellations(long now) {
         return attempts.stream()
--- a/src/main/java/reedmux/proxy/request/ProxyRequest.java
+++ b/src/main/java/reedmux/proxy/request/ProxyRequest.java
@@ -31,6 +31,9 @@
 
         /** Whether all of it has been received from its client. */
         boolean isFullyReceived();
+
+        /** The client's connection that it came over; opaque here. */
+        Object connection();
     }
 
     private final RouteItem route;
--- a/src/main/java/reedmux/proxy/request/RequestEvent.java
+++ b/src/main/java/reedmux/proxy/request/RequestEvent.java
@@ -28,6 +28,9 @@
     /** Nobody waits for the response any more. */
     record ClientDisconnected(ProxyRequest request) implements RequestEvent {}
 
+    /** A client's connection is closed; the requests that came over it may have had their responses. */
+    record ClientConnectionClosed(Object connection) implements RequestEvent {}
+
     /** The process ends: requests that are still queued are rejected. */
     record ProxyShutdown() implements RequestEvent {}
 
--- a/src/main/java/reedmux/proxy/request/RequestTracker.java
+++ b/src/main/java/reedmux/proxy/request/RequestTracker.java
@@ -101,6 +101,8 @@
             onDeadlineExceeded(exceeded.request());
         } else if (event instanceof RequestEvent.ClientDisconnected disconnected) {
             onClientDisconnected(disconnected.request());
+        } else if (event instanceof RequestEvent.ClientConnectionClosed closed) {
+            attempts.onClientConnectionClosed(closed.connection(), now);
         } else if (event instanceof RequestEvent.ProxyShutdown) {
             rejectQueued();
         } else {
--- a/src/test/java/reedmux/proxy/request/RequestTrackerTest.java
+++ b/src/test/java/reedmux/proxy/request/RequestTrackerTest.java
@@ -88,6 +88,11 @@
                         public boolean isFullyReceived() {
                             return fullyReceived;
                         }
+
+                        @Override
+                        public Object connection() {
+                            return TrackerHarness.this;
+                        }
                     },
                     now + millis * MICROS_PER_MILLI);
             tracker.onEvent(now, new RequestEvent.RequestAccepted(exchange));
@@ -312,6 +317,24 @@
         assertEquals(harness.quotaRefunds, refunds, stage);
     }
 
+    /** The slower of two attempts goes on after the response, and shows its latency, while the client stays. */
+    @Test
+    public void hedgedAttemptEndsWithTheConnectionOfItsClient() {
+        for (boolean own : new boolean[] {true, false}) {
+            TrackerHarness harness = new TrackerHarness(2, 100);
+            harness.accept(true, 2);
+            harness.sent.get(0).onConnected();
+            harness.sent.get(0).onFullySent();
+            harness.runUntil(harness.now + 300 * MICROS_PER_MILLI);
+            harness.endAttempt(harness.sent.get(1), "served");
+            assertFalse(harness.tracker.attempts().isEmpty());
+            Object connection = own ? harness : new Object();
+            harness.tracker.onEvent(harness.now, new RequestEvent.ClientConnectionClosed(connection));
+            assertEquals(harness.tracker.attempts().isEmpty(), own);
+            assertEquals(harness.responses.size(), 1);
+        }
+    }
+
     /** Clients that leave say nothing of checkers, but one that is silent does not become sound by it. */
     @Test
     public void departureLeavesTheCheckersReputationAsItWas() {
