Tests: effects run to their end, also as their proxy ends; departures not reported yet

It first found 13 cut ones, traced: the stand-ins queue what the client sends faster than they work, and the attempts ran into the route's timeout of 3 s and 0.4 s, at which real checkers end requests themselves; the work is shorter now (1.5 s in place of 2.5 s). Two more cases: a draining proxy waits for an effect whose client has left, and a departure is seen before the reactor reports it.

--- a/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
+++ b/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
@@ -155,9 +155,14 @@
         requests.onRequestExecuted(id, checker, service, tenant, now);
     }
 
-    /** A checker has executed a request, or has dropped it since its connection was closed. */
-    public void onExecutionEnded(String id, String checker, long now) {
-        requests.departures().onExecutionEnded(id, checker, now);
+    /** A checker has executed a request ({@code completed}), or has dropped it since its connection was closed. */
+    public void onExecutionEnded(String id, String checker, boolean completed, long now) {
+        requests.departures().onExecutionEnded(id, checker, completed, now);
+    }
+
+    /** What became of requests whose client has left. */
+    DepartureInvariants departures() {
+        return requests.departures();
     }
 
     /** A client has left without waiting for the response to its request. */
--- a/src/main/java/reedmux/simulation/cluster/DepartureInvariants.java
+++ b/src/main/java/reedmux/simulation/cluster/DepartureInvariants.java
@@ -35,6 +35,8 @@
     private final Map<String, List<Execution>> executions = new HashMap<>();
     private long limitMicros = DEFAULT_LIMIT_MICROS;
     private int cancelled;
+    private int completedEffects;
+    private int cutEffects;
 
     DepartureInvariants(FaultSchedule faults, ViolationLog log) {
         this.faults = faults;
@@ -64,7 +66,12 @@
     }
 
     /** An execution has come to its end, or the checker has dropped it. */
-    void onExecutionEnded(String id, String checker, long now) {
+    void onExecutionEnded(String id, String checker, boolean completed, long now) {
+        Departure departure = departures.get(id);
+        if (departure != null && !departure.idempotent) {
+            completedEffects += completed ? 1 : 0;
+            cutEffects += completed ? 0 : 1;
+        }
         for (Execution execution : executions.getOrDefault(id, List.of())) {
             if (execution.checker.equals(checker) && execution.endedAt == RUNNING) {
                 execution.endedAt = now;
@@ -78,6 +85,16 @@
         return cancelled;
     }
 
+    /** Executions of requests that are not idempotent which came to their end after the departure of their client. */
+    int completedEffectCount() {
+        return completedEffects;
+    }
+
+    /** Such executions that were cut, as their connection was closed. */
+    int cutEffectCount() {
+        return cutEffects;
+    }
+
     /** After the last event: executions that have not ended. */
     void checkUnended(long now) {
         executions.forEach((id, all) -> all.stream()
--- a/src/main/java/reedmux/simulation/cluster/SimulatedChecker.java
+++ b/src/main/java/reedmux/simulation/cluster/SimulatedChecker.java
@@ -143,11 +143,11 @@
             } else {
                 respond(attempt, from);
             }
-            endExecution(attempt);
+            endExecution(attempt, true);
         });
         from.setDisconnectListener(() -> {
             work.cancel();
-            endExecution(attempt);
+            endExecution(attempt, false);
         });
     }
 
@@ -158,8 +158,8 @@
     }
 
     /** A request is answered, or its connection was closed. */
-    private void endExecution(String attempt) {
-        invariants.onExecutionEnded(attempt, id, process.now());
+    private void endExecution(String attempt, boolean completed) {
+        invariants.onExecutionEnded(attempt, id, completed, process.now());
         busy--;
         if (!queue.isEmpty()) {
             queue.poll().run();
--- a/src/main/java/reedmux/simulation/soak/SoakChecker.java
+++ b/src/main/java/reedmux/simulation/soak/SoakChecker.java
@@ -104,7 +104,7 @@
         invariants.onRequestExecuted(attempt, id, service, head.get("Reedmux-Tenant"), reactor.now());
         Execution execution = new Execution(attempt, from, workMicros(head));
         executions.add(execution);
-        from.setDisconnectListener(execution::end);
+        from.setDisconnectListener(() -> execution.end(false));
     }
 
     private long workMicros(Http1Head head) {
@@ -131,15 +131,15 @@
             from.respond(
                     Http1Head.response(200).add("Reedmux-Attempt-Id", attempt).add("Reedmux-Server-Seal", id),
                     (id + ' ' + service + ' ' + attempt).getBytes(StandardCharsets.UTF_8));
-            end();
+            end(true);
         }
 
-        private void end() {
+        private void end(boolean completed) {
             if (!executions.remove(this)) {
                 return;
             }
             work.cancel();
-            invariants.onExecutionEnded(attempt, id, reactor.now());
+            invariants.onExecutionEnded(attempt, id, completed, reactor.now());
             busy--;
             if (!queue.isEmpty()) {
                 queue.poll().run();
@@ -174,7 +174,7 @@
         connections.forEach(Connection::close);
         connections.clear();
         queue.clear();
-        List.copyOf(executions).forEach(Execution::end);
+        List.copyOf(executions).forEach(execution -> execution.end(false));
     }
 
     /** Ends without notice, with its requests unanswered. */
--- a/src/test/java/reedmux/common/eventloop/ScriptedEnvironment.java
+++ b/src/test/java/reedmux/common/eventloop/ScriptedEnvironment.java
@@ -87,6 +87,11 @@
             notifyHandler(true, false);
         }
 
+        /** The end comes in behind the next event. */
+        public void endInputUnannounced() {
+            ended = true;
+        }
+
         public void endInput() {
             ended = true;
             notifyHandler(true, false);
--- a/src/test/java/reedmux/proxy/ClientConnectionTest.java
+++ b/src/test/java/reedmux/proxy/ClientConnectionTest.java
@@ -232,4 +232,19 @@
             assertEquals(harness.closed, 1);
         }
     }
+
+    /** Before a retry the socket is asked: the end that nobody has reported yet is seen, and handled a turn later. */
+    @Test
+    public void knowsOfADepartureThatIsNotReportedYet() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.socket.receive(get("one"));
+        ClientRequest request = harness.dispatched.get(0);
+        harness.sockets.advanceMicros(MICROS_PER_SECOND);
+        assertFalse(harness.client.hasLeft(request));
+        harness.socket.endInputUnannounced();
+        assertTrue(harness.client.hasLeft(request));
+        assertEquals(harness.abandoned.size(), 0);
+        harness.sockets.runReactorOnce();
+        assertEquals(harness.abandoned.size(), 1);
+    }
 }
--- a/src/test/java/reedmux/simulation/cluster/ClientDepartureClusterTest.java
+++ b/src/test/java/reedmux/simulation/cluster/ClientDepartureClusterTest.java
@@ -23,6 +23,10 @@
 
     private static final long LAST_DEPARTURE = 60 * MILLI;
     private static final int WORK_MILLIS = 2_500;
+    /** Less than the routes' timeout, at which a checker ends a request. */
+    private static final int EFFECT_MILLIS = 1_500;
+
+    private static final String ORDER = "an order";
 
     private ServingDeployment serving;
     private Deployment.DeployedNode edge;
@@ -114,7 +118,8 @@
     /** A client comes at a time, and leaves so much later. */
     private void sendAndLeave(long at, long after, Ending ending, String method, String body) {
         onClientMachine(at, () -> {
-            LeavingClient client = new LeavingClient(new byte[0], method, body, WORK_MILLIS);
+            int workMillis = method.equals("GET") ? WORK_MILLIS : EFFECT_MILLIS;
+            LeavingClient client = new LeavingClient(new byte[0], method, body, workMillis);
             serving.outside().reactor().scheduleAfter(after, () -> client.leave(ending));
         });
     }
@@ -124,7 +129,7 @@
         List<Object[]> cases = new ArrayList<>();
         for (Ending ending : new Ending[] {Ending.CLOSE, Ending.HALF_CLOSE}) {
             cases.add(new Object[] {ending, "GET", ""});
-            cases.add(new Object[] {ending, "POST", "an order"});
+            cases.add(new Object[] {ending, "POST", ORDER});
             cases.add(new Object[] {ending, "POST", "an upload ".repeat(30_000)});
         }
         return cases.toArray(new Object[0][]);
@@ -146,11 +151,27 @@
         serving.invariants().checkDepartures(serving.simulation().now());
         assertEquals(serving.invariants().violations(), List.of());
         assertEquals(answered, 0);
+        if (body.equals(ORDER)) {
+            assertEquals(serving.invariants().departures().cutEffectCount(), 0);
+            assertTrue(serving.invariants().departures().completedEffectCount() > 20);
+        }
         assertTrue(
                 !method.equals("GET") || serving.invariants().executionsEndedByDeparture() > 20,
                 serving.invariants().executionsEndedByDeparture() + " executions were ended");
     }
 
+    /** A proxy that drains has no client left, but a checker works on an order: it does not end before that. */
+    @Test
+    public void anEffectIsNotCutByTheEndOfItsProxy() {
+        startServing();
+        long at = serving.simulation().now();
+        edge.terminate(300 * MILLI);
+        sendAndLeave(at + 1_900 * MILLI, 50 * MILLI, Ending.CLOSE, "POST", ORDER);
+        serving.simulation().runFor(10 * SECOND);
+        assertEquals(serving.invariants().departures().completedEffectCount(), 1);
+        assertEquals(serving.invariants().violations(), List.of());
+    }
+
     /** All checkers are full: requests wait in the proxy and in the checkers' queues as their clients leave. */
     @Test
     public void whatWaitsIsDroppedWithItsClient() {
