--- a/src/main/java/reedmux/proxy/request/ProxyRequest.java
+++ b/src/main/java/reedmux/proxy/request/ProxyRequest.java
@@ -93,7 +93,7 @@
 
     /** Whether it was certainly not executed, and no attempt of it can be any more. */
     boolean neverExecuted() {
-        return sentAttempts == 0 && !mayHaveExecuted && pendingAttempts.isEmpty();
+        return sentAttempts == 0 && !mayHaveExecuted;
     }
 
     /** Whether no checker can have received anything of it so far. */
--- a/src/test/java/reedmux/gatekeeper/reducer/StreamingReducerTest.java
+++ b/src/test/java/reedmux/gatekeeper/reducer/StreamingReducerTest.java
@@ -141,6 +141,20 @@
         assertSettled(1);
     }
 
+    /** Its connection was not up yet, and is given up with its consumer: the provider has not failed by that. */
+    @Test
+    void callThatEndsUnsentWithItsConsumerSaysNothingOfTheProvider() {
+        Invocation taken = accept(new Invocation.RequestMessage() {}, 4 * SECOND);
+        UpstreamCall call = effects.calls.get(0);
+        reduceAt(SECOND, new ReducerEvent.ConsumerDisconnected(taken));
+        reduceAt(
+                SECOND,
+                new ReducerEvent.CallEnded(
+                        call, new CallResult.ConnectionBroken(CallResult.CallStage.CONNECTING, "test")));
+        assertEquals(List.of(AttemptOutcome.NOT_SENT + " 1000"), policy.received);
+        assertSettled(0);
+    }
+
     @Test
     void responseThatStartsAfterADisconnectIsAborted() {
         Invocation taken = accept(new Invocation.RequestMessage() {}, 4 * SECOND);
