--- a/src/main/java/reedmux/cli/SoakCommand.java
+++ b/src/main/java/reedmux/cli/SoakCommand.java
@@ -73,12 +73,13 @@
                 SoakRun.run(options, directory, FIRST_NETWORK + (int) Math.floorMod(options.seed(), (long) NETWORKS));
         System.out.printf(
                 "seed %d: %d of %d requests served, %d executions ended by departures, "
-                        + "%d processes started, %d faults, %d violations%n",
+                        + "%d processes started, %d times held up, %d faults, %d violations%n",
                 outcome.seed(),
                 outcome.served(),
                 outcome.requests(),
                 outcome.endedByDeparture(),
                 outcome.processes(),
+                outcome.heldUpTimes(),
                 outcome.faults().size(),
                 outcome.violations().size());
         outcome.violations().forEach(violation -> System.out.println("    " + violation));
--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -23,10 +23,6 @@
     private static final long MAX_DISCARDED_BODY_BYTES = 1024 * 1024;
     /** Bytes behind a head that are read while it waits for the start of the proxy. */
     private static final int MAX_DEFERRED_BYTES = 64 * 1024;
-    /** Bytes of later requests that are read while one is in flight. */
-    private static final int MAX_PIPELINED_BYTES = 64 * 1024;
-    /** What is dropped of later requests, so that the client's end is seen; with more it is given up. */
-    private static final long MAX_DROPPED_PIPELINED_BYTES = 1024 * 1024;
 
     private static final int STATUS_REQUEST_TIMEOUT = 408;
     private static final int STATUS_CONTENT_TOO_LARGE = 413;
@@ -80,6 +76,7 @@
 
     private final ClientRequestHandler handler;
     private final Connection connection;
+    private final PipelinedInput pipelinedInput;
     private final Http1HeadReader headReader = new Http1HeadReader(true);
     private boolean readingHead;
     private boolean closing;
@@ -100,13 +97,12 @@
     private boolean keepAlive = true;
     private boolean dispatched;
     private boolean responded;
-    /** Bytes of later requests that were dropped: the response to the open one is the last on the connection. */
-    private long droppedPipelinedBytes;
 
     /** Serves an accepted connection, whose handler it becomes. */
     ClientConnection(ClientRequestHandler handler, Connection connection) {
         this.handler = handler;
         this.connection = connection;
+        pipelinedInput = new PipelinedInput(connection);
         stateSince = handler.now();
         lastProgressAt = stateSince;
         announcedIdleMicros = handler.requestLimits().idleTimeoutMicros();
@@ -152,20 +148,11 @@
      * a later turn.
      */
     boolean hasLeft(ClientRequest of) {
-        boolean justRead = lastProgressAt == handler.now();
-        return of != request || !justRead && endsByNow();
+        return of != request || lastProgressAt != handler.now() && endsByNow();
     }
 
-    /** Whether the client has left by now; its end may lie behind later requests that are too long to be kept. */
     private boolean endsByNow() {
-        while (!connection.pollInputEnded()) {
-            boolean wholeRequest = bodyReader == null;
-            if (!wholeRequest || connection.available() == 0 || !hasExcessPipelinedInput()) {
-                return false;
-            }
-            dropExcessPipelinedInput();
-        }
-        return true;
+        return bodyReader == null ? pipelinedInput.pollEnd() : connection.pollInputEnded();
     }
 
     int bufferedBodyBytes() {
@@ -198,7 +185,10 @@
         } else if (state == State.READING_BODY || state == State.DISCARDING_BODY) {
             return readBody();
         } else if (state == State.AWAITING_RESPONSE) {
-            dropExcessPipelinedInput();
+            pipelinedInput.dropExcess();
+            if (pipelinedInput.exceedsLimit()) {
+                disconnect();
+            }
             return false;
         } else if (state == State.DEFERRED) {
             connection.setReadPaused(connection.available() > MAX_DEFERRED_BYTES); // it may be the request's own body
@@ -207,25 +197,6 @@
         return readHead();
     }
 
-    private boolean hasExcessPipelinedInput() {
-        return droppedPipelinedBytes > 0 || connection.available() >= MAX_PIPELINED_BYTES;
-    }
-
-    /**
-     * Reads on while a request is open, as only that shows that its client leaves. What is too much to be kept for
-     * later is dropped, and the connection ends behind the response.
-     */
-    private void dropExcessPipelinedInput() {
-        if (!hasExcessPipelinedInput()) {
-            return;
-        }
-        droppedPipelinedBytes += connection.available();
-        connection.skip(connection.available());
-        if (droppedPipelinedBytes > MAX_DROPPED_PIPELINED_BYTES) {
-            disconnect();
-        }
-    }
-
     private boolean readHead() throws MalformedMessageException {
         Http1Head head = headReader.read(connection, handler.requestLimits().maxHeaderBytes());
         if (head == null) {
@@ -359,7 +330,7 @@
             return;
         }
         responded = true;
-        boolean last = !keepAlive || handler.isDraining() || droppedPipelinedBytes > 0;
+        boolean last = !keepAlive || handler.isDraining() || pipelinedInput.wasDropped();
         if (!last) {
             announcedIdleMicros = handler.requestLimits().idleTimeoutMicros();
         }
--- a/src/main/java/reedmux/simulation/soak/SoakOutcome.java
+++ b/src/main/java/reedmux/simulation/soak/SoakOutcome.java
@@ -12,6 +12,7 @@
  * @param served           of these requests
  * @param endedByDeparture executions that ended as their client had left
  * @param processes        that were started
+ * @param heldUpTimes      how often the machine held a proxy up for over a second
  */
 public record SoakOutcome(
         long seed,
@@ -20,4 +21,5 @@
         long requests,
         long served,
         int endedByDeparture,
-        int processes) {}
+        int processes,
+        int heldUpTimes) {}
