A store that becomes complete tells those who pull from it (CONFIG)

ChangePublisher answered a pull that waits only if an item had changed. A store that was pulled from before it was complete stayed uncounted until the next change; where the others needed it to be complete themselves, under a new epoch after losses of their disks, no change could be made.

Change: a pull whose last answer said that the store is not complete is answered once it is.

--- a/src/main/java/reedmux/control/store/ChangePublisher.java
+++ b/src/main/java/reedmux/control/store/ChangePublisher.java
@@ -186,7 +186,8 @@
         }
         // A store that has reconnected is answered even if nothing is new: it counts no peer that has not answered.
         boolean firstReply = toStore && !session.replied;
-        return firstReply || !session.appliedSince || replica.lastChange() > session.sinceChange;
+        boolean completeSince = toStore && session.repliedIncomplete && consensus.isComplete();
+        return firstReply || completeSince || !session.appliedSince || replica.lastChange() > session.sinceChange;
     }
 
     private void sendToProxy(RpcConnection connection, PullSession session) {
@@ -211,6 +212,7 @@
             return;
         }
         session.sentUpToChange = consensus.isComplete() ? replica.lastChange() : PullSession.UNKNOWN;
+        session.repliedIncomplete = !consensus.isComplete();
         connection.sendMessage(new ConfigurationUpdate(
                 incarnation,
                 batch.upToChange(),
--- a/src/main/java/reedmux/control/store/PullSession.java
+++ b/src/main/java/reedmux/control/store/PullSession.java
@@ -13,6 +13,8 @@
     boolean replyDue;
     /** Whether any request was answered. */
     boolean replied;
+    /** Whether the last reply said that this store is not complete, so that the follower does not count it. */
+    boolean repliedIncomplete;
     /** The change behind which the follower wants to continue; {@link #UNKNOWN} where it is of another incarnation. */
     long sinceChange = UNKNOWN;
     /** Whether the follower has applied everything up to {@link #sinceChange}, and not only received it. */
--- a/src/test/java/reedmux/control/consensus/CoreReplacementTest.java
+++ b/src/test/java/reedmux/control/consensus/CoreReplacementTest.java
@@ -117,6 +117,26 @@
         }
     }
 
+    /** Two have lost their disks and recovered, one after the other, before the third one is replaced. */
+    @Test
+    public void membersThatHaveRecoveredFromDiskLossOutliveAReplacement() {
+        ChangingCoreCluster cluster = new ChangingCoreCluster(3);
+        for (String lost : List.of("s1", "s0")) {
+            VirtualNode node = cluster.node(lost);
+            cluster.crash(node);
+            cluster.settle(1);
+            ChangingCoreCluster.wipe(node);
+            node.start(false);
+            cluster.settle(6);
+        }
+        cluster.crash(cluster.node("s2"));
+        cluster.settle(1);
+        cluster.join("s3", "n3");
+        cluster.settle(6);
+        assertChangeIsTaken(cluster, "s0", "afterwards");
+        cluster.assertCore("s0", "s1", "s3");
+    }
+
     private static void assertChangeIsTaken(ChangingCoreCluster cluster, String ip, String route) {
         RecordedReply reply = cluster.change(
                 cluster.node(ip),
--- /dev/null
+++ b/src/test/java/reedmux/simulation/cluster/DiskLossClusterTest.java
@@ -0,0 +1,133 @@
+package reedmux.simulation.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import reedmux.common.net.SocketAddresses;
+import reedmux.control.rpc.MessageCodec;
+import reedmux.control.rpc.Messages;
+import reedmux.control.rpc.RpcConnection;
+import reedmux.simulation.harness.OneShotHttpCall;
+
+/** Machines of the core that lose their disks while nothing is changed; with the programs as they are. */
+public class DiskLossClusterTest {
+    private static final long SECOND = 1_000_000;
+    private static final int SEEDS = 3;
+    private static final String CHANGE = "{\"apply\":{\"signals\":[{\"signalKind\":\"plants\",\"heading\":"
+            + "{\"name\":\"newer\",\"revision\":99},"
+            + "\"reference\":{\"probe\":\"/health\",\"connCeiling\":9}}]}}";
+
+    /** Who loses its disk first, who does after that, and who is gone for good in the end. */
+    @DataProvider
+    public Object[][] orders() {
+        return new Object[][] {{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}};
+    }
+
+    /** Each has the time to count again, so that the core is never without more than one. */
+    @Test(dataProvider = "orders")
+    public void theCoreTakesChangesAfterLossesOfAllItsDisks(int first, int second, int replaced) {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            ServingDeployment serving = new ServingDeployment(seed, line -> {});
+            List<Deployment.DeployedNode> cores = serving.deployment().cores();
+            for (int lost : new int[] {first, second}) {
+                cores.get(lost).losePower(SECOND, true);
+                serving.simulation().runFor(8 * SECOND);
+            }
+            cores.get(replaced).kill(SECOND); // the others see its connections end
+            serving.simulation().runFor(SECOND / 10);
+            cores.get(replaced).replace("10.1.7.10", "core-new", false, SECOND / 2 * seed);
+            serving.simulation().runFor(12 * SECOND);
+            for (InetSocketAddress control : serving.deployment().controlAddresses()) {
+                assertEquals(change(serving, control), 200, "seed " + seed + " at " + control);
+            }
+            assertTrue(
+                    serving.invariants().violations().isEmpty(),
+                    serving.invariants().violations().toString());
+        }
+    }
+
+    /** What a store that pulls from another one is told of whether that one is complete. */
+    private static final class PullingPeer implements RpcConnection.RpcConnectionHandler {
+        private final List<Boolean> told = new ArrayList<>();
+
+        @Override
+        public void onConnected(RpcConnection connection) {
+            connection.sendMessage(new Messages.ChangesRequest(0, -1));
+        }
+
+        @Override
+        public void onMessage(RpcConnection connection, Object message) {
+            if (message instanceof Messages.SnapshotChunk chunk) {
+                connection.sendMessage(new Messages.SnapshotChunkRequest(chunk.incarnation(), chunk.upToChange()));
+            } else if (message instanceof Messages.ConfigurationUpdate update) {
+                told.add(update.complete());
+                connection.sendMessage(new Messages.ChangesRequest(update.incarnation(), update.upToChange()));
+            }
+        }
+
+        @Override
+        public void onDisconnected(RpcConnection connection) {}
+    }
+
+    /** A store that has lost its disk is pulled from before it is complete, and nothing changes after that. */
+    @Test
+    public void aStoreThatBecomesCompleteTellsThoseWhoPullFromIt() throws IOException {
+        ServingDeployment serving = new ServingDeployment(1, line -> {});
+        ClusterSimulation simulation = serving.simulation();
+        List<Deployment.DeployedNode> cores = serving.deployment().cores();
+        SimulatedMachine lost = cores.get(0).machine();
+        SimulatedMachine cutOff = cores.get(1).machine();
+        simulation.partition(lost, cutOff);
+        simulation.partition(cutOff, lost);
+        cores.get(0).losePower(SECOND, true);
+        simulation.runFor(3 * SECOND);
+        SimulatedProcess process = new SimulatedProcess(
+                simulation, new SimulatedMachine(simulation, "10.7.0.5", "hall-a", false), "peer", 0, line -> {});
+        Messages.Hello hello =
+                new Messages.Hello(Messages.FORMAT_VERSION, "store", "peer", "10.7.0.5", "hall-a", 1, List.of());
+        PullingPeer peer = new PullingPeer();
+        process.submit(() -> {});
+        RpcConnection connection = RpcConnection.connect(
+                process.reactor(),
+                new MessageCodec(),
+                hello,
+                SocketAddresses.parse(lost.ip() + ':' + Deployment.STORE_PORT),
+                peer);
+        keepAlive(process, connection);
+        simulation.runFor(SECOND);
+        assertEquals(peer.told, List.of(false));
+        simulation.heal(lost, cutOff);
+        simulation.heal(cutOff, lost);
+        simulation.runFor(12 * SECOND);
+        assertEquals(peer.told, List.of(false, true));
+    }
+
+    private static void keepAlive(SimulatedProcess process, RpcConnection connection) {
+        process.reactor().scheduleEvery(SECOND / 2, () -> connection.sendMessage(new Messages.KeepAlive()));
+    }
+
+    private static int change(ServingDeployment serving, InetSocketAddress control) {
+        int[] result = {0};
+        serving.outside().reactor().execute(() -> {
+            try {
+                new OneShotHttpCall(
+                        serving.outside().reactor(),
+                        control,
+                        OneShotHttpCall.post("/v1/Config.Adjust", CHANGE),
+                        3 * SECOND,
+                        (status, head, text) -> result[0] = status);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        serving.simulation().runFor(4 * SECOND);
+        return result[0];
+    }
+}
