--- a/src/test/java/reedmux/simulation/soak/SoakTest.java
+++ b/src/test/java/reedmux/simulation/soak/SoakTest.java
@@ -97,9 +97,11 @@
         CompletableFuture<Integer> exit = new CompletableFuture<>();
         store.onExit(exit::complete);
         try {
-            await(store::hasBegun);
+            await(store::hasBegun, () -> Files.readString(output));
             store.signal("HUP");
-            await(() -> Files.readString(output).contains("settings read again"));
+            await(
+                    () -> Files.readString(output).contains("settings read again"),
+                    () -> "exit " + exit + ", " + Files.readString(output));
             assertTrue(store.isAlive());
             store.signal("TERM");
             assertEquals(exit.get(20, TimeUnit.SECONDS).intValue(), 0);
@@ -112,8 +114,12 @@
         boolean holds() throws IOException;
     }
 
-    /** Polls for at most 20 seconds. */
-    private static void await(Condition condition) throws IOException, InterruptedException {
+    private interface Detail {
+        String describe() throws IOException;
+    }
+
+    /** Polls for at most 20 seconds; {@code detail}: what there is to see where it fails. */
+    private static void await(Condition condition, Detail detail) throws IOException, InterruptedException {
         CompletableFuture<Void> never = new CompletableFuture<>();
         for (int i = 0; i < 1_000; i++) {
             if (condition.holds()) {
@@ -125,6 +131,6 @@
                 continue;
             }
         }
-        throw new AssertionError("nothing in 20 s");
+        throw new AssertionError("nothing in 20 s: " + detail.describe());
     }
 }
