--- a/src/test/java/reedmux/simulation/cluster/ClientDepartureClusterTest.java
+++ b/src/test/java/reedmux/simulation/cluster/ClientDepartureClusterTest.java
@@ -37,8 +37,6 @@
     public enum Ending {
         /** Both directions at once, as most programs do. */
         CLOSE,
-        /** With input that it has not read, so that the proxy sees a reset. */
-        RESET,
         /** Its own direction only. */
         HALF_CLOSE
     }
