--- a/src/main/java/reedmux/common/settings/Signals.java
+++ b/src/main/java/reedmux/common/settings/Signals.java
@@ -24,14 +24,18 @@
 
     /**
      * Runs a task at each signal of a name, on a thread of the JVM; without it the JVM ends at SIGTERM and SIGHUP. The
-     * JDK's class for signals is not part of its documented interface, and may refuse a signal: the program runs all
-     * the same then, and the log says so.
+     * JDK's class for signals is not part of its documented interface, and may refuse a signal, or leave one ignored
+     * that the parent process ignores: the program runs all the same then, and the log says so.
      *
      * @param name the signal without {@code SIG}
      */
     public static void on(String name, Runnable task, Consumer<String> log) {
         try {
-            Signal.handle(new Signal(name), new TaskHandler(task));
+            SignalHandler before = Signal.handle(new Signal(name), new TaskHandler(task));
+            if (before == SignalHandler.SIG_IGN) {
+                // the JVM leaves a signal ignored that its parent ignores, and calls no handler
+                log.accept("SIG" + name + " is ignored, as by the process that started this one");
+            }
         } catch (IllegalArgumentException e) {
             log.accept("SIG" + name + " is not handled here: " + e.getMessage());
         }
--- a/src/main/java/reedmux/simulation/soak/ProgramProcess.java
+++ b/src/main/java/reedmux/simulation/soak/ProgramProcess.java
@@ -12,6 +12,11 @@
 /** One of the system's programs as a process of the operating system; it ends with this one at the latest. */
 final class ProgramProcess {
     private static final String SIGNAL_COMMAND = "kill";
+    private static final String LAUNCHER = "env";
+    /** As the platform starts programs: a parent that ignores SIGHUP, as nohup does, has its children ignore it. */
+    static final String HANG_UP_BY_DEFAULT = "--default-signal=HUP";
+
+    static final String HANG_UP_IGNORED = "--ignore-signal=HUP";
     private static final long KILL_SECONDS = 5;
     /** As deploy/system.toml has them, without the class archive that only its build makes. */
     private static final List<String> JVM_OPTIONS = List.of(
@@ -37,9 +42,16 @@
 
     /** Starts a program; {@code output} receives what it writes, behind what is there. */
     ProgramProcess(String program, Path settings, Path output) throws IOException {
+        this(program, settings, output, HANG_UP_BY_DEFAULT);
+    }
+
+    /** The same with a launcher's option that says what becomes of a signal. */
+    ProgramProcess(String program, Path settings, Path output, String signalOption) throws IOException {
         this.output = output;
         outputBefore = Files.exists(output) ? Files.size(output) : 0;
         List<String> command = new ArrayList<>();
+        command.add(LAUNCHER);
+        command.add(signalOption);
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(JVM_OPTIONS);
         command.add("-cp");
--- a/src/test/java/reedmux/simulation/soak/SoakTest.java
+++ b/src/test/java/reedmux/simulation/soak/SoakTest.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -80,18 +81,7 @@
     @Test
     public void signalsDuringTheStartOfAProgramAreHandled()
             throws IOException, InterruptedException, ExecutionException, TimeoutException {
-        String ip = "127." + (FIRST_NETWORK + SEEDS.length) + ".0.1";
-        int port;
-        try (ServerSocket probe = new ServerSocket()) {
-            probe.bind(new InetSocketAddress(ip, 0));
-            port = Math.min(60_000, probe.getLocalPort());
-        }
-        Path settings = directory.resolve("store.toml");
-        Files.writeString(
-                settings,
-                "node = \"core-0\"\nip = \"" + ip + "\"\nzone = \"a\"\nportRange = [" + port + ", " + (port + 10)
-                        + "]\ncoldStart = true\nseeds = [\"" + ip + ":" + (port + 20) + "\"]\ndataDir = \""
-                        + directory.resolve("disk") + "\"\n[sockets]\ncontrol = \"" + ip + ":" + (port + 20) + "\"\n");
+        Path settings = writeStoreSettings();
         Path output = directory.resolve("store.log");
         ProgramProcess store = new ProgramProcess("store", settings, output);
         CompletableFuture<Integer> exit = new CompletableFuture<>();
@@ -110,6 +100,47 @@
         }
     }
 
+    /**
+     * A program that was started by one that ignores SIGHUP, as nohup does, said nothing of it and was taken for one
+     * that loses signals: in a test run under nohup the signal came and nothing was read. It is told in the log, and
+     * a changed file is taken up all the same.
+     */
+    @Test
+    public void programWhoseParentIgnoresHangUpSaysSoAndReadsChangedSettings()
+            throws IOException, InterruptedException {
+        Path settings = writeStoreSettings();
+        Path output = directory.resolve("store.log");
+        ProgramProcess store = new ProgramProcess("store", settings, output, ProgramProcess.HANG_UP_IGNORED);
+        try {
+            await(store::hasBegun, () -> Files.readString(output));
+            assertTrue(Files.readString(output).contains("SIGHUP is ignored"), Files.readString(output));
+            store.signal("HUP");
+            await(() -> Files.readString(output).contains("listens"), () -> Files.readString(output));
+            Path changed =
+                    Files.writeString(directory.resolve("store.new"), "# changed\n" + Files.readString(settings));
+            Files.move(changed, settings, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            await(() -> Files.readString(output).contains("settings read again"), () -> Files.readString(output));
+        } finally {
+            store.killAndWait();
+        }
+    }
+
+    private Path writeStoreSettings() throws IOException {
+        String ip = "127." + (FIRST_NETWORK + SEEDS.length) + ".0.1";
+        int port;
+        try (ServerSocket probe = new ServerSocket()) {
+            probe.bind(new InetSocketAddress(ip, 0));
+            port = Math.min(60_000, probe.getLocalPort());
+        }
+        Path settings = directory.resolve("store.toml");
+        Files.writeString(
+                settings,
+                "node = \"core-0\"\nip = \"" + ip + "\"\nzone = \"a\"\nportRange = [" + port + ", " + (port + 10)
+                        + "]\ncoldStart = true\nseeds = [\"" + ip + ":" + (port + 20) + "\"]\ndataDir = \""
+                        + directory.resolve("disk") + "\"\n[sockets]\ncontrol = \"" + ip + ":" + (port + 20) + "\"\n");
+        return settings;
+    }
+
     private interface Condition {
         boolean holds() throws IOException;
     }
