QUOTA on a fleet: red tests, a record with real processes, tenants in the soak

Seen: customers got more than their limits on a fleet of 75 real processes, in most runs. An update names its receiver by session, as it may soon be of another view; no logic of the counting changes.

--- a/src/main/java/reedmux/cli/SoakCommand.java
+++ b/src/main/java/reedmux/cli/SoakCommand.java
@@ -21,6 +21,9 @@
     private static final int FIRST_NETWORK = 20;
 
     private static final int NETWORKS = 100;
+    private static final int MIN_CORES = 3;
+    /** Beyond that a proxy would never go on. */
+    private static final int MAX_THROTTLE_MILLIS = 100;
 
     @AirlineModule
     private HelpOption<SoakCommand> help;
@@ -46,6 +49,15 @@
     @Option(name = "--leaving", title = "N", description = "clients that leave without waiting for their responses")
     private int leaving = 8;
 
+    @Option(name = "--tenants", title = "N", description = "tenants with quotas, of which some go beyond them")
+    private int tenants = 6;
+
+    @Option(name = "--rate", title = "N", description = "what these tenants usually ask for, in requests a second")
+    private int rate = 60;
+
+    @Option(name = "--throttle", title = "MS", description = "how long a proxy stands still in each 100 ms, at most")
+    private int throttle;
+
     @Option(name = "--keep", title = "DIR", description = "keeps settings, disks and logs of runs that fail there")
     private String keep;
 
@@ -55,31 +67,44 @@
             return ExitCode.OK;
         }
         SeedRange range = SeedRange.parse(seeds);
-        if (range == null || seconds < 1 || proxies < 1 || cores < 3 || checkers < 1 || clients < 1 || leaving < 0) {
-            System.err.println("reedmux: soak: --seeds is A..B, --cores at least 3, the others are numbers above 0");
+        if (range == null || !isValid()) {
+            System.err.println(
+                    "reedmux: soak: --seeds is A..B, --cores at least 3, --throttle below 100, the others above 0");
             return ExitCode.BAD_USAGE;
         }
         int failed = 0;
         for (long seed = range.first(); seed <= range.last(); seed++) {
-            failed += run(new SoakOptions(seed, seconds, proxies, cores, checkers, clients, leaving)) ? 0 : 1;
+            failed += run(new SoakOptions(
+                            seed, seconds, proxies, cores, checkers, clients, leaving, tenants, rate, throttle))
+                    ? 0
+                    : 1;
         }
         System.out.println(range.last() - range.first() + 1 + " runs, " + failed + " with violations");
         return failed == 0 ? ExitCode.OK : ExitCode.FAILED;
     }
 
+    private boolean isValid() {
+        boolean anyOfAll = seconds > 0 && proxies > 0 && checkers > 0 && clients > 0 && tenants > 0 && rate > 0;
+        return anyOfAll && cores >= MIN_CORES && leaving >= 0 && throttle >= 0 && throttle < MAX_THROTTLE_MILLIS;
+    }
+
     private boolean run(SoakOptions options) throws IOException, InterruptedException {
         Path directory = Files.createTempDirectory("reedmux-soak");
         SoakOutcome outcome =
                 SoakRun.run(options, directory, FIRST_NETWORK + (int) Math.floorMod(options.seed(), (long) NETWORKS));
         System.out.printf(
                 "seed %d: %d of %d requests served, %d executions ended by departures, "
-                        + "%d processes started, %d times held up, %d faults, %d violations%n",
+                        + "%d processes started, %d times held up, worst window %.2f of its quota, "
+                        + "%d of %d requests within quotas refused, %d faults, %d violations%n",
                 outcome.seed(),
                 outcome.served(),
                 outcome.requests(),
                 outcome.endedByDeparture(),
                 outcome.processes(),
                 outcome.heldUpTimes(),
+                outcome.worstQuotaShare(),
+                outcome.refused(),
+                outcome.withinQuota(),
                 outcome.faults().size(),
                 outcome.violations().size());
         outcome.violations().forEach(violation -> System.out.println("    " + violation));
--- a/src/main/java/reedmux/proxy/QuotaExchange.java
+++ b/src/main/java/reedmux/proxy/QuotaExchange.java
@@ -26,7 +26,6 @@
     private final ControlPlaneClient controlPlane;
     private final int peerPort;
     private final UdpEndpoint socket;
-    private SessionView view = SessionView.of(List.of());
 
     QuotaExchange(
             ProcessSettings settings,
@@ -44,15 +43,13 @@
     }
 
     void onViewChange(SessionView next) {
-        view = next;
         quotas.onViewChange(next, reactor.now());
     }
 
     /** Sends what is due, now and from now on. */
     void sendUpdates() {
         for (OutgoingUpdate update : quotas.collectUpdates(reactor.now())) {
-            InetSocketAddress receiver =
-                    SocketAddresses.parse(view.member(update.receiver()).ip() + ':' + peerPort);
+            InetSocketAddress receiver = SocketAddresses.parse(update.receiver().ip() + ':' + peerPort);
             send(receiver, update.update());
         }
         reactor.scheduleAfter(quotas.sendIntervalMicros(), this::sendUpdates);
--- a/src/main/java/reedmux/proxy/quota/QuotaTracker.java
+++ b/src/main/java/reedmux/proxy/quota/QuotaTracker.java
@@ -10,6 +10,7 @@
 import reedmux.common.quota.QuotaUpdate;
 import reedmux.common.quota.QuotaUpdate.TenantTotal;
 import reedmux.control.configuration.TenantItem;
+import reedmux.control.session.ProxySession;
 import reedmux.control.session.SessionView;
 
 /**
@@ -73,8 +74,8 @@
     /** The least rate by which a wait is computed, in requests a second. */
     private static final double MIN_RATE_FOR_WAIT = 0.01;
 
-    /** An update and the index in the view of the member that it goes to. */
-    public record OutgoingUpdate(int receiver, QuotaUpdate update) {}
+    /** An update and the member that it goes to. */
+    public record OutgoingUpdate(ProxySession receiver, QuotaUpdate update) {}
 
     private final String self;
     private final long incarnation;
@@ -303,7 +304,7 @@
                 neighbours.onSent(link, now);
                 int reachable = neighbours.reachableMembers(link, now);
                 updates.add(new OutgoingUpdate(
-                        neighbours.index(link),
+                        view.member(neighbours.index(link)),
                         new QuotaUpdate(self, incarnation, generation, view.digest(), reachable, entries)));
             }
         }
--- a/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
+++ b/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
@@ -1,5 +1,6 @@
 package reedmux.simulation.cluster;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.function.Predicate;
 import reedmux.control.configuration.ConfigurationItem;
@@ -53,8 +54,35 @@
     }
 
     /** Sets the quota of every tenant: requests a second, and requests at once. */
-    void setQuota(double rate, double burst) {
-        requests.setQuota(rate, burst);
+    public void setQuota(double rate, double burst) {
+        requests.quotas().setDefaultLimits(rate, burst);
+    }
+
+    /** A change of one tenant's quota is sent. */
+    public void onQuotaSent(String tenant, double rate, double burst) {
+        requests.quotas().onLimitsSent(tenant, rate, burst);
+    }
+
+    /** The last change of a tenant's quota is acknowledged. */
+    public void onQuotaAcknowledged(String tenant, long now) {
+        requests.quotas().onLimitsAcknowledged(tenant, now);
+    }
+
+    /** Looks whether lower quotas bind by now, which they do only after all these proxies had contact. */
+    public void settleQuotas(Collection<String> proxies, long now) {
+        if (faults.isCoreSettled(now, now) && proxies.stream().allMatch(proxy -> faults.isInContact(proxy, now, now))) {
+            requests.quotas().onAllInContact(now);
+        }
+    }
+
+    /** Reports the tenants that were beyond their quota in some window. */
+    public void checkQuotas() {
+        requests.checkQuotas();
+    }
+
+    /** The largest share of what its quota allows that any tenant had executed in a window. */
+    public double worstQuotaShare() {
+        return requests.quotas().worstShare();
     }
 
     // ---- Faults ------------------------------------------------------------------------------------
--- a/src/main/java/reedmux/simulation/cluster/ConfigurationGenerator.java
+++ b/src/main/java/reedmux/simulation/cluster/ConfigurationGenerator.java
@@ -18,8 +18,9 @@
     private static final int ROUTES = 6;
     private static final int TENANTS = 3;
     private static final int LARGE_KEY_COUNT = 400;
-    static final double QUOTA_RATE = 60;
-    static final double QUOTA_BURST = 60;
+    public static final double QUOTA_RATE = 60;
+
+    public static final double QUOTA_BURST = 60;
     private final Random random;
     private long revision = 7;
     private int addedNames;
@@ -34,17 +35,20 @@
         this.random = random;
     }
 
-    private long nextRevision() {
+    /** A revision above all before it. */
+    public long nextRevision() {
         revision += 1 + random.nextInt(3);
         return revision;
     }
 
-    private static String itemJson(String kind, String name, long at, String reference) {
+    /** An item as operators write it; {@code reference}: its members but for kind, name and revision. */
+    public static String itemJson(String kind, String name, long at, String reference) {
         return "{\"signalKind\":\"" + kind + "\",\"heading\":{" + (name.isEmpty() ? "" : "\"name\":\"" + name + "\",")
                 + "\"revision\":" + at + "},\"reference\":{" + reference + "}}";
     }
 
-    private static String callJson(List<String> signals, String removed) {
+    /** A call that applies items and removes others. */
+    public static String callJson(List<String> signals, String removed) {
         return "{\"apply\":{\"signals\":[" + String.join(",", signals) + "]},\"remove\":{" + removed + "}}";
     }
 
--- a/src/main/java/reedmux/simulation/cluster/RequestInvariants.java
+++ b/src/main/java/reedmux/simulation/cluster/RequestInvariants.java
@@ -1,8 +1,6 @@
 package reedmux.simulation.cluster;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -20,9 +18,6 @@
     private static final long DRAIN_LIMIT_MICROS = 2 * SECOND;
 
     private static final long ACKNOWLEDGEMENT_LIMIT_MICROS = 4 * SECOND;
-    private static final long QUOTA_WINDOW_MICROS = 5 * SECOND;
-    private static final double QUOTA_OVERSHOOT = 1.1;
-    private static final double QUOTA_SLACK = 20;
     private static final long RETRY_WINDOW_SECONDS = 10;
     private static final double RETRY_RATIO = 0.2;
     private static final double RETRY_SLACK = 56;
@@ -69,16 +64,12 @@
     private final DepartureInvariants departures;
     private final Map<String, ObservedRequest> requests = new LinkedHashMap<>();
     private final Map<String, Long> drainAcknowledgedAt = new HashMap<>();
-    private final Map<String, Deque<Long>> executionTimes = new HashMap<>();
-    /** Of tenants beyond their quota, the most executions in one window. */
-    private final Map<String, Integer> quotaPeaks = new LinkedHashMap<>();
+    private final QuotaInvariants quotas = new QuotaInvariants();
     /** By service and second. */
     private final Map<String, Map<Long, AttemptCounts>> attempts = new HashMap<>();
 
     private int drains;
     private int unacknowledgedDrains;
-    private double quotaRate;
-    private double quotaBurst;
     private long servedCount;
     private long requestCount;
 
@@ -108,10 +99,9 @@
         return requestCount;
     }
 
-    /** Sets the quota of every tenant: requests a second, and requests at once. */
-    void setQuota(double rate, double burst) {
-        quotaRate = rate;
-        quotaBurst = burst;
+    /** What holds for the quotas of tenants. */
+    QuotaInvariants quotas() {
+        return quotas;
     }
 
     /** A client has sent a request; {@code service} is null for a probe. */
@@ -161,8 +151,8 @@
             log.report("UNASKED", id + " is of " + request.tenant + " and runs for " + tenant);
         }
         checkDrain(id, checker, request.proxy, now);
-        if (tenant != null && quotaRate > 0) {
-            countExecution(tenant, now);
+        if (tenant != null) {
+            quotas.onExecuted(tenant, now);
         }
     }
 
@@ -184,22 +174,6 @@
         }
     }
 
-    private void countExecution(String tenant, long now) {
-        Deque<Long> times = executionTimes.computeIfAbsent(tenant, name -> new ArrayDeque<>());
-        times.add(now);
-        while (times.peek() < now - QUOTA_WINDOW_MICROS) {
-            times.poll();
-        }
-        if (times.size() > maxExecutions() && times.size() > quotaPeaks.getOrDefault(tenant, 0)) {
-            quotaPeaks.put(tenant, times.size());
-        }
-    }
-
-    /** What a tenant's quota allows in one window. */
-    private double maxExecutions() {
-        return (quotaRate * QUOTA_WINDOW_MICROS / SECOND + quotaBurst) * QUOTA_OVERSHOOT + QUOTA_SLACK;
-    }
-
     private static boolean guaranteesNotExecuted(int status) {
         return status == 429 || status == 503 || status == 408 || status == 421;
     }
@@ -277,11 +251,15 @@
                 && unacknowledgedDrains * UNACKNOWLEDGED_DRAIN_SHARE > drains) {
             log.report("ACKS", unacknowledgedDrains + " of " + drains + " checkers that leave were not acknowledged");
         }
-        quotaPeaks.forEach((tenant, peak) ->
-                log.report("QUOTA", peak + " of " + tenant + " in 5 s, " + (long) maxExecutions() + " allowed"));
+        checkQuotas();
         attempts.forEach(this::checkRetryBudget);
     }
 
+    /** After the last event: tenants beyond their quota. */
+    void checkQuotas() {
+        quotas.violations().forEach(violation -> log.report("QUOTA", violation));
+    }
+
     /**
      * In each window the retries are bounded by a share of the first attempts. Those are counted in the same window,
      * the one before it or one in between, whichever has most, as a retry may follow its first attempt into the next
--- a/src/main/java/reedmux/simulation/soak/ProgramProcess.java
+++ b/src/main/java/reedmux/simulation/soak/ProgramProcess.java
@@ -84,6 +84,10 @@
         return endExpected;
     }
 
+    long id() {
+        return process.pid();
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/src/main/java/reedmux/simulation/soak/SoakMachine.java
+++ b/src/main/java/reedmux/simulation/soak/SoakMachine.java
@@ -113,6 +113,14 @@
         return programs;
     }
 
+    /** The processes that run now. */
+    List<Long> processIds() {
+        return processes.values().stream()
+                .filter(ProgramProcess::isAlive)
+                .map(ProgramProcess::id)
+                .toList();
+    }
+
     // ---- Starts and ends ---------------------------------------------------------------------------
 
     void start() {
--- a/src/main/java/reedmux/simulation/soak/SoakOptions.java
+++ b/src/main/java/reedmux/simulation/soak/SoakOptions.java
@@ -10,5 +10,18 @@
  * @param checkers stand-ins for checkers
  * @param clients  clients that send one request after another
  * @param leaving  clients that leave without waiting for their responses
+ * @param tenants  with quotas of their own, of which some go beyond them
+ * @param rate     what these tenants usually ask for together, in requests a second
+ * @param throttle how long each proxy stands still in every tenth of a second, at most, in milliseconds
  */
-public record SoakOptions(long seed, int seconds, int proxies, int cores, int checkers, int clients, int leaving) {}
+public record SoakOptions(
+        long seed,
+        int seconds,
+        int proxies,
+        int cores,
+        int checkers,
+        int clients,
+        int leaving,
+        int tenants,
+        double rate,
+        int throttle) {}
--- a/src/main/java/reedmux/simulation/soak/SoakOutcome.java
+++ b/src/main/java/reedmux/simulation/soak/SoakOutcome.java
@@ -13,6 +13,9 @@
  * @param endedByDeparture executions that ended as their client had left
  * @param processes        that were started
  * @param heldUpTimes      how often the machine held a proxy up for over a second
+ * @param worstQuotaShare  the largest share of what its quota allows that any tenant had executed in a window
+ * @param withinQuota      requests of tenants that kept to their quota
+ * @param refused          of these, as if they were beyond it
  */
 public record SoakOutcome(
         long seed,
@@ -22,4 +25,7 @@
         long served,
         int endedByDeparture,
         int processes,
-        int heldUpTimes) {}
+        int heldUpTimes,
+        double worstQuotaShare,
+        int withinQuota,
+        int refused) {}
--- a/src/main/java/reedmux/simulation/soak/SoakRun.java
+++ b/src/main/java/reedmux/simulation/soak/SoakRun.java
@@ -45,6 +45,7 @@
     /** On a machine with hundreds of processes each may be late; a checker that is not told goes on for longer. */
     private static final long DEPARTURE_LIMIT_MICROS = 2 * SECOND;
 
+    private static final long QUOTA_SETTLE_INTERVAL_MICROS = SECOND / 4;
     private static final double LOST_RESPONSE_SHARE = 0.1;
     private static final long RUN_TIMEOUT_SECONDS = 600;
 
@@ -66,6 +67,9 @@
     private final List<String> faultLog = new ArrayList<>();
     private final OperatorTraffic operatorTraffic;
     private final SoakFaults faults;
+    private ClientContext context;
+    private TenantTraffic tenants;
+    private ProcessThrottle throttle;
     private final CompletableFuture<Void> finished = new CompletableFuture<>();
     private final String network;
     private int startedProcesses;
@@ -94,6 +98,7 @@
         }
         operatorTraffic = new OperatorTraffic(reactor, random, operators, configurations);
         invariants.setDepartureLimit(DEPARTURE_LIMIT_MICROS);
+        invariants.setQuota(ConfigurationGenerator.QUOTA_RATE, ConfigurationGenerator.QUOTA_BURST);
     }
 
     /**
@@ -130,7 +135,10 @@
                 soak.invariants.servedCount(),
                 soak.invariants.executionsEndedByDeparture(),
                 soak.startedProcesses,
-                soak.heldUpTimes);
+                soak.heldUpTimes,
+                soak.invariants.worstQuotaShare(),
+                soak.tenants == null ? 0 : soak.tenants.requestsWithinQuota(),
+                soak.tenants == null ? 0 : soak.tenants.refusedWithinQuota());
     }
 
     private void destroyAll() {
@@ -138,6 +146,9 @@
             for (SoakMachine machine : List.copyOf(all)) {
                 machine.destroy();
             }
+            if (throttle != null) {
+                throttle.close();
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -290,7 +301,18 @@
                 configurations.initialChange(),
                 begun + START_TIMEOUT_MICROS,
                 "the start",
-                () -> awaitReady(begun + START_TIMEOUT_MICROS, "the start", this::beginTraffic));
+                () -> createTenants(begun + START_TIMEOUT_MICROS));
+    }
+
+    private void createTenants(long deadline) {
+        context = new ClientContext(reactor, random, invariants, configurations::planRequest, proxies);
+        tenants = new TenantTraffic(
+                context, operators.get(0), configurations, this::logFault, options.tenants(), options.rate());
+        changeUntilTaken(
+                tenants.initialChange(),
+                deadline,
+                "the start",
+                () -> awaitReady(deadline, "the start", this::beginTraffic));
     }
 
     /** Sends a change until it is acknowledged. */
@@ -354,7 +376,6 @@
     private void beginTraffic() {
         faultsSince = reactor.now();
         operators.forEach(operator -> operator.loseResponses(LOST_RESPONSE_SHARE, SECOND / 2));
-        ClientContext context = new ClientContext(reactor, random, invariants, configurations::planRequest, proxies);
         for (int i = 0; i < options.clients(); i++) {
             SoakClient client = new SoakClient(context, "q" + i);
             clients.add(client);
@@ -365,16 +386,42 @@
             departingClients.add(client);
             client.start();
         }
+        startThrottle();
         operatorTraffic.start();
+        tenants.start();
+        reactor.scheduleEvery(QUOTA_SETTLE_INTERVAL_MICROS, this::settleQuotas);
         new ResponsivenessMonitor(reactor, () -> proxies, this::onHeldUp).start();
         long end = faultsSince + options.seconds() * SECOND;
         faults.start(end);
         reactor.scheduleAt(end, this::awaitCalm);
     }
 
+    private void startThrottle() {
+        if (options.throttle() > 0) {
+            try {
+                throttle = new ProcessThrottle(reactor, random, () -> proxies, options.throttle());
+                throttle.start();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    private void endThrottle() {
+        if (throttle != null) {
+            throttle.stop();
+        }
+    }
+
+    private void settleQuotas() {
+        invariants.settleQuotas(proxies.stream().map(SoakMachine::name).toList(), reactor.now());
+    }
+
     /** The last fault was injected: once what is under way is over, the gateway has to be whole again. */
     private void awaitCalm() {
         operatorTraffic.stop();
+        tenants.endFaults();
+        endThrottle();
         long calmAt = Math.max(reactor.now() + SoakMachine.GRACE_MICROS, faults.coreHealthyAt());
         reactor.scheduleAt(calmAt, () -> {
             operators.forEach(operator -> operator.loseResponses(0, 0));
@@ -400,6 +447,8 @@
         reactor.scheduleAfter(SoakMachine.GRACE_MICROS + 2 * SECOND, () -> {
             clients.forEach(SoakClient::stop);
             departingClients.forEach(DepartingClient::stop);
+            tenants.stop();
+            invariants.checkQuotas();
             invariants.checkDepartures(reactor.now());
             finished.complete(null);
         });
--- /dev/null
+++ b/src/test/java/reedmux/proxy/quota/QuotaFleetTest.java
@@ -0,0 +1,147 @@
+package reedmux.proxy.quota;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.Test;
+import reedmux.control.configuration.TenantItem;
+
+/**
+ * Seen: on a fleet of 75 proxies as real processes, customers got more than their limits in most runs: 188 requests in
+ * five seconds where 158 were allowed, 128 where 109 were.
+ *
+ * <p>How it came about: proxies were restarted in series while a customer sent many times its usual, on machines that
+ * gave each process a part of a processor, so that everything was late by some tenths of a second.
+ *
+ * <p>Cause: each proxy admitted what fitted into its own count, however late that was, and with no bound on what it
+ * admitted before the others knew. And units went along the heap of the sender's view only where the receiver had the
+ * same view: while proxies heard of a restart at different times, units were counted by the next proxy and went no
+ * further, and nobody told them again.
+ *
+ * <p>What proved it: here, with views that all hear of at once, the customer stays within its limit; with the same
+ * views within 0.4 s it had 1.5 times of it, whether a process was restarted or only its session came and went. With
+ * views that stay, pauses of up to 0.3 s alone gave 1.15 times. Of real processes, a fleet that was only busy kept the
+ * limits, and broke them once each proxy stood still for a part of every tenth of a second.
+ */
+public class QuotaFleetTest {
+    private static final int MEMBERS = 75;
+    private static final int CLIENTS = 12;
+    private static final double USUAL_SHARE = 1 / 1.6;
+    private static final double SURGE_FACTOR = 7.5;
+    private static final long VIEW_DELAY_MICROS = 400_000;
+    private static final int RESTARTS = 6;
+    private static final int SEEDS = 4;
+
+    /** A fleet, and a customer with a limit of so many requests a second and at once. */
+    private static final class Fleet {
+        private final Random random;
+        private final double rate;
+        private final QuotaCluster cluster;
+
+        private Fleet(double rate, long pauseMicros, long seed) {
+            this.rate = rate;
+            random = new Random(seed);
+            cluster = new QuotaCluster(new TenantItem("t", List.of("k"), 0, rate, rate), MEMBERS, 0.01, seed);
+            cluster.maxPauseMicros = pauseMicros;
+            cluster.clientsAt = random.ints(CLIENTS, 0, MEMBERS).toArray();
+            cluster.run(4, usual());
+        }
+
+        private double usual() {
+            return rate * USUAL_SHARE;
+        }
+
+        private double surge() {
+            return usual() * SURGE_FACTOR;
+        }
+
+        /** Clients come to all members from now on. */
+        private void spread() {
+            cluster.clientsAt = null;
+        }
+
+        private void restartInSeries(double demand) {
+            cluster.maxViewDelayMicros = VIEW_DELAY_MICROS;
+            for (int i = 0; i < RESTARTS; i++) {
+                cluster.restart(random.nextInt(MEMBERS), 0.8, demand);
+                cluster.run(0.4, demand);
+            }
+        }
+
+        private double worstShare() {
+            return cluster.maxAdmittedInFiveSeconds() / QuotaCluster.maxAdmitted(rate, rate);
+        }
+    }
+
+    /** What is tried with each fleet. */
+    private interface Course {
+        void run(Fleet fleet);
+    }
+
+    private static void assertQuotaHolds(long pauseMicros, Course course) {
+        StringBuilder beyond = new StringBuilder();
+        for (double rate : new double[] {5, 15, 40, 150}) {
+            for (int seed = 0; seed < SEEDS; seed++) {
+                Fleet fleet = new Fleet(rate, pauseMicros, seed);
+                if (seed % 2 == 1) {
+                    fleet.spread();
+                }
+                course.run(fleet);
+                if (fleet.worstShare() > 1) {
+                    beyond.append(String.format(
+                            "rate %.0f, pauses of %d ms, seed %d: %.2f of its quota%n",
+                            rate, pauseMicros / 1000, seed, fleet.worstShare()));
+                }
+            }
+        }
+        assertTrue(beyond.isEmpty(), beyond.toString());
+    }
+
+    @Test
+    public void quotaHoldsWhileMembersHearOfRestartsAtDifferentTimes() {
+        assertQuotaHolds(0, fleet -> fleet.restartInSeries(fleet.surge()));
+    }
+
+    @Test
+    public void quotaHoldsWhereMembersStandStillAgainAndAgain() {
+        for (long pause : new long[] {30_000, 100_000, 300_000}) {
+            assertQuotaHolds(pause, fleet -> fleet.cluster.run(7, fleet.surge()));
+        }
+    }
+
+    @Test
+    public void quotaHoldsWhereBothComeTogether() {
+        for (long pause : new long[] {30_000, 100_000, 300_000}) {
+            assertQuotaHolds(pause, fleet -> fleet.restartInSeries(fleet.surge()));
+        }
+    }
+
+    /** A customer that keeps to its limit is not refused: the mean over sizes and seeds. */
+    private static double refusedShare(long pauseMicros, Course course) {
+        double refused = 0;
+        int fleets = 0;
+        for (double rate : new double[] {15, 40, 150}) {
+            for (int seed = 0; seed < SEEDS; seed++) {
+                Fleet fleet = new Fleet(rate, pauseMicros, seed);
+                long requests = fleet.cluster.requests;
+                long admitted = fleet.cluster.admitted.size();
+                course.run(fleet);
+                refused +=
+                        1 - (fleet.cluster.admitted.size() - admitted) / (double) (fleet.cluster.requests - requests);
+                fleets++;
+            }
+        }
+        return refused / fleets;
+    }
+
+    @Test
+    public void whatIsWithinTheQuotaIsNotRefused() {
+        for (long pause : new long[] {0, 30_000, 100_000}) {
+            double refused = refusedShare(pause, fleet -> fleet.cluster.run(7, fleet.usual()));
+            assertTrue(refused < 0.015, "pauses of " + pause + ": " + refused);
+            double refusedInRestarts = refusedShare(pause, fleet -> fleet.restartInSeries(fleet.usual()));
+            assertTrue(refusedInRestarts < 0.025, "restarts, pauses of " + pause + ": " + refusedInRestarts);
+        }
+    }
+}
--- a/src/test/java/reedmux/proxy/quota/QuotaTrackerTest.java
+++ b/src/test/java/reedmux/proxy/quota/QuotaTrackerTest.java
@@ -4,11 +4,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.Set;
 import org.testng.annotations.Test;
 import reedmux.common.quota.QuotaUpdate;
 import reedmux.common.quota.QuotaUpdate.TenantTotal;
@@ -18,149 +15,15 @@
 
 /** Members of the heap in virtual time: what they let through together, and what they count. */
 public class QuotaTrackerTest {
-    private static final long MICROS_PER_SECOND = 1_000_000;
     private static final TenantItem TENANT = new TenantItem("t", List.of("k"), 0, 65, 65);
 
-    private record DelayedUpdate(long at, long number, int to, QuotaUpdate packet) {}
-
-    /** Some members, a network that delays and loses, and one tenant. */
-    private static final class QuotaCluster {
-        final TenantItem tenant;
-        final List<QuotaTracker> members = new ArrayList<>();
-        final List<ProxySession> sessions = new ArrayList<>();
-        final PriorityQueue<DelayedUpdate> inTransit = new PriorityQueue<>((one, other) -> one.at() != other.at()
-                ? Long.compare(one.at(), other.at())
-                : Long.compare(one.number(), other.number()));
-        final long[] nextSendAt;
-        final Random random;
-        final double loss;
-        final List<Long> admitted = new ArrayList<>();
-        final boolean[] withoutRegistries;
-        /** Members that are cut off from the others, or dead, without anybody having been told. */
-        final Set<Integer> partitioned = new HashSet<>();
-
-        final Set<Integer> dead = new HashSet<>();
-        /** How long each member's link is full in every second, so that what it sends and gets waits. */
-        long linkBusyMicros;
-        /** How late each datagram is, beyond the usual. */
-        long extraDelayMicros;
-
-        SessionView view;
-        /** What each member has as its view. */
-        final SessionView[] views;
-
-        long now = MICROS_PER_SECOND;
-        long nextNumber;
-
-        QuotaCluster(int count, double loss, long seed) {
-            this(TENANT, count, loss, seed);
-        }
-
-        QuotaCluster(TenantItem tenant, int count, double loss, long seed) {
-            this.tenant = tenant;
-            random = new Random(seed);
-            this.loss = loss;
-            nextSendAt = new long[count];
-            withoutRegistries = new boolean[count];
-            views = new SessionView[count];
-            for (int i = 0; i < count; i++) {
-                members.add(new QuotaTracker("n" + i, i + 1, false, now));
-                sessions.add(new ProxySession("n" + i, "10.0.0." + i, "z", i + 1));
-                nextSendAt[i] = now + random.nextInt(50_000);
-            }
-            changeViews(SessionView.of(sessions));
-        }
-
-        void changeViews(SessionView told) {
-            view = told;
-            for (int i = 0; i < members.size(); i++) {
-                if (!withoutRegistries[i]) {
-                    changeView(i, told);
-                }
-            }
-        }
-
-        void changeView(int member, SessionView told) {
-            views[member] = told;
-            members.get(member).onViewChange(told, now);
-        }
-
-        /** Lets time pass with requests at a rate, evenly drawn over the members. */
-        void run(double seconds, double rate) {
-            long end = now + (long) (seconds * MICROS_PER_SECOND);
-            double due = now;
-            while (now < end) {
-                now += 1000;
-                while (due < now) {
-                    due += MICROS_PER_SECOND / rate * 2 * random.nextDouble();
-                    int at = random.nextInt(members.size());
-                    if (dead.contains(at)) {
-                        continue;
-                    }
-                    if (members.get(at).admit(tenant, now)) {
-                        admitted.add(now);
-                    }
-                }
-                while (!inTransit.isEmpty() && inTransit.peek().at() <= now) {
-                    DelayedUpdate first = inTransit.poll();
-                    if (partitioned.contains(first.to())) {
-                        continue;
-                    }
-                    members.get(first.to()).onUpdate(first.packet(), name -> tenant, now);
-                }
-                for (int i = 0; i < members.size(); i++) {
-                    if (now >= nextSendAt[i]) {
-                        send(i);
-                        nextSendAt[i] = now + members.get(i).sendIntervalMicros();
-                    }
-                }
-            }
-        }
-
-        private void send(int from) {
-            for (QuotaTracker.OutgoingUpdate letter : members.get(from).collectUpdates(now)) {
-                if (partitioned.contains(from)) {
-                    continue;
-                }
-                int to = Integer.parseInt(
-                        views[from].member(letter.receiver()).node().substring(1));
-                if (random.nextDouble() >= loss) {
-                    inTransit.add(new DelayedUpdate(
-                            whenLinkIsFree(
-                                    to, whenLinkIsFree(from, now + extraDelayMicros + 1_400 + random.nextInt(3_000))),
-                            nextNumber++,
-                            to,
-                            letter.update()));
-                }
-            }
-        }
-
-        private long whenLinkIsFree(int member, long at) {
-            long since = (at + member * 700_001L) % MICROS_PER_SECOND;
-            return since < linkBusyMicros ? at + linkBusyMicros - since : at;
-        }
-
-        /** The most that was let through in any five seconds. */
-        long maxAdmittedInFiveSeconds() {
-            int from = 0;
-            long most = 0;
-            for (int to = 0; to < admitted.size(); to++) {
-                while (admitted.get(to) - admitted.get(from) > 5 * MICROS_PER_SECOND) {
-                    from++;
-                }
-                most = Math.max(most, to - from + 1);
-            }
-            return most;
-        }
-    }
-
     private static final double MAX_ADMITTED = (65 * 5 + 65) * 1.1 + 20;
 
     @Test
     public void admitsNoMoreThanTheQuotaInASurgeWithAndWithoutLoss() {
         for (double loss : new double[] {0, 0.01, 0.05}) {
             for (int seed = 0; seed < 6; seed++) {
-                QuotaCluster cluster = new QuotaCluster(10, loss, seed);
+                QuotaCluster cluster = new QuotaCluster(TENANT, 10, loss, seed);
                 cluster.run(3, 40);
                 cluster.run(8, 276);
                 cluster.run(3, 40);
@@ -178,7 +41,7 @@
     @Test
     public void admitsNoMoreThanTheQuotaInASurgeOverManyMembers() {
         for (int seed = 0; seed < 6; seed++) {
-            QuotaCluster cluster = new QuotaCluster(65, 0.01, seed);
+            QuotaCluster cluster = new QuotaCluster(TENANT, 65, 0.01, seed);
             cluster.run(3, 40);
             cluster.run(7, 1100);
             assertTrue(
@@ -190,7 +53,7 @@
     @Test
     public void admitsTenantsThatKeepToTheirQuota() {
         for (int seed = 0; seed < 6; seed++) {
-            QuotaCluster cluster = new QuotaCluster(8, 0.01, seed);
+            QuotaCluster cluster = new QuotaCluster(TENANT, 8, 0.01, seed);
             cluster.run(2, 40);
             int before = cluster.admitted.size();
             cluster.run(10, 40);
@@ -204,7 +67,7 @@
     @Test
     public void partitionedMemberAndTheOthersEachUseTheirShare() {
         for (int seed = 0; seed < 6; seed++) {
-            QuotaCluster cluster = new QuotaCluster(10, 0, seed);
+            QuotaCluster cluster = new QuotaCluster(TENANT, 10, 0, seed);
             cluster.run(2, 40);
             cluster.withoutRegistries[4] = true;
             cluster.members.get(4).setRegistriesUnreachable(true);
@@ -221,7 +84,7 @@
     /** As in hsinhe-ccd trouble-2: the registries are gone for all, and the heap goes on. */
     @Test
     public void heapWorksOnWithoutRegistries() {
-        QuotaCluster cluster = new QuotaCluster(8, 0, 1);
+        QuotaCluster cluster = new QuotaCluster(TENANT, 8, 0, 1);
         cluster.run(2, 40);
         cluster.members.forEach(member -> member.setRegistriesUnreachable(true));
         int before = cluster.admitted.size();
@@ -239,7 +102,7 @@
         for (int gone = 0; gone < 8; gone++) {
             for (double before : new double[] {0.2, 0.8, 1.5, 3.5}) {
                 for (boolean dies : new boolean[] {false, true}) {
-                    QuotaCluster cluster = new QuotaCluster(10, 0.01, gone);
+                    QuotaCluster cluster = new QuotaCluster(TENANT, 10, 0.01, gone);
                     cluster.run(2, 40);
                     if (before < 2) {
                         cluster.run(before, 276);
@@ -273,7 +136,7 @@
     public void shareOfASilentMemberIsReleasedWhenItIsHeardAgain() {
         for (int count : new int[] {10, 65}) {
             for (int seed = 0; seed < 4; seed++) {
-                QuotaCluster cluster = new QuotaCluster(count, 0.01, seed);
+                QuotaCluster cluster = new QuotaCluster(TENANT, count, 0.01, seed);
                 cluster.linkBusyMicros = 400_000;
                 cluster.run(4, 40);
                 int before = cluster.admitted.size();
@@ -290,7 +153,7 @@
         for (int count : new int[] {10, 65}) {
             for (long full : new long[] {200_000, 400_000, count < 20 ? 700_000 : 500_000}) {
                 for (int seed = 0; seed < 4; seed++) {
-                    QuotaCluster cluster = new QuotaCluster(count, 0.01, seed);
+                    QuotaCluster cluster = new QuotaCluster(TENANT, count, 0.01, seed);
                     cluster.linkBusyMicros = full;
                     cluster.run(4, 40);
                     cluster.run(8, 276);
@@ -324,7 +187,7 @@
     @Test
     public void datagramLossAloneMakesNoMemberUnreachable() {
         for (int seed = 0; seed < 6; seed++) {
-            QuotaCluster cluster = new QuotaCluster(10, 0.02, seed);
+            QuotaCluster cluster = new QuotaCluster(TENANT, 10, 0.02, seed);
             cluster.run(3, 40);
             cluster.run(1, 276);
             int before = cluster.admitted.size();
@@ -340,7 +203,7 @@
     public void countsEachUnitOnceInAnyOrderOfUpdates() {
         double[] totals = {3, 3, 5};
         for (int[] order : new int[][] {{0, 1, 2}, {0, 2}, {2}, {1, 2}, {0, 1, 2, 2}}) {
-            QuotaCluster cluster = new QuotaCluster(3, 0, 0);
+            QuotaCluster cluster = new QuotaCluster(TENANT, 3, 0, 0);
             QuotaTracker parent = cluster.members.get(0);
             for (int i : order) {
                 ArrayList<TenantTotal> entries = new ArrayList<>(List.of(new TenantTotal("t", totals[i], -1)));
@@ -351,9 +214,12 @@
             // It goes on to the other child, and not back.
             List<QuotaTracker.OutgoingUpdate> letters = parent.collectUpdates(cluster.now);
             assertEquals(
-                    letters.stream().filter(letter -> letter.receiver() == 2).count(), 1);
+                    letters.stream()
+                            .filter(letter -> letter.receiver().node().equals("n2"))
+                            .count(),
+                    1);
             assertTrue(letters.stream()
-                    .noneMatch(letter -> letter.receiver() == 1
+                    .noneMatch(letter -> letter.receiver().node().equals("n1")
                             && letter.update().entries().stream().anyMatch(entry -> entry.total() != 0)));
         }
     }
@@ -361,7 +227,7 @@
     /** Where two have different views, units are counted and go no further: no circle can form. */
     @Test
     public void doesNotForwardUnitsFromAnotherView() {
-        QuotaCluster cluster = new QuotaCluster(3, 0, 0);
+        QuotaCluster cluster = new QuotaCluster(TENANT, 3, 0, 0);
         QuotaTracker parent = cluster.members.get(0);
         parent.onUpdate(
                 new QuotaUpdate("n1", 2, 1, 12345, 1, new ArrayList<>(List.of(new TenantTotal("t", 4, -1)))),
@@ -380,7 +246,7 @@
     @Test
     public void viewsThatComeBackDoNotChangeCounts() {
         for (int seed = 0; seed < 20; seed++) {
-            QuotaCluster cluster = new QuotaCluster(10, 0.01, seed);
+            QuotaCluster cluster = new QuotaCluster(TENANT, 10, 0.01, seed);
             cluster.run(6, 40);
             SessionView all = cluster.view;
             Random random = new Random(seed);
--- a/src/test/java/reedmux/simulation/soak/SoakTest.java
+++ b/src/test/java/reedmux/simulation/soak/SoakTest.java
@@ -54,7 +54,7 @@
     }
 
     private CompletableFuture<SoakOutcome> start(int index) throws IOException {
-        SoakOptions options = new SoakOptions(SEEDS[index], SECONDS, 4, 3, 5, 10, 6);
+        SoakOptions options = new SoakOptions(SEEDS[index], SECONDS, 4, 3, 5, 10, 6, 6, 60, 60);
         Path ofRun = Files.createDirectory(directory.resolve("seed-" + SEEDS[index]));
         return CompletableFuture.supplyAsync(() -> run(options, ofRun, FIRST_NETWORK + index));
     }
