Quotas: a proxy that takes long to begin is told the counts, and knows what it doesn't know

Cause: a restarted process believed the counts of its neighbours for a time from its start, and bound its first admissions for a time from its start. On a slow machine it joins the view over a second later: it was told nothing that it believed, and took the whole window for left. Change: both times begin when the process is a member of its view, and are longer where counts are late; of a window that it has not heard in whole it takes the rate for used. Neighbours send their counts as long.

--- a/src/main/java/reedmux/common/quota/RunAheadLimit.java
+++ b/src/main/java/reedmux/common/quota/RunAheadLimit.java
@@ -11,6 +11,9 @@
  * for members that are new to the customer. Times are microseconds. Deterministic; for one thread.
  */
 public final class RunAheadLimit {
+    /** In place of a time: nothing was admitted before anything was heard of. */
+    public static final long ALL_KNOWN = Long.MIN_VALUE / 2;
+
     private static final double MICROS_PER_SECOND = 1e6;
     /** In any such time the rate and the burst may be used, with an allowance on top: the bound that holds outside. */
     private static final long WINDOW_MICROS = 5_000_000;
@@ -43,10 +46,16 @@
 
     private double all;
     private long decayedAt;
+    private final long knownSince;
 
-    /** A limit that has seen nothing. */
-    public RunAheadLimit(long now) {
+    /**
+     * A limit that has seen nothing.
+     *
+     * @param knownSince from when on all units are heard of; what was admitted before is taken for the whole rate
+     */
+    public RunAheadLimit(long now, long knownSince) {
         decayedAt = now;
+        this.knownSince = knownSince;
     }
 
     /** Units that this member admitted; negative where they are taken back. */
@@ -89,7 +98,8 @@
     public double allowance(double count, double quotaRate, double burst, int members, long lateMicros, long now) {
         long unknownMicros = Math.min(MAX_UNKNOWN_MICROS, lateMicros);
         double ofWindow = (quotaRate * WINDOW_MICROS / MICROS_PER_SECOND + burst) * WINDOW_OVERSHOOT + WINDOW_SLACK;
-        double left = USED_PART * ofWindow - counted.within(WINDOW_MICROS, now);
+        double unheard = quotaRate * Math.max(0, knownSince + WINDOW_MICROS - now) / MICROS_PER_SECOND;
+        double left = USED_PART * ofWindow - unheard - counted.within(WINDOW_MICROS, now);
         if (SURGE_FACTOR * quotaRate * unknownMicros / MICROS_PER_SECOND <= left) {
             return Double.MAX_VALUE;
         }
--- a/src/main/java/reedmux/gatekeeper/policy/CustomerAccount.java
+++ b/src/main/java/reedmux/gatekeeper/policy/CustomerAccount.java
@@ -74,7 +74,7 @@
         firstSeenAt = now;
         drainedAt = now;
         usedAt = now;
-        runAhead = new RunAheadLimit(now);
+        runAhead = new RunAheadLimit(now, RunAheadLimit.ALL_KNOWN);
     }
 
     /** Its plan, or its gateways, are others from now on; what was counted stays. */
--- a/src/main/java/reedmux/proxy/quota/QuotaTracker.java
+++ b/src/main/java/reedmux/proxy/quota/QuotaTracker.java
@@ -10,6 +10,7 @@
 import reedmux.common.quota.HeapCounter;
 import reedmux.common.quota.QuotaUpdate;
 import reedmux.common.quota.QuotaUpdate.TenantTotal;
+import reedmux.common.quota.RunAheadLimit;
 import reedmux.control.configuration.TenantItem;
 import reedmux.control.session.ProxySession;
 import reedmux.control.session.SessionView;
@@ -72,6 +73,10 @@
      * once more what it admitted before its restart.
      */
     private static final double RESTART_USED_FRACTION = 0.2;
+
+    private static final long NOT_JOINED = -1;
+    /** A process that is no member of its view by then goes on alone. */
+    private static final long MAX_JOIN_MICROS = 5_000_000;
     /** Between two members of the heap, in the mean, where both send in time. */
     private static final long MEAN_HOP_MICROS = 22_000;
     /** Over how many sends the mean lateness is taken. */
@@ -97,6 +102,9 @@
 
     private HeapView heap = new HeapView(SessionView.of(List.of()), -1, 0);
     private long viewChangedAt;
+    /** When this process was first a member of its view: only from then on is it told what others count. */
+    private long joinedAt = NOT_JOINED;
+
     private int reachableMembers = 1;
     private boolean registriesUnreachable;
     /** When updates are next to be collected, and how late that is in the mean. */
@@ -134,6 +142,9 @@
         HeapView replaced = heap;
         heap = new HeapView(next, next.indexOf(self), replaced.generation() + 1);
         viewChangedAt = now;
+        if (joinedAt == NOT_JOINED && heap.selfIndex() >= 0) {
+            joinedAt = now;
+        }
         neighbours.onViewChange(next, heap.selfIndex(), now);
         reachableMembers = neighbours.memberCount();
         before.members().stream()
@@ -209,7 +220,7 @@
         TenantCounter counter = counterOf(tenant, now);
         updateReachableMembers(now);
         // Until every member's counts have had time to come in, a new process admits one member's share at most.
-        boolean starting = now - startedAt < propagationTimeMicros();
+        boolean starting = joinedWithin(settleMicros(now), now);
         if (counter.localCount() + 1 > usableBurst(tenant, counter, now)
                 || starting && counter.admittedAtStart() >= startBurst(tenant)
                 || runsAhead(tenant, counter, now)) {
@@ -254,7 +265,19 @@
     }
 
     private double startBurst(TenantItem tenant) {
-        return Math.max(1, tenant.burst() / neighbours.memberCount());
+        boolean membersUnknown = restarted && joinedAt == NOT_JOINED;
+        return membersUnknown ? 1 : Math.max(1, tenant.burst() / neighbours.memberCount());
+    }
+
+    /** Whether this process has become a member less than so long ago, or may still become one. */
+    private boolean joinedWithin(long micros, long now) {
+        long joined = joinedAt == NOT_JOINED ? startedAt + MAX_JOIN_MICROS : joinedAt;
+        return now - joined < micros;
+    }
+
+    /** Until counts have come from all members: the longest that they take in time, and as long as they are late. */
+    private long settleMicros(long now) {
+        return propagationTimeMicros() + unknownMicros(now);
     }
 
     /** Takes back the unit of a request that was admitted and never executed. */
@@ -288,7 +311,8 @@
     }
 
     private TenantCounter newCounter(TenantItem tenant, long now) {
-        TenantCounter counter = new TenantCounter(now);
+        long knownSince = joinedAt == NOT_JOINED ? now : joinedAt;
+        TenantCounter counter = new TenantCounter(now, restarted ? knownSince : RunAheadLimit.ALL_KNOWN);
         if (restarted && now - startedAt < DEPARTED_RETENTION_MICROS) {
             counter.add(RESTART_USED_FRACTION * tenant.burst(), HeapCounter.LOCAL);
             counter.clearPending();
@@ -345,7 +369,7 @@
         long heartbeatInterval =
                 anyTenantAbove(NEAR_BURST_FRACTION) ? FAST_HEARTBEAT_INTERVAL_MICROS : HEARTBEAT_INTERVAL_MICROS;
         // After a view change neighbours may be new and are sent the counts themselves.
-        boolean sendsCounts = now - viewChangedAt < propagationTimeMicros();
+        boolean sendsCounts = now - viewChangedAt < settleMicros(now);
         List<OutgoingUpdate> updates = new ArrayList<>();
         for (int link = 0; link < HeapNeighbours.COUNT; link++) {
             ArrayList<TenantTotal> entries = collectEntries(link, sendsCounts);
@@ -431,7 +455,7 @@
             }
             counter.capAt(counter.deferredDrain() + maxCount(tenant));
             // A process that is new may take over what its neighbours count.
-            if (entry.senderCount() >= 0 && now - startedAt < 2 * propagationTimeMicros()) {
+            if (entry.senderCount() >= 0 && joinedWithin(2 * settleMicros(now), now)) {
                 counter.raiseTo(entry.senderCount());
             }
         }
--- a/src/main/java/reedmux/proxy/quota/TenantCounter.java
+++ b/src/main/java/reedmux/proxy/quota/TenantCounter.java
@@ -32,9 +32,10 @@
 
     private final RunAheadLimit runAhead;
 
-    TenantCounter(long now) {
+    /** {@code knownSince}: from when on this process knows what all members admit. */
+    TenantCounter(long now, long knownSince) {
         drainedAt = now;
-        runAhead = new RunAheadLimit(now);
+        runAhead = new RunAheadLimit(now, knownSince);
     }
 
     /** Counts units that were admitted here; negative where they are taken back. */
