--- a/src/main/java/reedmux/proxy/quota/QuotaTracker.java
+++ b/src/main/java/reedmux/proxy/quota/QuotaTracker.java
@@ -46,8 +46,6 @@
      * links that are only busy, higher lets both sides of a partition use all of it for longer.
      */
     private static final double SURGE_BURST_FRACTION = 0.3;
-    /** The longest that a datagram is on its way to a neighbour, without waiting for its send. */
-    private static final long MAX_TRANSIT_MICROS = 20_000;
 
     private static final double MICROS_PER_SECOND = 1e6;
     /**
@@ -77,10 +75,6 @@
     private static final long NOT_JOINED = -1;
     /** A process that is no member of its view by then goes on alone. */
     private static final long MAX_JOIN_MICROS = 5_000_000;
-    /** Between two members of the heap, in the mean, where both send in time. */
-    private static final long MEAN_HOP_MICROS = 22_000;
-    /** Over how many sends the mean lateness is taken. */
-    private static final int LATENESS_MEMORY_SENDS = 32;
     /** The least rate by which a wait is computed, in requests a second. */
     private static final double MIN_RATE_FOR_WAIT = 0.01;
 
@@ -91,6 +85,7 @@
     private final long incarnation;
     private final boolean restarted;
     private final Random random;
+    private final CountLatency latency;
     private final long startedAt;
     private final Map<String, TenantCounter> counters = new LinkedHashMap<>();
     private final ReceivedTotals receivedTotals = new ReceivedTotals();
@@ -107,10 +102,6 @@
 
     private int reachableMembers = 1;
     private boolean registriesUnreachable;
-    /** When updates are next to be collected, and how late that is in the mean. */
-    private long nextSendAt;
-
-    private long latenessMicros;
     /** When a member of the same view was last heard. */
     private long viewContactAt;
 
@@ -127,7 +118,7 @@
         this.incarnation = incarnation;
         this.restarted = restarted;
         startedAt = now;
-        nextSendAt = now;
+        latency = new CountLatency(FAST_SEND_INTERVAL_MICROS, now);
         random = new Random(incarnation);
     }
 
@@ -147,6 +138,7 @@
         }
         neighbours.onViewChange(next, heap.selfIndex(), now);
         reachableMembers = neighbours.memberCount();
+        latency.setMemberCount(reachableMembers);
         before.members().stream()
                 .filter(member -> next.indexOf(member.node()) < 0)
                 .forEach(member -> departedMembers.put(member.node(), now));
@@ -220,7 +212,7 @@
         TenantCounter counter = counterOf(tenant, now);
         updateReachableMembers(now);
         // Until every member's counts have had time to come in, a new process admits one member's share at most.
-        boolean starting = joinedWithin(settleMicros(now), now);
+        boolean starting = joinedWithin(latency.settleMicros(now), now);
         if (counter.localCount() + 1 > usableBurst(tenant, counter, now)
                 || starting && counter.admittedAtStart() >= startBurst(tenant)
                 || runsAhead(tenant, counter, now)) {
@@ -244,20 +236,11 @@
                         tenant.requestsPerSecond(),
                         tenant.burst(),
                         neighbours.memberCount(),
-                        unknownMicros(now),
+                        latency.usualMicros(now),
                         now);
         return allowance < 1 && random.nextDouble() >= allowance;
     }
 
-    /**
-     * How long units are usually on their way to all members, where these are as late as this one lately was: on each
-     * hop a unit waits to be received and to be sent on.
-     */
-    private long unknownMicros(long now) {
-        long late = Math.max(latenessMicros, now - nextSendAt);
-        return 2L * heapDepth() * (MEAN_HOP_MICROS + 2 * late);
-    }
-
     private double usableBurst(TenantItem tenant, TenantCounter counter, long now) {
         return usesOwnShareOnly(now)
                 ? Math.max(1, tenant.burst()) / neighbours.memberCount()
@@ -275,11 +258,6 @@
         return now - joined < micros;
     }
 
-    /** Until counts have come from all members: the longest that they take in time, and as long as they are late. */
-    private long settleMicros(long now) {
-        return propagationTimeMicros() + unknownMicros(now);
-    }
-
     /** Takes back the unit of a request that was admitted and never executed. */
     public void refund(TenantItem tenant, long now) {
         if (tenant.requestsPerSecond() > 0) {
@@ -336,15 +314,6 @@
         counter.drainAfterFormerReserve(units);
     }
 
-    /** The longest for a count to reach all members: 2(log2(N+1)-1) links, each with a send and a transit. */
-    private long propagationTimeMicros() {
-        return 2L * heapDepth() * (FAST_SEND_INTERVAL_MICROS + MAX_TRANSIT_MICROS);
-    }
-
-    private int heapDepth() {
-        return Math.max(1, Integer.SIZE - 1 - Integer.numberOfLeadingZeros(neighbours.memberCount()));
-    }
-
     // ---- Exchange with the neighbours --------------------------------------------------------------
 
     /** How long until {@link #collectUpdates} is to be called again, in microseconds. */
@@ -363,13 +332,12 @@
 
     /** The updates that are due: to each neighbour what has changed for it, or a heartbeat. */
     public List<OutgoingUpdate> collectUpdates(long now) {
-        latenessMicros += (Math.max(0, now - nextSendAt) - latenessMicros) / LATENESS_MEMORY_SENDS;
         neighbours.setSurge(anyTenantAbove(SURGE_BURST_FRACTION), now);
         updateReachableMembers(now);
         long heartbeatInterval =
                 anyTenantAbove(NEAR_BURST_FRACTION) ? FAST_HEARTBEAT_INTERVAL_MICROS : HEARTBEAT_INTERVAL_MICROS;
         // After a view change neighbours may be new and are sent the counts themselves.
-        boolean sendsCounts = now - viewChangedAt < settleMicros(now);
+        boolean sendsCounts = now - viewChangedAt < latency.settleMicros(now);
         List<OutgoingUpdate> updates = new ArrayList<>();
         for (int link = 0; link < HeapNeighbours.COUNT; link++) {
             ArrayList<TenantTotal> entries = collectEntries(link, sendsCounts);
@@ -384,7 +352,7 @@
         for (HeapView former : otherViews.former()) {
             collectFormerUpdates(former, updates);
         }
-        nextSendAt = now + sendIntervalMicros();
+        latency.onSend(sendIntervalMicros(), now);
         return updates;
     }
 
@@ -455,15 +423,17 @@
             }
             counter.capAt(counter.deferredDrain() + maxCount(tenant));
             // A process that is new may take over what its neighbours count.
-            if (entry.senderCount() >= 0 && joinedWithin(2 * settleMicros(now), now)) {
+            if (entry.senderCount() >= 0 && joinedWithin(2 * latency.settleMicros(now), now)) {
                 counter.raiseTo(entry.senderCount());
             }
         }
     }
 
     private double maxCount(TenantItem tenant) {
-        double surge =
-                tenant.requestsPerSecond() * MAX_COUNT_PROPAGATION_TIMES * propagationTimeMicros() / MICROS_PER_SECOND;
+        double surge = tenant.requestsPerSecond()
+                * MAX_COUNT_PROPAGATION_TIMES
+                * latency.propagationMicros()
+                / MICROS_PER_SECOND;
         return Math.max(MAX_COUNT_BURSTS * tenant.burst(), tenant.burst() + surge);
     }
 }
--- a/src/test/java/reedmux/proxy/quota/QuotaFleetTest.java
+++ b/src/test/java/reedmux/proxy/quota/QuotaFleetTest.java
@@ -127,9 +127,9 @@
     }
 
     /**
-     * Seen after the first repair, with real processes: a customer had 320 requests in a window of 310 while proxies were
-     * restarted in series. One that took over a second to begin was told the counts too late to believe them, and
-     * knew nothing of what the window had used.
+     * Seen after the first repair, with real processes: a customer had 320 requests in a window of 310 while proxies
+     * were restarted in series. One that took over a second to begin was told the counts too late to believe them,
+     * and knew nothing of what the window had used.
      */
     @Test
     public void quotaHoldsWhereRestartedProxiesTakeLongToBegin() {
