Quotas: counts drain more slowly while members come and go

Cause: a member that ends takes with it what it had yet to pass on, and the heap is in parts until the others' views are without it; with eight restarts a second a fifth and more of the units reached only some members. Change: ViewChurn estimates by the rate of view changes what is lost, and the count drains as if that had been counted. A heap that goes round an ended member would lose nothing; that is open.

--- a/src/main/java/reedmux/proxy/quota/QuotaTracker.java
+++ b/src/main/java/reedmux/proxy/quota/QuotaTracker.java
@@ -94,6 +94,7 @@
     private final Map<String, Long> departedMembers = new HashMap<>();
 
     private final HeapViews otherViews = new HeapViews();
+    private final ViewChurn churn = new ViewChurn();
 
     private HeapView heap = new HeapView(SessionView.of(List.of()), -1, 0);
     private long viewChangedAt;
@@ -133,6 +134,7 @@
         HeapView replaced = heap;
         heap = new HeapView(next, next.indexOf(self), replaced.generation() + 1);
         viewChangedAt = now;
+        churn.onViewChange(now);
         if (joinedAt == NOT_JOINED && heap.selfIndex() >= 0) {
             joinedAt = now;
         }
@@ -309,7 +311,8 @@
             return;
         }
         double share = (double) reachableMembers / (members + departedMembers.size());
-        double units = counter.elapsedUnits(share, now);
+        // As if what was lost on the way had been counted, and all had drained.
+        double units = counter.elapsedUnits(share * churn.countedPart(now), now);
         counter.deferDrain(units / reachableMembers * (members - reachableMembers));
         counter.drainAfterFormerReserve(units);
     }
