Known red: quotas where members end and views differ for 0.8 s

Cause: the heap does not go round a member that has ended; with eight restarts a second of 75 and views that differ by 0.8 s some units reach only a part.

--- a/src/test/java/reedmux/proxy/quota/QuotaFleetTest.java
+++ b/src/test/java/reedmux/proxy/quota/QuotaFleetTest.java
@@ -79,8 +79,8 @@
         }
 
         /** Eight restarts a second, before and in the surge; each takes about a second. */
-        private void restartEightASecond() {
-            cluster.maxViewDelayMicros = 300_000;
+        private void restartEightASecond(long viewDelayMicros) {
+            cluster.maxViewDelayMicros = viewDelayMicros;
             for (int i = 0; i < 80; i++) {
                 cluster.beginRestart(random.nextInt(MEMBERS), 0.5 + 1.2 * random.nextDouble());
                 cluster.run(0.125, i < 24 ? usual() : surge());
@@ -157,7 +157,15 @@
     @Test
     public void quotaHoldsWhileMembersEndBeforeTheyPassUnitsOn() {
         for (long pause : new long[] {0, 85_000}) {
-            assertQuotaHolds(pause, Fleet::restartEightASecond);
+            assertQuotaHolds(pause, fleet -> fleet.restartEightASecond(300_000));
+        }
+    }
+
+    /** The same where members hear of a view up to 0.8 s after each other. */
+    @Test
+    public void quotaHoldsWhileMembersEndAndViewsDifferForLong() {
+        for (long pause : new long[] {0, 85_000}) {
+            assertQuotaHolds(pause, fleet -> fleet.restartEightASecond(800_000));
         }
     }
 
