--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -25,6 +25,7 @@
     static final int DRAIN_MS = 2000;
     static final int GRACE_MS = 6000;
     private static final int RESTART_DELAY_MS = 300;
+    private static final int MAX_CASE_MS = 114_000;
 
     /** One machine: a loopback address with its processes. */
     static final class Machine {
@@ -366,6 +367,8 @@
             for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(path);
             }
+        } catch (IOException | java.io.UncheckedIOException e) {
+            note("the temporary folder is not removed: " + e);
         }
         record.close();
     }
@@ -375,8 +378,20 @@
         boolean holds(Lab lab) throws Exception;
     }
 
+    /** A case that does not end by itself counts as one that could not run; the shutdown hook ends its processes. */
+    private static void endInTime() {
+        try {
+            Thread.sleep(MAX_CASE_MS);
+        } catch (InterruptedException e) {
+            return;
+        }
+        System.err.println("RESULT: the case could not run: it has not ended in time");
+        System.exit(2);
+    }
+
     static void run(String[] arguments, int edgeCount, Case test) {
         int code = 2;
+        Checker.daemon(Lab::endInTime);
         try (Lab lab = new Lab(Path.of(arguments[0]), edgeCount)) {
             try {
                 boolean holds = test.holds(lab);
