Cancel the timers of answered requests, which kept their bodies until the deadline

Cause: the request tracker scheduled up to five events for each request and cancelled none, so each answered request stayed in memory, with up to 512 KiB of its body, until its deadline. What was held grew with the timeout. Ruled out: more requests in progress (each was answered in tenths of a second) and output queues.

Change: a scheduled event can be cancelled; a request's events are cancelled when it is completed, an attempt's when it ends; the reactor removes cancelled tasks once they are the majority. A hedged attempt now asks whether the body can be read again.

--- a/src/main/java/reedmux/common/eventloop/Reactor.java
+++ b/src/main/java/reedmux/common/eventloop/Reactor.java
@@ -32,8 +32,13 @@
      */
     private static final int MAX_WARNING_KINDS = 200;
 
+    /**
+     * Number of cancelled tasks from which on they are removed from {@link #timers} as soon as they are the majority.
+     */
+    private static final int MIN_PURGED_TASKS = 64;
+
     /** A task that runs at a given time unless it is cancelled. Tasks are ordered by due time, then by creation. */
-    public static final class ScheduledTask implements Comparable<ScheduledTask> {
+    public final class ScheduledTask implements Comparable<ScheduledTask> {
         private final long dueAt;
         private final long sequence;
         private Runnable task;
@@ -44,9 +49,24 @@
             this.task = task;
         }
 
-        /** Cancels the task; has no effect once the task has run. */
+        /** Cancels the task and releases what it refers to; has no effect once the task has run. */
         public void cancel() {
+            if (task != null) {
+                task = null;
+                cancelledTasks++;
+                purgeCancelledTasks();
+            }
+        }
+
+        private boolean isCancelled() {
+            return task == null;
+        }
+
+        /** Returns the task, or null if it was cancelled, and releases it. */
+        private Runnable take() {
+            Runnable taken = task;
             task = null;
+            return taken;
         }
 
         @Override
@@ -66,6 +86,9 @@
 
     private long now;
     private long nextTaskSequence;
+    /** Number of cancelled tasks that are still in {@link #timers}. */
+    private int cancelledTasks;
+
     private volatile boolean stopped;
 
     /** Creates a reactor on the operating system's sockets, files and clock. */
@@ -126,6 +149,22 @@
         return scheduleAt(now + delayMicros, task);
     }
 
+    /** Returns the number of tasks that are scheduled, including cancelled ones that were not removed yet. */
+    public int scheduledTaskCount() {
+        return timers.size();
+    }
+
+    /**
+     * Removes the cancelled tasks once they are the majority, so that the memory and the time for cancelled tasks stay
+     * proportional to those for scheduled ones, however far in the future they are due.
+     */
+    private void purgeCancelledTasks() {
+        if (cancelledTasks >= MIN_PURGED_TASKS && cancelledTasks > timers.size() / 2) {
+            timers.removeIf(ScheduledTask::isCancelled);
+            cancelledTasks = 0;
+        }
+    }
+
     /**
      * Runs a task periodically until the reactor stops. The interval, in microseconds, is measured from the iteration
      * that ran the task last; runs that are late are not caught up.
@@ -232,8 +271,10 @@
             runGuarded(task);
         }
         while (!timers.isEmpty() && timers.peek().dueAt <= now) {
-            Runnable task = timers.poll().task;
-            if (task != null) {
+            Runnable task = timers.poll().take();
+            if (task == null) {
+                cancelledTasks--;
+            } else {
                 runGuarded(task);
             }
         }
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -174,8 +174,8 @@
     }
 
     @Override
-    public void schedule(long at, RequestEvent event) {
-        reactor.scheduleAt(at, () -> tracker.onEvent(reactor.now(), event));
+    public ScheduledEvent schedule(long at, RequestEvent event) {
+        return reactor.scheduleAt(at, () -> tracker.onEvent(reactor.now(), event))::cancel;
     }
 
     // ---- Life cycle --------------------------------------------------------------------------------
--- a/src/main/java/reedmux/proxy/request/ProxyRequest.java
+++ b/src/main/java/reedmux/proxy/request/ProxyRequest.java
@@ -59,6 +59,8 @@
     boolean quotaRefunded;
 
     final List<RequestAttempt> pendingAttempts = new ArrayList<>();
+    /** Scheduled events of the request; they are cancelled when it is completed. */
+    private final List<RequestPort.ScheduledEvent> scheduledEvents = new ArrayList<>();
     /** Ids of the checkers that an attempt was started for. */
     final Set<String> triedCheckers = new HashSet<>();
 
@@ -95,6 +97,18 @@
         return deadline;
     }
 
+    /** Adds a scheduled event that is cancelled when the request is completed. */
+    void addScheduledEvent(RequestPort.ScheduledEvent event) {
+        scheduledEvents.add(event);
+    }
+
+    /** Completes the request: no further attempt is started, and its scheduled events are cancelled. */
+    void markCompleted() {
+        state = RequestState.COMPLETED;
+        scheduledEvents.forEach(RequestPort.ScheduledEvent::cancel);
+        scheduledEvents.clear();
+    }
+
     /** Returns whether the request was certainly not executed and no pending attempt can still execute it. */
     boolean neverExecuted() {
         return sentAttempts == 0 && !mayHaveExecuted;
--- a/src/main/java/reedmux/proxy/request/RequestAttempt.java
+++ b/src/main/java/reedmux/proxy/request/RequestAttempt.java
@@ -1,5 +1,7 @@
 package reedmux.proxy.request;
 
+import java.util.ArrayList;
+import java.util.List;
 import reedmux.proxy.loadbalancer.CheckerStats;
 
 /**
@@ -12,6 +14,9 @@
     private final ProxyRequest request;
     private final CheckerStats checker;
     private final long startedAt;
+    /** Scheduled events of the attempt; they are cancelled when it ends. */
+    private final List<RequestPort.ScheduledEvent> scheduledEvents = new ArrayList<>();
+
     private boolean ended;
     private boolean connected;
     private boolean fullySent;
@@ -45,8 +50,16 @@
         return ended;
     }
 
+    /** Adds a scheduled event that is cancelled when the attempt ends. */
+    void addScheduledEvent(RequestPort.ScheduledEvent event) {
+        scheduledEvents.add(event);
+    }
+
+    /** Ends the attempt and cancels its scheduled events. */
     void markEnded() {
         ended = true;
+        scheduledEvents.forEach(RequestPort.ScheduledEvent::cancel);
+        scheduledEvents.clear();
     }
 
     /** Records that the connection is established, so that the checker may receive bytes of the request from now on. */
--- a/src/main/java/reedmux/proxy/request/RequestPort.java
+++ b/src/main/java/reedmux/proxy/request/RequestPort.java
@@ -18,6 +18,13 @@
     /** Refunds the quota charged for a completed request that was certainly never executed. */
     void refundQuota(ProxyRequest request);
 
+    /** An event that is reported at a given time unless it is cancelled. */
+    interface ScheduledEvent {
+
+        /** Cancels the event and releases the request that it refers to; has no effect once it was reported. */
+        void cancel();
+    }
+
     /** Schedules an event to be reported at the given time, in microseconds. */
-    void schedule(long time, RequestEvent event);
+    ScheduledEvent schedule(long time, RequestEvent event);
 }
--- a/src/main/java/reedmux/proxy/request/RequestTracker.java
+++ b/src/main/java/reedmux/proxy/request/RequestTracker.java
@@ -133,7 +133,7 @@
 
     private void onRequestAccepted(ProxyRequest request) {
         request.service = chooseService(request.route());
-        port.schedule(request.deadline(), new RequestEvent.DeadlineExceeded(request));
+        schedule(request, request.deadline(), new RequestEvent.DeadlineExceeded(request));
         if (!dispatch(request)) {
             enqueue(request);
         }
@@ -177,7 +177,7 @@
         RouteItem route = request.route();
         if (route.idempotent() && route.maxAttempts() > 1) {
             long hedgeAt = now + (long) (HEDGE_DELAY_TARGET_FRACTION * route.latencyTargetMicros());
-            port.schedule(hedgeAt, new RequestEvent.HedgeDelayElapsed(request));
+            schedule(request, hedgeAt, new RequestEvent.HedgeDelayElapsed(request));
         }
         startAttempt(request, checker);
         return true;
@@ -216,11 +216,21 @@
         attempts.add(attempt);
         request.sentAttempts++;
         checker.onRequestStarted(now);
-        port.schedule(now + CONNECT_TIMEOUT_MICROS, new RequestEvent.ConnectTimeout(attempt));
-        port.schedule(request.deadline() + ATTEMPT_GRACE_MICROS, new RequestEvent.AttemptTimeout(attempt));
+        schedule(attempt, now + CONNECT_TIMEOUT_MICROS, new RequestEvent.ConnectTimeout(attempt));
+        schedule(attempt, request.deadline() + ATTEMPT_GRACE_MICROS, new RequestEvent.AttemptTimeout(attempt));
         port.send(attempt);
     }
 
+    /** Schedules an event that is cancelled when the request is completed, so that it does not retain the request. */
+    private void schedule(ProxyRequest request, long time, RequestEvent event) {
+        request.addScheduledEvent(port.schedule(time, event));
+    }
+
+    /** Schedules an event that is cancelled when the attempt ends, so that it does not retain the request. */
+    private void schedule(RequestAttempt attempt, long time, RequestEvent event) {
+        attempt.addScheduledEvent(port.schedule(time, event));
+    }
+
     // ---- The queue ---------------------------------------------------------------------------------
 
     private void enqueue(ProxyRequest request) {
@@ -229,7 +239,7 @@
         queue.add(new QueuedRequest(request.priority(), request.queueNumber, request));
         long timeoutAt =
                 now + (long) (QUEUE_TIME_TARGET_FRACTION * request.route().latencyTargetMicros());
-        port.schedule(timeoutAt, new RequestEvent.QueueTimeout(request));
+        schedule(request, timeoutAt, new RequestEvent.QueueTimeout(request));
         if (queue.size() > MAX_QUEUED_REQUESTS) {
             reject(queue.last().request(), "too many requests wait");
         }
@@ -371,7 +381,8 @@
     private void onHedgeDelayElapsed(ProxyRequest request) {
         if (request.state == ProxyRequest.RequestState.IN_FLIGHT
                 && request.pendingAttempts.size() == 1
-                // A body that is still being received can be read only once, by the first attempt.
+                // A body that was sent while it was being received can be read only once, by the first attempt.
+                && request.source().isReplayable()
                 && request.source().isFullyReceived()
                 && request.sentAttempts < request.route().maxAttempts()
                 && retryBudget.canAcquire(request.service, HEDGE_BUDGET_RESERVE)
@@ -397,7 +408,7 @@
     private void onClientDisconnected(ProxyRequest request) {
         if (request.state != ProxyRequest.RequestState.COMPLETED) {
             removeFromQueue(request);
-            request.state = ProxyRequest.RequestState.COMPLETED;
+            request.markCompleted();
             request.abandoned = true;
             attempts.onClientDisconnected(request, now);
             refundIfNeverExecuted(request);
@@ -447,7 +458,7 @@
 
     private void complete(ProxyRequest request, ProxyResponse response) {
         removeFromQueue(request);
-        request.state = ProxyRequest.RequestState.COMPLETED;
+        request.markCompleted();
         port.respond(request, replaceUnconfirmedRejection(response));
     }
 
--- a/src/test/java/reedmux/proxy/CheckerConnectionTest.java
+++ b/src/test/java/reedmux/proxy/CheckerConnectionTest.java
@@ -119,8 +119,8 @@
         }
 
         @Override
-        public void schedule(long time, RequestEvent event) {
-            sockets.reactor().scheduleAt(time, () -> tracker.onEvent(sockets.now(), event));
+        public ScheduledEvent schedule(long time, RequestEvent event) {
+            return sockets.reactor().scheduleAt(time, () -> tracker.onEvent(sockets.now(), event))::cancel;
         }
 
         /** Returns the attempt ids of the requests that were sent on a connection. */
