Bound all buffers of a process together, and keep the loop running after errors

Cause: an answer was gathered in an array that doubles and was measured afterwards, an announced length was reserved at once, and the answer was copied twice more. There was a limit for each buffer and none for all of them. The reactor caught RuntimeException only, so the error of one connection ended the process.

Change: BodyBuffer holds bodies in blocks without copies. BufferBudget bounds input, output, bodies and answers of a process at 0.4 of its heap and releases the largest buffer when it is exceeded; bodies are slowed down by their share of what is left. VirtualMachineError and LinkageError of a callback fail its connection and count as a violated invariant.

--- a/src/main/java/reedmux/common/eventloop/Connection.java
+++ b/src/main/java/reedmux/common/eventloop/Connection.java
@@ -10,14 +10,17 @@
 
 /**
  * A TCP connection of a {@link Reactor} with an input buffer and an output queue. Input stays in the buffer until the
- * handler consumes it. Output that the kernel does not accept immediately is queued without a limit, so a handler that
- * forwards data must apply back-pressure: it watches {@link #queuedBytes} and pauses its source. Not thread-safe; all
- * methods must be called on the reactor's thread.
+ * handler consumes it. Output that the kernel does not accept immediately is queued, so a handler that forwards data
+ * must apply back-pressure: it watches {@link #queuedBytes} and pauses its source. Not thread-safe; all methods must be
+ * called on the reactor's thread.
+ *
+ * <p>Both buffers, and what the handler retains ({@link #setRetainedBytes}), count toward the {@link BufferBudget} of
+ * the process. The connection fails if it is the largest one when the budget is exceeded.
  *
  * <p>A connection is connecting, connected or closed. The input may end before the connection is closed, because the
  * peer may shut down only its output ({@link #isInputEnded}).
  */
-public final class Connection implements Environment.ReadinessHandler {
+public final class Connection implements Environment.ReadinessHandler, BufferBudget.BufferOwner {
     private static final byte[] EMPTY = {};
     private static final int MIN_BUFFER_BYTES = 1024;
     /** A larger input buffer is released once it is empty, because most connections are idle most of the time. */
@@ -64,11 +67,17 @@
     private boolean connected;
     private final Deque<ByteBuffer> outputQueue = new ArrayDeque<>();
     private long queuedBytes;
+    /** Size of the buffers in the output queue, including what was sent of the first one. */
+    private long outputBufferBytes;
+
+    private long retainedBytes;
     private long sentBytes;
+    private final BufferBudget.Account bufferAccount;
 
     private Connection(Reactor reactor, Environment.TcpSocket socket) {
         this.reactor = reactor;
         this.socket = socket;
+        bufferAccount = reactor.bufferBudget().openAccount(this);
     }
 
     /** Wraps an accepted socket; the caller must set the handler of the connection. */
@@ -142,6 +151,7 @@
         }
         if (!closed && writable) {
             flush();
+            reportBufferBytes();
             if (!closed && queuedBytes == 0) {
                 handler.onFlushed();
             }
@@ -242,9 +252,13 @@
             target = new byte[Math.max(MIN_BUFFER_BYTES, Math.max(unread + count, grown))];
         }
         System.arraycopy(inputBuffer, inputStart, target, 0, unread);
+        boolean grows = target != inputBuffer;
         inputBuffer = target;
         inputStart = 0;
         inputEnd = unread;
+        if (grows) {
+            reportBufferBytes();
+        }
     }
 
     private void releaseIfEmpty() {
@@ -253,10 +267,36 @@
             inputEnd = 0;
             if (inputBuffer.length > MAX_IDLE_BUFFER_BYTES) {
                 inputBuffer = EMPTY;
+                reportBufferBytes();
             }
         }
     }
 
+    // ---- Budget ------------------------------------------------------------------------------------
+    /** Returns the budget that the buffers of this connection count toward. */
+    public BufferBudget bufferBudget() {
+        return reactor.bufferBudget();
+    }
+
+    /** Sets the size of what the handler retains for this connection, in bytes; 0 once the connection is closed. */
+    public void setRetainedBytes(long bytes) {
+        if (!closed && bytes != retainedBytes) {
+            retainedBytes = bytes;
+            reportBufferBytes();
+        }
+    }
+
+    private void reportBufferBytes() {
+        bufferAccount.report(closed ? 0 : inputBuffer.length + outputBufferBytes + retainedBytes);
+    }
+
+    @Override
+    public void onBudgetExceeded() {
+        reactor.debug("connection to " + remoteAddress() + " closed: it holds " + bufferAccount.bytes()
+                + " bytes, the most of all");
+        onFailure(new IOException("the buffers of this process are full"));
+    }
+
     // ---- Input -------------------------------------------------------------------------------------
     /** Returns the number of input bytes that have arrived and are not consumed yet. */
     public int available() {
@@ -307,6 +347,7 @@
             return;
         }
         queuedBytes += bytes.remaining();
+        outputBufferBytes += bytes.capacity();
         outputQueue.add(bytes);
         if (connected && outputQueue.size() == 1) {
             try {
@@ -315,6 +356,9 @@
                 reactor.execute(() -> onFailure(e));
             }
         }
+        if (!outputQueue.isEmpty()) {
+            reportBufferBytes();
+        }
     }
 
     private void flush() throws IOException {
@@ -327,6 +371,7 @@
                 break;
             }
             outputQueue.poll();
+            outputBufferBytes -= first.capacity();
         }
         updateInterest();
     }
@@ -359,6 +404,10 @@
         if (!closed) {
             closed = true;
             outputQueue.clear();
+            queuedBytes = 0;
+            outputBufferBytes = 0;
+            retainedBytes = 0;
+            bufferAccount.report(0);
             inputBuffer = EMPTY;
             inputStart = 0;
             inputEnd = 0;
--- a/src/main/java/reedmux/common/eventloop/Environment.java
+++ b/src/main/java/reedmux/common/eventloop/Environment.java
@@ -18,6 +18,9 @@
  */
 public interface Environment extends Executor {
 
+    /** Returns the memory that the process may use for its objects, in bytes. */
+    long maxMemoryBytes();
+
     /** Receives the readiness events of one socket on the reactor's thread. */
     interface ReadinessHandler {
 
--- a/src/main/java/reedmux/common/eventloop/NioEnvironment.java
+++ b/src/main/java/reedmux/common/eventloop/NioEnvironment.java
@@ -44,6 +44,11 @@
         selector = Selector.open();
     }
 
+    @Override
+    public long maxMemoryBytes() {
+        return Runtime.getRuntime().maxMemory();
+    }
+
     @Override
     public long now() {
         return clock.now();
--- a/src/main/java/reedmux/common/eventloop/Reactor.java
+++ b/src/main/java/reedmux/common/eventloop/Reactor.java
@@ -14,7 +14,8 @@
 /**
  * A single-threaded event loop that serves sockets, timers and tasks. Every handler, timer and task runs on the thread
  * of {@link #run()}, so their state needs no locks. Only {@link #execute} and {@link #stop} may be called from other
- * threads. A runtime exception that a callback throws is logged and does not stop the event loop.
+ * threads. A runtime exception or an error that a callback throws is logged and does not stop the event loop: the
+ * connection that caused it fails, and all others continue. After each callback the {@link #bufferBudget()} is enforced.
  *
  * <p>Times are microseconds of the environment's monotonic clock, which is read once for each iteration and socket
  * event.
@@ -31,6 +32,11 @@
      * further kinds go to the ring buffer only.
      */
     private static final int MAX_WARNING_KINDS = 200;
+    /**
+     * Fraction of the process's memory for all buffers that peers can make grow. The rest is for the program's own
+     * state, and for what one event allocates before the budget is enforced.
+     */
+    private static final double BUFFER_MEMORY_FRACTION = 0.4;
 
     /**
      * Number of cancelled tasks from which on they are removed from {@link #timers} as soon as they are the majority.
@@ -84,6 +90,11 @@
     /** Time of the last logged warning in microseconds, by kind. */
     private final Map<String, Long> lastWarningAt = new HashMap<>();
 
+    private final BufferBudget bufferBudget;
+    private boolean enforcingBudget;
+    /** Number of errors that callbacks have thrown. */
+    private long errors;
+
     private long now;
     private long nextTaskSequence;
     /** Number of cancelled tasks that are still in {@link #timers}. */
@@ -101,6 +112,7 @@
         this.logger = logger;
         invariants = new InvariantMonitor(logger);
         this.environment = environment;
+        bufferBudget = new BufferBudget((long) (BUFFER_MEMORY_FRACTION * environment.maxMemoryBytes()));
         now = environment.now();
     }
 
@@ -108,6 +120,11 @@
         return environment;
     }
 
+    /** Returns the budget of all buffers of this process that peers can make grow. */
+    public BufferBudget bufferBudget() {
+        return bufferBudget;
+    }
+
     /** Returns a number that distinguishes one incarnation of a process from another. */
     public long newIncarnationId() {
         return environment.newIncarnationId();
@@ -192,7 +209,12 @@
                 } catch (RuntimeException e) {
                     error(StackTraces.format(e));
                     onFailure(e);
+                } catch (VirtualMachineError | LinkageError e) {
+                    onError(e);
+                    onFailure(new IOException(
+                            "its handler has failed: " + e.getClass().getName()));
                 }
+                enforceBufferBudget();
             }
 
             @Override
@@ -286,6 +308,48 @@
             task.run();
         } catch (RuntimeException e) {
             error(StackTraces.format(e));
+        } catch (VirtualMachineError | LinkageError e) {
+            onError(e);
+        }
+        enforceBufferBudget();
+    }
+
+    /**
+     * Reports an error that a callback has thrown. One request may cause it, for example by text that is nested too
+     * deeply, so it must not end the work of all others.
+     */
+    private void onError(Error error) {
+        errors++;
+        try {
+            invariants.check(
+                    false,
+                    "no callback throws an error",
+                    () -> errors + " since the start, the last one is " + StackTraces.format(error));
+        } catch (OutOfMemoryError e) {
+            errors++; // nothing can be logged at the moment; the next error reports the number
+        }
+    }
+
+    private void enforceBufferBudget() {
+        if (enforcingBudget || bufferBudget.totalBytes() <= bufferBudget.limitBytes()) {
+            return;
+        }
+        enforcingBudget = true;
+        try {
+            releaseLargestBuffers();
+        } catch (RuntimeException e) {
+            error(StackTraces.format(e));
+        } finally {
+            enforcingBudget = false;
         }
     }
+
+    private void releaseLargestBuffers() {
+        long exceeded = bufferBudget.totalBytes();
+        int released = bufferBudget.enforce();
+        warnRateLimited(
+                "buffers",
+                exceeded + " bytes are buffered, " + bufferBudget.limitBytes() + " are allowed; the largest " + released
+                        + " were released, " + bufferBudget.releasedOwners() + " since the start");
+    }
 }
--- a/src/main/java/reedmux/proxy/CheckerConnection.java
+++ b/src/main/java/reedmux/proxy/CheckerConnection.java
@@ -1,10 +1,10 @@
 package reedmux.proxy;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import reedmux.common.eventloop.Connection;
 import reedmux.common.eventloop.Reactor;
+import reedmux.common.http1.BodyBuffer;
 import reedmux.common.http1.Http1BodyReader;
 import reedmux.common.http1.Http1Head;
 import reedmux.common.http1.Http1HeadReader;
@@ -36,7 +36,6 @@
     /** Maximum number of responses to earlier requests that are skipped before the awaited response. */
     private static final int MAX_STALE_RESPONSES = 4;
 
-    private static final int MIN_RESPONSE_BUFFER_BYTES = 32;
     private static final long DEFAULT_IDLE_TIMEOUT_MICROS = 8_000_000;
     private static final String TIMEOUT_PARAMETER = "timeout=";
     private static final int MAX_TIMEOUT_DIGITS = 6;
@@ -89,7 +88,7 @@
     private Http1Head responseHead;
 
     private Http1BodyReader bodyReader;
-    private ByteArrayOutputStream responseBody;
+    private BodyBuffer responseBody;
     private int staleResponses;
     private boolean notReusable;
     private long idleSince;
@@ -173,6 +172,10 @@
             return;
         }
         ClientRequestBody body = request.body();
+        if (body.isDiscarded()) {
+            abort();
+            return;
+        }
         while (connection.queuedBytes() < MAX_WRITE_QUEUE_BYTES) {
             byte[] chunk = body.chunk(nextChunkIndex);
             if (chunk == null) {
@@ -239,11 +242,11 @@
             if (bodyReader == null || bodyReader.declaredLength() > MAX_BODY_BYTES) {
                 throw new MalformedMessageException(STATUS_BAD_GATEWAY, "a response without an end, or one too large");
             }
-            responseBody =
-                    new ByteArrayOutputStream((int) Math.max(MIN_RESPONSE_BUFFER_BYTES, bodyReader.declaredLength()));
+            responseBody = new BodyBuffer();
         }
-        bodyReader.read(connection, piece -> responseBody.write(piece, 0, piece.length));
-        if (responseBody.size() > MAX_BODY_BYTES) {
+        bodyReader.read(connection, responseBody::append);
+        connection.setRetainedBytes(responseBody.heldBytes());
+        if (responseBody.length() > MAX_BODY_BYTES) {
             throw new MalformedMessageException(STATUS_BAD_GATEWAY, "a response that is too large");
         }
         return bodyReader.isComplete();
@@ -256,9 +259,8 @@
      */
     private void onResponse() throws MalformedMessageException {
         Http1Head head = responseHead;
-        byte[] body = responseBody.toByteArray();
-        responseHead = null;
-        responseBody = null;
+        BodyBuffer body = responseBody;
+        releaseResponse();
         String attemptId = head.get(RequestAdmission.ATTEMPT_ID_HEADER);
         boolean successful = head.status() < FIRST_REDIRECT_STATUS;
         if (attemptId == null && successful) {
@@ -283,6 +285,12 @@
                 new ProxyResponse.CheckerResponse(head, body, notExecuted));
     }
 
+    private void releaseResponse() {
+        responseHead = null;
+        responseBody = null;
+        connection.setRetainedBytes(0);
+    }
+
     private boolean preventsReuse(Http1Head head, String attemptId, boolean notExecuted) {
         // The checker closes the connection.
         return head.closesConnection()
@@ -341,6 +349,7 @@
     private void abort() {
         boolean bytesSent = attempt != null && attempt.isConnected() && connection.sentBytes() > bytesBeforeRequest;
         connection.close();
+        releaseResponse();
         notReusable = true;
         if (attempt != null) {
             endAttempt(bytesSent ? ExecutionStatus.MAY_HAVE_EXECUTED : ExecutionStatus.NOT_EXECUTED, null);
--- a/src/main/java/reedmux/proxy/CheckerConnectionPool.java
+++ b/src/main/java/reedmux/proxy/CheckerConnectionPool.java
@@ -32,6 +32,10 @@
     /** Sends an attempt of a {@link ClientRequest} on an idle connection, or on a new one if there is none. */
     void send(RequestAttempt attempt) {
         ClientRequest request = (ClientRequest) attempt.request().source();
+        if (request.isDiscarded()) {
+            reportUnsent(attempt);
+            return;
+        }
         Deque<CheckerConnection> connections = idleConnections.get(attempt.checker());
         while (connections != null && !connections.isEmpty()) {
             CheckerConnection connection = connections.pollLast();
--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -33,6 +33,12 @@
      */
     private static final int MAX_DEFERRED_BYTES = 64 * 1024;
 
+    /**
+     * Unsent bytes of responses above which no further request of the client is read, so that a client that does not
+     * read its responses cannot have any number of them queued.
+     */
+    private static final int MAX_UNSENT_RESPONSE_BYTES = 256 * 1024;
+
     private static final int STATUS_REQUEST_TIMEOUT = 408;
     private static final int STATUS_CONTENT_TOO_LARGE = 413;
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -109,6 +115,9 @@
 
     private Http1BodyReader bodyReader;
     private ClientRequestBody requestBody;
+    /** Whether reading the body is paused until its buffer has been read. */
+    private boolean bodyReadPaused;
+
     private boolean keepAlive = true;
     private boolean dispatched;
     private boolean responded;
@@ -170,10 +179,6 @@
         return bodyReader == null ? pipelinedInput.pollInputEnded() : connection.pollInputEnded();
     }
 
-    int bufferedBodyBytes() {
-        return requestBody == null ? 0 : requestBody.bufferedBytes();
-    }
-
     // ---- Reading -----------------------------------------------------------------------------------
 
     @Override
@@ -214,6 +219,10 @@
     }
 
     private boolean readHead() throws MalformedMessageException {
+        if (connection.queuedBytes() > MAX_UNSENT_RESPONSE_BYTES) {
+            connection.setReadPaused(connection.available() > MAX_DEFERRED_BYTES);
+            return false;
+        }
         Http1Head head = headReader.read(connection, handler.requestLimits().maxHeaderBytes());
         if (head == null) {
             if (!readingHead && connection.available() > 0) {
@@ -255,11 +264,11 @@
         responded = false;
         dispatched = false;
         boolean hasBody = !bodyReader.isComplete() || head.get("Content-Length") != null;
-        requestBody = hasBody ? new ClientRequestBody(bodyReader.declaredLength()) : null;
+        requestBody = hasBody ? new ClientRequestBody(bodyReader.declaredLength(), connection.bufferBudget()) : null;
         RequestAdmission.AdmissionResult result = handler.admit(this, head, requestBody);
         request = result.request();
         if (request == null) {
-            requestBody = null;
+            releaseUnsentBody();
             long length = bodyReader.declaredLength();
             if (length < 0 || length > MAX_DISCARDED_BODY_BYTES) {
                 keepAlive = false;
@@ -270,14 +279,24 @@
         }
         if (requestBody != null) {
             requestBody.setCapacityListener(this::resumeReading);
+            requestBody.setDiscardListener(() -> rejectUndispatched(RequestAdmission.buffersFullRejection()));
         }
     }
 
+    /** Releases the body of a request that was not dispatched; the body of any other one belongs to its attempts. */
+    private void releaseUnsentBody() {
+        if (requestBody != null && !dispatched) {
+            requestBody.release();
+        }
+        requestBody = null;
+    }
+
     /**
      * Resumes reading once the body has capacity again. The time for which the proxy had paused reading does not count
      * toward the timeout of the body.
      */
     private void resumeReading() {
+        bodyReadPaused = false;
         lastProgressAt = handler.now();
         connection.setReadPaused(false);
     }
@@ -301,6 +320,7 @@
         if (reader.isComplete()) {
             onBodyComplete(body);
         } else if (body != null && !responded && body.isFull()) {
+            bodyReadPaused = true;
             connection.setReadPaused(true);
         }
         boolean readyToSend = body == null || body.isReadyToSend();
@@ -353,9 +373,10 @@
         if (!last) {
             announcedIdleTimeoutMicros = handler.requestLimits().idleTimeoutMicros();
         }
-        connection.write(ClientResponseEncoder.encode(
-                response, request, last ? ClientResponseEncoder.CLOSE_CONNECTION : announcedIdleTimeoutMicros));
-        requestBody = null;
+        ClientResponseEncoder.encode(
+                        response, request, last ? ClientResponseEncoder.CLOSE_CONNECTION : announcedIdleTimeoutMicros)
+                .forEach(connection::write);
+        releaseUnsentBody();
         if (last) {
             closeAfterResponse();
         } else if (bodyReader == null) {
@@ -367,16 +388,19 @@
 
     private void awaitNextRequest() {
         request = null;
-        requestBody = null;
+        releaseUnsentBody();
         stateSince = handler.now();
         lastProgressAt = stateSince;
         connection.setReadPaused(false);
         if (connection.available() > 0) {
-            handler.executeLater(() -> {
-                if (connection.isOpen() && request == null) {
-                    onInput();
-                }
-            });
+            handler.executeLater(this::readNextRequest);
+        }
+    }
+
+    private void readNextRequest() {
+        if (connection.isOpen() && request == null) {
+            connection.setReadPaused(false);
+            onInput();
         }
     }
 
@@ -397,7 +421,7 @@
         closing = true;
         request = null;
         bodyReader = null;
-        requestBody = null;
+        releaseUnsentBody();
         stateSince = handler.now();
         if (connection.queuedBytes() == 0) {
             connection.shutdownOutput();
@@ -409,6 +433,8 @@
     public void onFlushed() {
         if (closing) {
             connection.shutdownOutput();
+        } else if (state() == State.IDLE && connection.available() > 0) {
+            handler.executeLater(this::readNextRequest);
         }
     }
 
@@ -428,6 +454,7 @@
     }
 
     private void close() {
+        releaseUnsentBody();
         connection.close();
         handler.onClientClosed(this);
     }
@@ -451,13 +478,16 @@
                 rejectMalformed(new MalformedMessageException(STATUS_REQUEST_TIMEOUT, "the head has not come in time"));
             }
         } else if (state == State.READING_BODY) {
-            boolean backPressured = requestBody != null && requestBody.isFull();
-            if (now - lastProgressAt > limits.idleTimeoutMicros() && !backPressured) {
+            if (bodyReadPaused && !requestBody.isFull()) {
+                resumeReading();
+            }
+            if (now - lastProgressAt > limits.idleTimeoutMicros() && !bodyReadPaused) {
                 onBodyTimeout();
             }
         } else if (state == State.IDLE) {
             boolean expired = timeInState > Math.max(announcedIdleTimeoutMicros, limits.idleTimeoutMicros());
-            if (expired || closeIdle && connection.available() == 0) {
+            boolean unused = connection.available() == 0 && connection.queuedBytes() == 0;
+            if (expired || closeIdle && unused) {
                 close();
             }
         }
--- a/src/main/java/reedmux/proxy/ClientFrontend.java
+++ b/src/main/java/reedmux/proxy/ClientFrontend.java
@@ -142,11 +142,7 @@
 
     @Override
     public RequestAdmission.AdmissionResult admit(ClientConnection client, Http1Head head, ClientRequestBody body) {
-        return admission.admit(client, head, body, requestLimits(), body == null ? 0 : bufferedBodyBytes());
-    }
-
-    private long bufferedBodyBytes() {
-        return clients.stream().mapToLong(ClientConnection::bufferedBodyBytes).sum();
+        return admission.admit(client, head, body, requestLimits());
     }
 
     @Override
--- a/src/main/java/reedmux/proxy/ClientRequest.java
+++ b/src/main/java/reedmux/proxy/ClientRequest.java
@@ -74,6 +74,18 @@
         return body == null || body.isComplete();
     }
 
+    /** Returns whether the body was discarded, so that the request cannot be sent any more. */
+    boolean isDiscarded() {
+        return body != null && body.isDiscarded();
+    }
+
+    @Override
+    public void release() {
+        if (body != null) {
+            body.release();
+        }
+    }
+
     @Override
     public boolean isLarge() {
         return body != null && (body.length() < 0 || body.length() > LARGE_BODY_BYTES);
--- a/src/main/java/reedmux/proxy/ClientRequestBody.java
+++ b/src/main/java/reedmux/proxy/ClientRequestBody.java
@@ -1,46 +1,60 @@
 package reedmux.proxy;
 
-import java.util.ArrayList;
 import java.util.List;
+import reedmux.common.eventloop.BufferBudget;
+import reedmux.common.http1.BodyBuffer;
 
 /**
  * The body of a client's request. A body that is complete before it is first read is buffered and can be sent more than
  * once. A body that is read while it is still being received is streamed: each chunk is released when it is read, so
  * that the body can be sent only once.
  *
+ * <p>How much is buffered depends on the remaining {@link BufferBudget} of the process: the more bodies are being
+ * received, the earlier each of them is streamed. A body is discarded if it is the largest buffer when the budget is
+ * exceeded; it cannot be sent any more then.
+ *
  * <p>Not thread-safe; used on the reactor's thread only.
  */
-final class ClientRequestBody {
+final class ClientRequestBody implements BufferBudget.BufferOwner {
     /**
-     * Size in bytes at which an incomplete body is sent without waiting for the rest, and is thus streamed. Smaller
-     * bodies are buffered completely before they are sent.
+     * Maximum size in bytes at which an incomplete body is sent without waiting for the rest, and is thus streamed.
+     * Smaller bodies are buffered completely before they are sent. Back-pressure is applied above it.
      */
-    private static final int MAX_REPLAYABLE_BYTES = 512 * 1024;
-    /** Buffered bytes above which back-pressure is applied to the client. */
     private static final int MAX_BUFFERED_BYTES = 512 * 1024;
 
     /** The value of Content-Length, or -1 for a chunked body. */
     private final long declaredLength;
 
-    private final List<byte[]> chunks = new ArrayList<>();
-    private int bufferedBytes;
-    private long receivedBytes;
+    private final BufferBudget budget;
+    private final BufferBudget.Account bufferAccount;
+    private final BodyBuffer buffer = new BodyBuffer();
     private boolean complete;
     private boolean streaming;
+    private boolean discarded;
     private Runnable chunkListener = () -> {};
     private Runnable capacityListener = () -> {};
+    private Runnable discardListener = () -> {};
 
-    ClientRequestBody(long declaredLength) {
+    ClientRequestBody(long declaredLength, BufferBudget budget) {
         this.declaredLength = declaredLength;
+        this.budget = budget;
+        bufferAccount = budget.openAccount(this);
     }
 
-    void append(byte[] chunk) {
-        chunks.add(chunk);
-        bufferedBytes += chunk.length;
-        receivedBytes += chunk.length;
+    /** Appends received bytes; they are dropped if the body was discarded. */
+    void append(byte[] bytes) {
+        if (discarded) {
+            return;
+        }
+        buffer.append(bytes);
+        reportBufferBytes();
         chunkListener.run();
     }
 
+    private void reportBufferBytes() {
+        bufferAccount.report(buffer.heldBytes());
+    }
+
     /** Marks the body as completely received. */
     void finish() {
         complete = true;
@@ -49,7 +63,7 @@
 
     /** Returns whether the body can be sent now: it is complete, or too large to wait for the rest. */
     boolean isReadyToSend() {
-        return complete || bufferedBytes >= MAX_REPLAYABLE_BYTES;
+        return complete || buffer.heldBytes() >= maxBufferedBytes();
     }
 
     boolean isComplete() {
@@ -58,24 +72,26 @@
 
     /** Returns whether no chunk has been released, so that the body can be sent again from its start. */
     boolean isReplayable() {
-        return !streaming;
+        return !streaming && !discarded;
     }
 
-    /**
-     * Returns whether reading from the client must be paused until the listener set by {@link #setCapacityListener} is
-     * called.
-     */
+    /** Returns whether the body was given up because the buffers of the process were full. */
+    boolean isDiscarded() {
+        return discarded;
+    }
+
+    /** Returns whether reading from the client must be paused until the buffer has been read. */
     boolean isFull() {
-        return bufferedBytes > MAX_BUFFERED_BYTES;
+        return buffer.heldBytes() > maxBufferedBytes();
     }
 
-    int bufferedBytes() {
-        return bufferedBytes;
+    private long maxBufferedBytes() {
+        return budget.threshold(MAX_BUFFERED_BYTES);
     }
 
     /** Returns the length in bytes, or -1 if it is not known yet. */
     long length() {
-        return complete ? receivedBytes : declaredLength;
+        return complete ? buffer.length() : declaredLength;
     }
 
     /** Sets the listener that is called when a chunk or the end of the body was received; replaces the previous one. */
@@ -88,29 +104,47 @@
         capacityListener = listener;
     }
 
+    /** Sets the listener that is called when the body is discarded. */
+    void setDiscardListener(Runnable listener) {
+        discardListener = listener;
+    }
+
     /**
      * Returns the chunk at an index, or null if it was not received yet. Each chunk of a streamed body can be read only
      * once.
      */
     byte[] chunk(int index) {
         if (complete && !streaming) {
-            return index < chunks.size() ? chunks.get(index) : null;
+            List<byte[]> blocks = buffer.takeBlocks();
+            return index < blocks.size() ? blocks.get(index) : null;
         }
         streaming = true;
-        if (index >= chunks.size()) {
-            return null;
-        }
-        byte[] chunk = chunks.get(index);
-        chunks.set(index, null);
-        bufferedBytes -= chunk.length;
-        if (bufferedBytes < MAX_BUFFERED_BYTES / 2) {
-            capacityListener.run();
+        byte[] chunk = buffer.removeFirstBlock();
+        if (chunk != null) {
+            reportBufferBytes();
+            if (buffer.heldBytes() == 0 || buffer.heldBytes() < maxBufferedBytes() / 2) {
+                capacityListener.run();
+            }
         }
         return chunk;
     }
 
     /** Returns whether the body is complete and has no chunk at an index. */
     boolean isExhausted(int index) {
-        return complete && index >= chunks.size();
+        return complete && index >= buffer.blockCount();
+    }
+
+    /** Releases the buffer of a body that is not sent any more. */
+    void release() {
+        discarded = true;
+        buffer.clear();
+        bufferAccount.report(0);
+    }
+
+    @Override
+    public void onBudgetExceeded() {
+        release();
+        chunkListener.run();
+        discardListener.run();
     }
 }
--- a/src/main/java/reedmux/proxy/ClientResponseEncoder.java
+++ b/src/main/java/reedmux/proxy/ClientResponseEncoder.java
@@ -1,7 +1,10 @@
 package reedmux.proxy;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
+import reedmux.common.http1.BodyBuffer;
 import reedmux.common.http1.Http1Head;
 import reedmux.proxy.request.ProxyResponse;
 
@@ -11,6 +14,9 @@
     static final long CLOSE_CONNECTION = -1;
 
     private static final long MICROS_PER_SECOND = 1_000_000;
+    /** Maximum size of a body that is copied behind its head. */
+    private static final int MAX_COPIED_BODY_BYTES = 16 * 1024;
+
     private static final int STATUS_NO_CONTENT = 204;
     private static final int STATUS_NOT_MODIFIED = 304;
     private static final String CONTENT_LENGTH = "Content-Length";
@@ -18,26 +24,27 @@
     private ClientResponseEncoder() {}
 
     /**
-     * Encodes a response.
+     * Encodes a response as consecutive parts of one message.
      *
      * @param request           request that is answered, or null if it was rejected by its head
      * @param idleTimeoutMicros time for which the connection may be idle after the response, or {@link
      *     #CLOSE_CONNECTION}
      */
-    static byte[] encode(ProxyResponse response, ClientRequest request, long idleTimeoutMicros) {
+    static List<byte[]> encode(ProxyResponse response, ClientRequest request, long idleTimeoutMicros) {
         boolean headOnly = request != null && request.method().equals("HEAD");
         Http1Head head;
-        byte[] body;
+        BodyBuffer body;
         if (response instanceof ProxyResponse.CheckerResponse checkerResponse) {
             head = buildHead(checkerResponse, headOnly);
             body = checkerResponse.body();
         } else {
             ProxyResponse.LocalResponse localResponse = (ProxyResponse.LocalResponse) response;
             head = buildHead(localResponse, request);
-            body = (localResponse.text() + '\n').getBytes(StandardCharsets.UTF_8);
+            body = new BodyBuffer();
+            body.append((localResponse.text() + '\n').getBytes(StandardCharsets.UTF_8));
         }
         if (!headOnly && head.status() != STATUS_NO_CONTENT && head.status() != STATUS_NOT_MODIFIED) {
-            head.add(CONTENT_LENGTH, Integer.toString(body.length));
+            head.add(CONTENT_LENGTH, Long.toString(body.length()));
         }
         if (idleTimeoutMicros == CLOSE_CONNECTION) {
             head.add("Connection", "close");
@@ -46,7 +53,7 @@
             // connection.
             head.add("Keep-Alive", "timeout=" + Math.max(1, idleTimeoutMicros / MICROS_PER_SECOND - 1));
         }
-        return headOnly ? head.encode() : concatenate(head.encode(), body);
+        return headOnly ? List.of(head.encode()) : concatenate(head.encode(), body);
     }
 
     private static Http1Head buildHead(ProxyResponse.CheckerResponse response, boolean headOnly) {
@@ -81,9 +88,17 @@
         return millis / 1000 + "." + Long.toString(1000 + millis % 1000).substring(1);
     }
 
-    private static byte[] concatenate(byte[] first, byte[] second) {
-        byte[] joined = Arrays.copyOf(first, first.length + second.length);
-        System.arraycopy(second, 0, joined, first.length, second.length);
-        return joined;
+    /** Joins a head and a small body, so that they are sent together; the blocks of a large body are not copied. */
+    private static List<byte[]> concatenate(byte[] head, BodyBuffer body) {
+        if (body.length() <= MAX_COPIED_BODY_BYTES) {
+            byte[] content = body.toByteArray();
+            byte[] joined = Arrays.copyOf(head, head.length + content.length);
+            System.arraycopy(content, 0, joined, head.length, content.length);
+            return List.of(joined);
+        }
+        List<byte[]> parts = new ArrayList<>();
+        parts.add(head);
+        parts.addAll(body.takeBlocks());
+        return parts;
     }
 }
--- a/src/main/java/reedmux/proxy/RequestAdmission.java
+++ b/src/main/java/reedmux/proxy/RequestAdmission.java
@@ -1,5 +1,6 @@
 package reedmux.proxy;
 
+import reedmux.common.eventloop.BufferBudget;
 import reedmux.common.eventloop.Reactor;
 import reedmux.common.http1.Http1Head;
 import reedmux.control.configuration.ConfigurationTable;
@@ -22,11 +23,9 @@
     static final String ATTEMPT_ID_HEADER = "Reedmux-Attempt-Id";
     static final String TIME_LEFT_HEADER = "Reedmux-Time-Left-Ms";
     private static final String BEARER_PREFIX = "Bearer ";
-    /**
-     * Maximum size of the buffered bodies of all clients together, in bytes. Above it, no request with a body is
-     * admitted.
-     */
-    private static final int MAX_BUFFERED_BODY_BYTES = 24 * 1024 * 1024;
+    /** Fraction of the buffer budget above which no request with a body is admitted. */
+    private static final double MAX_BUDGET_USE_FOR_BODIES = 0.75;
+
     /** Retry-After of rejections whose reason is not the client's own quota. */
     private static final long RETRY_AFTER_MICROS = 250_000;
     /**
@@ -72,11 +71,9 @@
     /**
      * Admits or rejects a request.
      *
-     * @param body          body of the request, or null if it has none
-     * @param bufferedBytes size of the buffered bodies of all clients
+     * @param body body of the request, or null if it has none
      */
-    AdmissionResult admit(
-            ClientConnection client, Http1Head head, ClientRequestBody body, RequestLimits limits, long bufferedBytes) {
+    AdmissionResult admit(ClientConnection client, Http1Head head, ClientRequestBody body, RequestLimits limits) {
         ConfigurationTable table = controlPlane.table();
         if (!startupGate.canServe()) {
             return reject(
@@ -104,8 +101,8 @@
         if (body != null && body.length() > limits.maxBodyBytes()) {
             return reject(413, "the body is larger than " + limits.maxBodyBytes() + " bytes", NO_RETRY_AFTER);
         }
-        if (body != null && bufferedBytes > MAX_BUFFERED_BODY_BYTES) {
-            return reject(503, "too many bodies are coming in", RETRY_AFTER_MICROS);
+        if (body != null && !hasBufferForBody()) {
+            return new AdmissionResult(null, buffersFullRejection());
         }
         long deadline = client.headReceivedAt() + Math.min(timeLeftMillis * 1000, route.timeoutMicros());
         if (!shutdown.admits(reactor.now(), deadline)) {
@@ -120,6 +117,16 @@
         return new AdmissionResult(request, null);
     }
 
+    private boolean hasBufferForBody() {
+        BufferBudget budget = reactor.bufferBudget();
+        return budget.totalBytes() <= MAX_BUDGET_USE_FOR_BODIES * budget.limitBytes();
+    }
+
+    /** Returns the response to requests whose body cannot be buffered. */
+    static ProxyResponse buffersFullRejection() {
+        return new ProxyResponse.LocalResponse(503, "too many bodies are coming in", RETRY_AFTER_MICROS);
+    }
+
     /** Returns the response to requests that can no longer be answered before this process terminates. */
     static ProxyResponse shutdownRejection() {
         return new ProxyResponse.LocalResponse(503, "this process ends", SHUTDOWN_RETRY_AFTER_MICROS);
--- a/src/main/java/reedmux/proxy/request/ProxyRequest.java
+++ b/src/main/java/reedmux/proxy/request/ProxyRequest.java
@@ -33,6 +33,9 @@
         /** Returns whether the whole request has been received from the client. */
         boolean isFullyReceived();
 
+        /** Releases what only further or incomplete attempts need, because there are none any more. */
+        void release();
+
         /** Returns the client connection on which the request was received; only compared by identity here. */
         Object connection();
     }
@@ -109,6 +112,14 @@
         scheduledEvents.clear();
     }
 
+    /** Releases the source of a completed request once each pending attempt has sent all of it. */
+    void releaseIfUnused() {
+        boolean unused = pendingAttempts.stream().allMatch(RequestAttempt::isFullySent);
+        if (state == RequestState.COMPLETED && unused) {
+            source.release();
+        }
+    }
+
     /** Returns whether the request was certainly not executed and no pending attempt can still execute it. */
     boolean neverExecuted() {
         return sentAttempts == 0 && !mayHaveExecuted;
--- a/src/main/java/reedmux/proxy/request/ProxyResponse.java
+++ b/src/main/java/reedmux/proxy/request/ProxyResponse.java
@@ -1,5 +1,6 @@
 package reedmux.proxy.request;
 
+import reedmux.common.http1.BodyBuffer;
 import reedmux.common.http1.Http1Head;
 
 /** The response to a client's request. */
@@ -10,7 +11,7 @@
      *
      * @param notExecuted whether the checker reported that it has not executed the request
      */
-    record CheckerResponse(Http1Head head, byte[] body, boolean notExecuted) implements ProxyResponse {}
+    record CheckerResponse(Http1Head head, BodyBuffer body, boolean notExecuted) implements ProxyResponse {}
 
     /**
      * A response that the proxy itself generates.
--- a/src/main/java/reedmux/proxy/request/RequestAttempt.java
+++ b/src/main/java/reedmux/proxy/request/RequestAttempt.java
@@ -77,6 +77,11 @@
         fullySent = true;
     }
 
+    /** Returns whether the last byte of the request was passed to the kernel. */
+    boolean isFullySent() {
+        return fullySent;
+    }
+
     /** Returns whether cancelling is safe: the route is idempotent, or the request was not completely sent. */
     boolean isSafeToCancel() {
         return request.route().idempotent() || !fullySent;
--- a/src/main/java/reedmux/proxy/request/RequestTracker.java
+++ b/src/main/java/reedmux/proxy/request/RequestTracker.java
@@ -296,6 +296,7 @@
         ProxyRequest request = attempt.request();
         request.pendingAttempts.remove(attempt);
         attempts.remove(attempt);
+        request.releaseIfUnused();
         updateCheckerStats(attempt, execution, response);
         request.mayHaveExecuted |= execution != ExecutionStatus.NOT_EXECUTED;
         if (execution == ExecutionStatus.NOT_EXECUTED && !attempt.isConnected()) {
@@ -411,6 +412,7 @@
             request.markCompleted();
             request.abandoned = true;
             attempts.onClientDisconnected(request, now);
+            request.releaseIfUnused();
             refundIfNeverExecuted(request);
         }
     }
@@ -460,6 +462,7 @@
         removeFromQueue(request);
         request.markCompleted();
         port.respond(request, replaceUnconfirmedRejection(response));
+        request.releaseIfUnused();
     }
 
     /**
--- a/src/main/java/reedmux/simulation/cluster/SimulatedProcess.java
+++ b/src/main/java/reedmux/simulation/cluster/SimulatedProcess.java
@@ -23,6 +23,7 @@
  */
 public final class SimulatedProcess implements Environment {
     private static final int FIRST_EPHEMERAL_PORT = 40_000;
+    private static final long MAX_MEMORY_BYTES = 64 * 1024 * 1024;
     private final ClusterSimulation simulation;
     private final SimulatedMachine machine;
     private final String name;
@@ -90,6 +91,11 @@
         return name;
     }
 
+    @Override
+    public long maxMemoryBytes() {
+        return MAX_MEMORY_BYTES;
+    }
+
     // ---- Thread ------------------------------------------------------------------------------------
     /** Runs an event on the thread of the process as soon as the thread is idle. */
     void submit(Runnable event) {
--- a/src/test/java/reedmux/common/eventloop/ScriptedEnvironment.java
+++ b/src/test/java/reedmux/common/eventloop/ScriptedEnvironment.java
@@ -24,6 +24,9 @@
 
     /** The lines that the reactor has logged. */
     public final List<String> logLines = new ArrayList<>();
+    /** The memory of the process, in bytes. */
+    private static final long MAX_MEMORY_BYTES = 64 * 1024 * 1024;
+
     /** The number of bytes that a new socket accepts before its writes block. */
     public long socketCapacityBytes = Long.MAX_VALUE;
 
@@ -45,6 +48,11 @@
         return reactor;
     }
 
+    @Override
+    public long maxMemoryBytes() {
+        return MAX_MEMORY_BYTES;
+    }
+
     /** A socket that the test controls as its peer. */
     public final class ScriptedSocket implements TcpSocket {
         private final ByteArrayOutputStream written = new ByteArrayOutputStream();
--- a/src/test/java/reedmux/proxy/ClientConnectionTest.java
+++ b/src/test/java/reedmux/proxy/ClientConnectionTest.java
@@ -8,7 +8,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.Test;
+import reedmux.common.eventloop.BufferBudget;
 import reedmux.common.eventloop.ScriptedEnvironment;
+import reedmux.common.http1.BodyBuffer;
 import reedmux.common.http1.Http1Head;
 import reedmux.control.configuration.RequestLimits;
 import reedmux.proxy.request.ProxyResponse;
@@ -210,7 +212,56 @@
         harness.client.resumeDeferred();
         harness.socket.receive("");
         assertEquals(harness.dispatched.size(), 1);
-        assertEquals(harness.dispatched.get(0).body().bufferedBytes(), 300_000);
+        ClientRequestBody body = harness.dispatched.get(0).body();
+        int bufferedBytes = 0;
+        for (int i = 0; body.chunk(i) != null; i++) {
+            bufferedBytes += body.chunk(i).length;
+        }
+        assertEquals(bufferedBytes, 300_000);
+        assertEquals(body.length(), 300_000);
+    }
+
+    /**
+     * Guards against proxies that run out of memory because of a client that sends requests but does not read: its next
+     * request is read only once most of its responses were sent.
+     */
+    @Test
+    public void readsNoFurtherRequestWhileResponsesAreUnsent() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.socket.setCapacityBytes(0);
+        for (int i = 0; i < 20; i++) {
+            harness.socket.receive(getRequest("r" + i));
+            if (harness.dispatched.size() > i) {
+                BodyBuffer body = new BodyBuffer();
+                body.append(new byte[100_000]);
+                ProxyResponse response = new ProxyResponse.CheckerResponse(Http1Head.response(200), body, false);
+                harness.client.respond(harness.dispatched.get(i), response);
+            }
+        }
+        assertEquals(harness.dispatched.size(), 3);
+        harness.client.checkTimeouts(harness.now(), true);
+        assertFalse(harness.socket.isClosed(), "closed as idle with unsent responses");
+        harness.socket.setCapacityBytes(1_000_000);
+        harness.sockets.runReactorOnce();
+        assertEquals(harness.dispatched.size(), 4);
+    }
+
+    /** Guards against proxies that run out of memory because of many bodies: the largest one is rejected. */
+    @Test
+    public void rejectsTheLargestBodyWhenTheBuffersAreFull() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.socket.receive("POST /x HTTP/1.1\r\nHost: h\r\nReedmux-Attempt-Id: a\r\n"
+                + "Content-Length: 400000\r\n\r\n" + "y".repeat(300_000));
+        BufferBudget budget = harness.sockets.reactor().bufferBudget();
+        while (budget.totalBytes() < budget.limitBytes()) {
+            budget.openAccount(() -> {}).report(200_000);
+        }
+        harness.sockets.execute(() -> {});
+        harness.sockets.runReactorOnce();
+        assertTrue(harness.socket.writtenText().startsWith("HTTP/1.1 503"), harness.socket.writtenText());
+        assertTrue(harness.socket.writtenText().contains("Retry-After: "));
+        assertEquals(harness.dispatched.size(), 0);
+        assertEquals(harness.abandoned.size(), 1);
     }
 
     /**
--- a/src/test/java/reedmux/proxy/request/RequestTrackerTest.java
+++ b/src/test/java/reedmux/proxy/request/RequestTrackerTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import reedmux.common.http1.BodyBuffer;
 import reedmux.common.http1.Http1Head;
 
 /** Tests how the tracker handles a request for each way in which its attempts can end. */
@@ -322,7 +323,7 @@
                     new RequestEvent.AttemptFinished(
                             harness.sent.get(0),
                             ExecutionStatus.EXECUTED,
-                            new ProxyResponse.CheckerResponse(Http1Head.response(status), new byte[0], false)));
+                            new ProxyResponse.CheckerResponse(Http1Head.response(status), new BodyBuffer(), false)));
             assertEquals(status(harness.responses.get(0)), status == 500 || status == 409 ? status : 502);
         }
     }
--- a/src/test/java/reedmux/proxy/request/TrackerHarness.java
+++ b/src/test/java/reedmux/proxy/request/TrackerHarness.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
+import reedmux.common.http1.BodyBuffer;
 import reedmux.common.http1.Http1Head;
 import reedmux.control.configuration.RouteItem;
 import reedmux.control.instances.InstanceIncarnation;
@@ -28,6 +29,7 @@
             left.time() != right.time() ? Long.compare(left.time(), right.time()) : left.number() - right.number());
     private int scheduledCount;
     int quotaRefunds;
+    int released;
     boolean fullyReceived = true;
     int priority = 1;
     long now = 1_000_000;
@@ -86,6 +88,11 @@
                         return fullyReceived;
                     }
 
+                    @Override
+                    public void release() {
+                        released++;
+                    }
+
                     @Override
                     public Object connection() {
                         return TrackerHarness.this;
@@ -130,7 +137,7 @@
                                 ? null
                                 : new ProxyResponse.CheckerResponse(
                                         Http1Head.response(status),
-                                        new byte[0],
+                                        new BodyBuffer(),
                                         execution == ExecutionStatus.NOT_EXECUTED)));
     }
 
