Make drains and leaves durable before they are acknowledged

Cause: a registry acknowledged a drain or leave once one other registry had it in memory; the files were written up to 0.3 s later and nothing waited for them. A checker that has left sends no heartbeat that would report it again.

Change: registries append drains and leaves to their journals at once, another registry acknowledges a notice when it is durable there, and the caller is answered once one more disk has the report than a majority can lose. JournalWriter reports the outcome of each write whatever the disk thread fails by.

--- a/src/main/java/reedmux/common/disk/Journal.java
+++ b/src/main/java/reedmux/common/disk/Journal.java
@@ -184,6 +184,7 @@
         volume.delete(TEMPORARY_FILE); // a crash may have left it, possibly as a second name of a generation
         Volume.WritableFile created = volume.create(TEMPORARY_FILE);
         long bytes;
+        boolean readable = false;
         try {
             bytes = writeState(created, state);
             created.sync();
@@ -196,9 +197,11 @@
             if (!new GenerationReader(name, volume.read(name)).isStateComplete()) {
                 throw new IOException("the state in " + name + " is incomplete when read back");
             }
-        } catch (IOException e) {
-            created.close();
-            throw e;
+            readable = true;
+        } finally {
+            if (!readable) {
+                created.close();
+            }
         }
         if (file != null) {
             file.close();
@@ -241,11 +244,14 @@
         } else if (record.length == 0 || record.length > JournalFormat.MAX_RECORD_BYTES) {
             throw new IOException("a record of " + record.length + " bytes cannot be appended");
         }
+        boolean written = false;
         try {
             lengthBytes += write(file, record);
-        } catch (IOException e) {
-            truncateFailedWrite();
-            throw e;
+            written = true;
+        } finally {
+            if (!written) {
+                truncateFailedWrite();
+            }
         }
     }
 
@@ -264,11 +270,12 @@
      * @throws IOException if the sync fails; records appended since the last successful sync may be lost
      */
     public void sync() throws IOException {
+        boolean synced = false;
         try {
             file.sync();
-        } catch (IOException e) {
-            broken = true; // the kernel may have discarded dirty pages that it could not write
-            throw e;
+            synced = true;
+        } finally {
+            broken |= !synced; // the kernel may have discarded dirty pages that it could not write
         }
     }
 
--- a/src/main/java/reedmux/control/registry/InstanceCalls.java
+++ b/src/main/java/reedmux/control/registry/InstanceCalls.java
@@ -1,5 +1,6 @@
 package reedmux.control.registry;
 
+import java.util.ArrayList;
 import java.util.List;
 import reedmux.common.eventloop.Reactor;
 import reedmux.common.http1.Http1ServerConnection;
@@ -12,8 +13,9 @@
 
 /**
  * Handles the calls of instances. The heartbeat of a ready instance is acknowledged immediately, because the next
- * heartbeat makes up for a lost one. A report that an instance is draining or leaving is acknowledged only after
- * another registry has received it, so that the instance does not become ready again if this machine fails.
+ * heartbeat makes up for a lost one. A report that an instance is draining or leaving is acknowledged only once it is
+ * durable on so many registries' disks that one of them remains after the loss of any minority of the disks. The
+ * instance may send no further report, so it must not become ready again even if all processes are killed.
  */
 final class InstanceCalls {
     /** Less than the 1 s that callers wait for a response. */
@@ -21,7 +23,10 @@
 
     private static final int STATUS_OK = 200;
     private static final int STATUS_UNAVAILABLE = 503;
-    private static final String NOT_ACKNOWLEDGED = "no other machine could be told";
+    private static final String NOT_ACKNOWLEDGED = "the report could not be made durable on enough machines";
+    /** Minimum number of registries that must have a report if there is more than one. */
+    private static final int MIN_REPLICAS = 2;
+
     private static final String EMPTY_RESPONSE = "{}";
     private static final String UNKNOWN_ADDRESS = "0.0.0.0:0";
 
@@ -29,10 +34,11 @@
     private final InstanceDirectory directory;
     private final List<RpcDialer> registries;
     private final UpdatePublisher publisher;
+    private final InstancePersistence localDisk;
     /** Tells the instance to keep sending heartbeats to this registry, because each change of owner is replicated. */
     private final String heartbeatResponse;
-    /** Calls that wait for the acknowledgement of another registry. */
-    private final PendingRequests<RpcConnection, Http1ServerConnection> pending = new PendingRequests<>();
+    /** Calls that wait until their report is durable. The replicas are {@link #localDisk} and other registries. */
+    private final PendingRequests<Object, Http1ServerConnection> pending = new PendingRequests<>();
 
     /**
      * Creates the handler for one registry.
@@ -45,11 +51,13 @@
             Reactor reactor,
             InstanceDirectory directory,
             List<RpcDialer> registries,
-            UpdatePublisher publisher) {
+            UpdatePublisher publisher,
+            InstancePersistence localDisk) {
         this.reactor = reactor;
         this.directory = directory;
         this.registries = registries;
         this.publisher = publisher;
+        this.localDisk = localDisk;
         heartbeatResponse = "{\"beatTarget\":\"" + endpoint + "\"}";
     }
 
@@ -81,32 +89,57 @@
     private void acknowledge(String id, String response, Http1ServerConnection caller) {
         InstanceIncarnation instance = directory.get(id, reactor.now());
         publisher.publishChanges();
-        if (instance.phase() == InstanceIncarnation.READY || registries.isEmpty()) {
+        if (instance.phase() == InstanceIncarnation.READY) {
             caller.respond(STATUS_OK, response);
             return;
         }
+        replicate(instance, caller);
+    }
+
+    private void replicate(InstanceIncarnation instance, Http1ServerConnection caller) {
         List<RpcConnection> connected = registries.stream()
                 .map(RpcDialer::connection)
                 .filter(connection -> connection != null)
                 .toList();
-        if (connected.isEmpty()) {
+        List<Object> replicas = new ArrayList<>(connected);
+        replicas.add(localDisk);
+        if (replicas.size() < neededReplicas()) {
             rejectUnacknowledged(caller); // without a delay, so that the instance can call another registry
             return;
         }
-        long requestId = pending.register(connected, caller);
+        long requestId = pending.register(replicas, neededReplicas(), caller);
         IncarnationNotice notice = new IncarnationNotice(requestId, List.of(instance));
         connected.forEach(connection -> connection.sendMessage(notice));
         reactor.scheduleAfter(ACKNOWLEDGEMENT_TIMEOUT_MICROS, () -> rejectUnacknowledged(pending.cancel(requestId)));
+        localDisk.persist(instance, durable -> onLocalOutcome(requestId, durable));
     }
 
-    /** Completes a call after the first acknowledgement by another registry. */
-    void onAck(RpcConnection connection, IncarnationAck ack) {
-        Http1ServerConnection caller = pending.complete(ack.id(), connection);
+    /** Returns one more than the number of disks that a core of this size may lose. */
+    private int neededReplicas() {
+        int registryCount = registries.size() + 1;
+        return registryCount == 1 ? 1 : Math.max(MIN_REPLICAS, (registryCount + 1) / 2);
+    }
+
+    private void onLocalOutcome(long requestId, boolean durable) {
+        if (durable) {
+            onReplica(requestId, localDisk);
+        } else {
+            rejectUnacknowledged(pending.fail(requestId, localDisk));
+        }
+    }
+
+    private void onReplica(long requestId, Object replica) {
+        Http1ServerConnection caller = pending.complete(requestId, replica);
         if (caller != null) {
             caller.respond(STATUS_OK, EMPTY_RESPONSE);
         }
     }
 
+    /** Counts another registry, on whose disk the report of a call is durable. */
+    void onAck(RpcConnection connection, IncarnationAck ack) {
+        onReplica(ack.id(), connection);
+    }
+
     void onDisconnected(RpcConnection connection) {
         pending.onConnectionLost(connection).forEach(InstanceCalls::rejectUnacknowledged);
     }
--- a/src/main/java/reedmux/control/registry/Registry.java
+++ b/src/main/java/reedmux/control/registry/Registry.java
@@ -15,6 +15,7 @@
 import reedmux.common.settings.SettingKeys;
 import reedmux.control.changes.ChangeCounter;
 import reedmux.control.instances.InstanceDirectory;
+import reedmux.control.instances.InstanceIncarnation;
 import reedmux.control.instances.RegistryHeartbeat;
 import reedmux.control.replication.ReplicationPosition;
 import reedmux.control.rpc.MessageCodec;
@@ -46,8 +47,9 @@
  *   <li>Calls of operators are forwarded to a store ({@link StoreRequests}).
  * </ul>
  *
- * <p>Correctness does not depend on the files that the registry writes: after a loss of all registries, instances and
- * proxies report to the restarted ones. Everything but disk I/O runs on the reactor's thread.
+ * <p>After a loss of all registries, instances and proxies report to the restarted ones. Only what instances do not
+ * report again, that they are draining or gone, depends on the files that the registry writes. Everything but disk I/O
+ * runs on the reactor's thread.
  */
 public final class Registry implements Program, RpcConnection.RpcConnectionHandler {
     static final String PROGRAM_NAME = "registry";
@@ -70,6 +72,7 @@
     private final ChangeCounter counter = new ChangeCounter();
 
     private final InstanceDirectory directory;
+    private final InstancePersistence persistence;
     private final SessionTable sessions = new SessionTable(LOST_REGISTRY_GRACE_MICROS, counter);
     private final CoreConnections core;
     private final ProxyConnections proxies = new ProxyConnections();
@@ -101,12 +104,12 @@
         String endpoint = settings.ip()
                 + ':'
                 + settings.socketAddress(SettingKeys.CONTROL_SOCKET).getPort();
-        if (settings.dataDir() != null) {
-            new IncarnationStorage(settings.dataDir().resolve(INSTANCES_FOLDER), reactor, codec, directory);
-        }
+        persistence = settings.dataDir() == null
+                ? InstancePersistence.IN_MEMORY
+                : new IncarnationStorage(settings.dataDir().resolve(INSTANCES_FOLDER), reactor, codec, directory);
         publisher = new UpdatePublisher(reactor, codec, localHello.incarnation(), counter, directory, sessions);
         core = new CoreConnections(settings, addresses, reactor, codec, localHello, this);
-        instanceCalls = new InstanceCalls(endpoint, reactor, directory, core.registries(), publisher);
+        instanceCalls = new InstanceCalls(endpoint, reactor, directory, core.registries(), publisher, persistence);
         storeRequests = new StoreRequests(reactor, core.stores());
         core.connectToAll();
         new TcpListener(
@@ -247,16 +250,35 @@
     }
 
     /**
-     * Merges and acknowledges a notice: from another registry, instances that it needs acknowledged; from a proxy, the
-     * instances that it knew before this registry started.
+     * Merges and acknowledges a notice: from another registry, instances whose phase must be durable before the
+     * acknowledgement; from a proxy, the instances that it knew before this registry started.
      */
     private void onIncarnationNotice(RpcConnection connection, IncarnationNotice notice) {
         notice.instances().forEach(instance -> directory.merge(instance, reactor.now()));
-        if (connection.peer().program().equals(PROXY_PROGRAM_NAME)
-                && notice.instances().isEmpty()) {
+        publisher.publishChanges();
+        IncarnationAck ack = new IncarnationAck(notice.id());
+        if (!connection.peer().program().equals(PROXY_PROGRAM_NAME)) {
+            persistAll(notice.instances(), () -> connection.sendMessage(ack));
+            return;
+        }
+        if (notice.instances().isEmpty()) {
             proxies.onEmptyNotice();
         }
-        connection.sendMessage(new IncarnationAck(notice.id()));
-        publisher.publishChanges();
+        connection.sendMessage(ack);
+    }
+
+    /** Persists instances one after the other, then runs a task if all of them are durable. */
+    private void persistAll(List<InstanceIncarnation> instances, Runnable onDurable) {
+        if (instances.isEmpty()) {
+            onDurable.run();
+            return;
+        }
+        InstanceIncarnation merged = directory.get(instances.get(0).id(), reactor.now());
+        List<InstanceIncarnation> rest = instances.subList(1, instances.size());
+        persistence.persist(merged, durable -> {
+            if (durable) {
+                persistAll(rest, onDurable);
+            }
+        });
     }
 }
--- a/src/main/java/reedmux/control/store/JournalWriter.java
+++ b/src/main/java/reedmux/control/store/JournalWriter.java
@@ -14,11 +14,14 @@
  * generations pass through one FIFO queue, and a single sync covers all records queued in the meantime (group commit).
  * The queue is bounded: a write that exceeds its capacity fails in the same way as a write that the disk rejects.
  *
+ * <p>The outcome of each write is reported, whatever the disk thread fails by: a write without an outcome would stall
+ * all that waits for it.
+ *
  * <p>All methods must be called on the reactor thread, which also runs the outcome callbacks. Only {@link #writeQueued}
  * and the private methods after it run on the disk thread, which has exclusive use of the journal once the first
  * generation has been started.
  */
-final class JournalWriter {
+public final class JournalWriter {
     private static final int MAX_QUEUED_WRITES = 256;
     private static final String THREAD_NAME = "reedmux-disk";
     private static final String QUEUE_FULL = "disk: the write queue is full";
@@ -41,7 +44,8 @@
      */
     private record QueuedWrite(byte[] record, Iterable<byte[]> generation, Consumer<Boolean> onOutcome) {}
 
-    JournalWriter(Journal journal, Reactor reactor) {
+    /** Creates a writer; {@code journal} must not be used by others from the first write on. */
+    public JournalWriter(Journal journal, Reactor reactor) {
         this.journal = journal;
         this.reactor = reactor;
         diskExecutor = reactor.newWorker(THREAD_NAME, MAX_QUEUED_WRITES);
@@ -53,7 +57,7 @@
     }
 
     /** Returns whether the journal rejects records until a new generation is started, as of the latest outcome. */
-    boolean isBroken() {
+    public boolean isBroken() {
         return broken;
     }
 
@@ -69,7 +73,7 @@
     }
 
     /** Appends a record asynchronously; {@code onOutcome} is called later with whether the record is durable. */
-    void append(byte[] record, Consumer<Boolean> onOutcome) {
+    public void append(byte[] record, Consumer<Boolean> onOutcome) {
         enqueue(new QueuedWrite(record, null, onOutcome));
     }
 
@@ -79,7 +83,7 @@
      * @param state the records of the state, iterated on the disk thread
      * @param onOutcome called later with whether the generation is durable
      */
-    void startGeneration(Iterable<byte[]> state, Consumer<Boolean> onOutcome) {
+    public void startGeneration(Iterable<byte[]> state, Consumer<Boolean> onOutcome) {
         enqueue(new QueuedWrite(null, state, onOutcome));
     }
 
@@ -138,7 +142,7 @@
         try {
             journal.append(write.record);
             unsynced.add(write);
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException | VirtualMachineError e) {
             reportOutcome(List.of(write), e);
         }
     }
@@ -147,10 +151,10 @@
         if (unsynced.isEmpty()) {
             return;
         }
-        IOException failure = null;
+        Throwable failure = null;
         try {
             journal.sync();
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException | VirtualMachineError e) {
             failure = e;
         }
         reportOutcome(List.copyOf(unsynced), failure);
@@ -158,21 +162,21 @@
     }
 
     private void writeGeneration(QueuedWrite write) {
-        IOException failure = null;
+        Throwable failure = null;
         try {
             journal.startGeneration(write.generation);
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException | VirtualMachineError e) {
             failure = e;
         }
         reportOutcome(List.of(write), failure);
     }
 
     /** Reports the outcome of some writes on the reactor thread; {@code failure} is null if they are durable. */
-    private void reportOutcome(List<QueuedWrite> writes, IOException failure) {
+    private void reportOutcome(List<QueuedWrite> writes, Throwable failure) {
         long bytesNow = journal.lengthBytes();
         boolean brokenNow = journal.isBroken();
         if (failure != null) {
-            reactor.error("disk: " + failure.getMessage());
+            reactor.error("disk: " + (failure instanceof IOException ? failure.getMessage() : failure));
         }
         reactor.execute(() -> {
             generationBytes = bytesNow;
