Count the bodies of control calls toward the buffer budget, and release them on close

Cause: a store or registry gathered each call's body of up to 8 MiB in an array that doubles, without a bound for all calls together, and the timer of a closed connection kept its body for up to 30 s. With the largest headerBytes an addition overflowed, so that each head that came in two parts was rejected with 431.

Change: the body is held in a BodyBuffer that counts toward the budget; closing releases it and cancels the timer. The limit of a head is compared without overflow.

--- a/src/main/java/reedmux/common/http1/Http1HeadReader.java
+++ b/src/main/java/reedmux/common/http1/Http1HeadReader.java
@@ -38,7 +38,7 @@
         }
         int available = connection.available();
         int end = findHeadEnd(connection, available);
-        if (end < 0 ? available > maxBytes + HEAD_END_BYTES - 1 : end > maxBytes) {
+        if (end < 0 ? available - HEAD_END_BYTES >= maxBytes : end > maxBytes) {
             throw new MalformedMessageException(FIELDS_TOO_LARGE, "the head is too large");
         } else if (end < 0) {
             scannedBytes = available;
--- a/src/main/java/reedmux/common/http1/Http1ServerConnection.java
+++ b/src/main/java/reedmux/common/http1/Http1ServerConnection.java
@@ -1,6 +1,5 @@
 package reedmux.common.http1;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.function.BiConsumer;
@@ -10,7 +9,8 @@
 /**
  * The server side of an HTTP/1.1 connection with small requests. Each request is read completely and passed to a
  * handler, which may respond at any later time. The next request is read only after the response. A malformed request
- * receives an error response, after which the connection is closed. All methods must be called on the reactor's thread.
+ * receives an error response, after which the connection is closed. The body that is being read counts toward the {@link
+ * reedmux.common.eventloop.BufferBudget} of the process. All methods must be called on the reactor's thread.
  */
 public final class Http1ServerConnection implements Connection.ConnectionHandler {
     private static final int MAX_HEAD_BYTES = 16 * 1024;
@@ -33,7 +33,8 @@
     private Http1Head head;
 
     private Http1BodyReader bodyReader;
-    private ByteArrayOutputStream bodyBytes;
+    private BodyBuffer bodyBuffer;
+    private Reactor.ScheduledTask idleCheck;
     private Runnable disconnectListener;
     private boolean responsePending;
     private boolean closeAfterResponse;
@@ -54,10 +55,10 @@
     }
 
     private void scheduleIdleCheck() {
-        reactor.scheduleAfter(IDLE_TIMEOUT_MICROS, () -> {
+        idleCheck = reactor.scheduleAfter(IDLE_TIMEOUT_MICROS, () -> {
             if (connection.isOpen()) {
                 if (!responsePending && reactor.now() - idleSince > IDLE_TIMEOUT_MICROS) {
-                    connection.close();
+                    close();
                 } else {
                     scheduleIdleCheck();
                 }
@@ -65,6 +66,19 @@
         });
     }
 
+    private void close() {
+        connection.close();
+        release();
+    }
+
+    /** Releases the request that is being read and the timer, which would retain both until it is due. */
+    private void release() {
+        head = null;
+        bodyReader = null;
+        bodyBuffer = null;
+        idleCheck.cancel();
+    }
+
     @Override
     public void onInput() {
         try {
@@ -78,7 +92,7 @@
         }
         if (connection.isOpen() && connection.isInputEnded()) {
             if (!responsePending) {
-                connection.close();
+                close();
             } else {
                 reportDisconnect();
             }
@@ -98,7 +112,7 @@
         Runnable listener = disconnectListener;
         disconnectListener = null;
         if (listener != null) {
-            connection.close();
+            close();
             listener.run();
         }
     }
@@ -108,8 +122,9 @@
         if (head == null && !readHead()) {
             return false;
         }
-        bodyReader.read(connection, bytes -> bodyBytes.write(bytes, 0, bytes.length));
-        if (bodyBytes.size() > MAX_BODY_BYTES) {
+        bodyReader.read(connection, bodyBuffer::append);
+        connection.setRetainedBytes(bodyBuffer.heldBytes());
+        if (bodyBuffer.length() > MAX_BODY_BYTES) {
             throw new MalformedMessageException(CONTENT_TOO_LARGE, "the body is too large");
         }
         return bodyReader.isComplete();
@@ -121,7 +136,7 @@
             return false;
         }
         bodyReader = Http1BodyReader.ofRequest(head);
-        bodyBytes = new ByteArrayOutputStream();
+        bodyBuffer = new BodyBuffer();
         if (bodyReader.declaredLength() > MAX_BODY_BYTES) {
             throw new MalformedMessageException(CONTENT_TOO_LARGE, "the body is too large");
         } else if (head.hasListToken("Expect", "100-continue")) {
@@ -132,10 +147,10 @@
 
     private void handleRequest() {
         responsePending = true;
-        Http1Request request = new Http1Request(head, bodyBytes.toByteArray());
+        Http1Request request = new Http1Request(head, bodyBuffer.toByteArray());
         closeAfterResponse = head.closesConnection();
         head = null;
-        bodyBytes = null;
+        bodyBuffer = null;
         requestHandler.accept(request, this);
     }
 
@@ -182,6 +197,7 @@
         connection.write(message);
         responsePending = false;
         disconnectListener = null;
+        connection.setRetainedBytes(0);
         idleSince = reactor.now();
         if (closeAfterResponse) {
             closeWithLinger();
@@ -192,6 +208,7 @@
 
     private void closeWithLinger() {
         connection.shutdownOutput();
+        release();
         reactor.scheduleAfter(LINGER_MICROS, connection::close);
     }
 
@@ -213,6 +230,7 @@
     @Override
     public void onClosed(String reason) {
         closeAfterResponse = true;
+        release();
         reportDisconnect();
     }
 }
--- a/src/test/java/reedmux/proxy/ClientConnectionTest.java
+++ b/src/test/java/reedmux/proxy/ClientConnectionTest.java
@@ -246,6 +246,17 @@
         assertEquals(harness.dispatched.size(), 4);
     }
 
+    /** Guards against an overflow: with the largest limit that a configuration can set, a head may come in two parts. */
+    @Test
+    public void acceptsAHeadInPartsUnderTheLargestLimit() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.limits = new RequestLimits(Integer.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE);
+        harness.socket.receive(getRequest("one").substring(0, 20));
+        harness.advanceMicros(MICROS_PER_SECOND);
+        harness.socket.receive(getRequest("one").substring(20));
+        assertEquals(harness.dispatched.size(), 1, harness.socket.writtenText());
+    }
+
     /** Guards against proxies that run out of memory because of many bodies: the largest one is rejected. */
     @Test
     public void rejectsTheLargestBodyWhenTheBuffersAreFull() throws IOException {
