Soak: large uploads, endless answers, extreme settings, kills after acknowledgements

Answers are spoilt in four ways (large or small chunks without end, an announced length that does not come, a head without end). A checker leaves without draining and serves on; a request that reaches it 8 s after the acknowledgement or the last restart of all processes breaks DRAIN. The checkers of a soak are a class of their own.

--- a/src/main/java/reedmux/cli/SoakCommand.java
+++ b/src/main/java/reedmux/cli/SoakCommand.java
@@ -13,6 +13,7 @@
 import reedmux.simulation.soak.SoakOptions;
 import reedmux.simulation.soak.SoakOutcome;
 import reedmux.simulation.soak.SoakRun;
+import reedmux.simulation.soak.SoakStress;
 
 /** Runs the programs as processes on loopback and injects overlapping faults. */
 @Command(
@@ -72,6 +73,26 @@
             description = "the maximum time for which a proxy is paused in each 100 ms")
     private int throttleMillis;
 
+    @Option(
+            name = "--uploads",
+            title = "N",
+            description = "the rate of large request bodies to each proxy, in requests per second")
+    private int uploadsPerSecond;
+
+    @Option(
+            name = "--spoilt",
+            title = "SHARE",
+            description = "the share of the checkers' answers that do not end, from 0 to 1")
+    private double spoiltShare;
+
+    @Option(
+            name = "--kill-after-ack",
+            description = "also kill all processes right after acknowledgements of changes and leaves")
+    private boolean killsAfterAcknowledgements;
+
+    @Option(name = "--extremes", description = "set durations and limits to the ends of their ranges")
+    private boolean extremeSettings;
+
     @Option(
             name = "--keep",
             title = "DIR",
@@ -86,7 +107,8 @@
         SeedRange range = SeedRange.parse(seeds);
         if (range == null || !isValid()) {
             System.err.println(
-                    "reedmux: soak: --seeds is A..B, --cores at least 3, --throttle below 100, the others above 0");
+                    "reedmux: soak: --seeds is A..B, --cores at least 3, --throttle below 100, --spoilt from 0 to 1,"
+                            + " --uploads and --leaving at least 0, the others above 0");
             return ExitCode.BAD_USAGE;
         }
         int failed = 0;
@@ -101,7 +123,8 @@
                             leaving,
                             tenants,
                             rate,
-                            throttleMillis))
+                            throttleMillis,
+                            new SoakStress(uploadsPerSecond, spoiltShare, killsAfterAcknowledgements, extremeSettings)))
                     ? 0
                     : 1;
         }
@@ -115,6 +138,9 @@
         return allPositive
                 && cores >= MIN_CORES
                 && leaving >= 0
+                && uploadsPerSecond >= 0
+                && spoiltShare >= 0
+                && spoiltShare <= 1
                 && throttleMillis >= 0
                 && throttleMillis < MAX_THROTTLE_MILLIS;
     }
--- a/src/main/java/reedmux/common/eventloop/Reactor.java
+++ b/src/main/java/reedmux/common/eventloop/Reactor.java
@@ -15,7 +15,8 @@
  * A single-threaded event loop that serves sockets, timers and tasks. Every handler, timer and task runs on the thread
  * of {@link #run()}, so their state needs no locks. Only {@link #execute} and {@link #stop} may be called from other
  * threads. A runtime exception or an error that a callback throws is logged and does not stop the event loop: the
- * connection that caused it fails, and all others continue. After each callback the {@link #bufferBudget()} is enforced.
+ * connection that caused it fails, and all others continue. After each callback the {@link #bufferBudget()} is
+ * enforced.
  *
  * <p>Times are microseconds of the environment's monotonic clock, which is read once for each iteration and socket
  * event.
--- a/src/main/java/reedmux/common/http1/Http1ServerConnection.java
+++ b/src/main/java/reedmux/common/http1/Http1ServerConnection.java
@@ -9,8 +9,8 @@
 /**
  * The server side of an HTTP/1.1 connection with small requests. Each request is read completely and passed to a
  * handler, which may respond at any later time. The next request is read only after the response. A malformed request
- * receives an error response, after which the connection is closed. The body that is being read counts toward the {@link
- * reedmux.common.eventloop.BufferBudget} of the process. All methods must be called on the reactor's thread.
+ * receives an error response, after which the connection is closed. The body that is being read counts toward the
+ * {@link reedmux.common.eventloop.BufferBudget} of the process. All methods must be called on the reactor's thread.
  */
 public final class Http1ServerConnection implements Connection.ConnectionHandler {
     private static final int MAX_HEAD_BYTES = 16 * 1024;
--- a/src/main/java/reedmux/simulation/cluster/ConfigurationGenerator.java
+++ b/src/main/java/reedmux/simulation/cluster/ConfigurationGenerator.java
@@ -24,7 +24,25 @@
     /** The burst of each tenant in requests. */
     public static final double QUOTA_BURST = 60;
 
+    private static final String USUAL_DURATIONS = "\"cutoffMs\":3000,\"setpointMs\":400";
+    /** Durations at and beyond the ends of what takes effect; none is so short that no request could be served. */
+    private static final List<String> EXTREME_DURATIONS = List.of(
+            USUAL_DURATIONS,
+            "\"cutoffMs\":3600000,\"setpointMs\":400",
+            "\"cutoffMs\":1e300,\"setpointMs\":1e300",
+            "\"cutoffMs\":11000,\"setpointMs\":0");
+
+    private static final String USUAL_LIMITS =
+            "\"headerBytes\":16384,\"bodyBytes\":1048576,\"headerMs\":3000,\"idleMs\":15000";
+    private static final List<String> EXTREME_LIMITS = List.of(
+            USUAL_LIMITS,
+            "\"headerBytes\":1e300,\"bodyBytes\":1e300,\"headerMs\":1e300,\"idleMs\":1e300",
+            "\"headerBytes\":512,\"bodyBytes\":400000,\"headerMs\":300,\"idleMs\":500");
+    /** One in this many changes sets limits if settings are extreme. */
+    private static final int LIMITS_CHANGE_SHARE = 6;
+
     private final Random random;
+    private boolean extremeSettings;
     private long revision = 7;
     private int addedNames;
     private int addedKeys;
@@ -60,16 +78,30 @@
         return "{\"apply\":{\"signals\":[" + String.join(",", signals) + "]},\"remove\":{" + removed + "}}";
     }
 
-    private static String routeJson(String name, String prefix, String service, boolean idempotent, long itemRevision) {
+    private String routeJson(String name, String prefix, String service, boolean idempotent, long itemRevision) {
         return itemJson(
                 "routes",
                 name,
                 itemRevision,
                 "\"host\":\"h.example\",\"prefix\":\"" + prefix + "\",\"kind\":\""
-                        + (idempotent ? "idempotent" : "effectful") + "\",\"cutoffMs\":3000,\"setpointMs\":400,"
+                        + (idempotent ? "idempotent" : "effectful") + "\"," + durationsJson() + ","
                         + "\"priority\":1,\"plant\":\"" + service + "\",\"attempts\":2,\"unkeyed\":false");
     }
 
+    private String durationsJson() {
+        return extremeSettings ? EXTREME_DURATIONS.get(random.nextInt(EXTREME_DURATIONS.size())) : USUAL_DURATIONS;
+    }
+
+    /** Sets whether changes set durations and limits to the ends of their ranges. */
+    public void setExtremeSettings(boolean extreme) {
+        extremeSettings = extreme;
+    }
+
+    private String limitsChange() {
+        String limits = EXTREME_LIMITS.get(random.nextInt(EXTREME_LIMITS.size()));
+        return callJson(List.of(itemJson("saturation", "", nextRevision(), limits)), "");
+    }
+
     private String tenantJson(String name, long itemRevision) {
         return itemJson(
                 "tenants",
@@ -113,11 +145,7 @@
             keysOf.put("t" + i, new ArrayList<>(List.of("key-" + i + "-first.")));
             items.add(tenantJson("t" + i, itemRevision));
         }
-        items.add(itemJson(
-                "saturation",
-                "",
-                itemRevision,
-                "\"headerBytes\":16384,\"bodyBytes\":1048576,\"headerMs\":3000,\"idleMs\":15000"));
+        items.add(itemJson("saturation", "", itemRevision, USUAL_LIMITS));
         return callJson(items, "");
     }
 
@@ -129,6 +157,9 @@
 
     /** Returns a valid change. */
     public String validChange() {
+        if (extremeSettings && random.nextInt(LIMITS_CHANGE_SHARE) == 0) {
+            return limitsChange();
+        }
         String route = "r" + random.nextInt(ROUTES);
         switch (random.nextInt(6)) {
             case 0 -> {
--- a/src/main/java/reedmux/simulation/soak/SoakChecker.java
+++ b/src/main/java/reedmux/simulation/soak/SoakChecker.java
@@ -17,7 +17,10 @@
 import reedmux.simulation.cluster.ClusterInvariantChecker;
 import reedmux.simulation.harness.OneShotHttpCall;
 
-/** A simulated checker that executes several requests concurrently, queues a limited number and may crash. */
+/**
+ * A simulated checker that executes several requests concurrently and queues a limited number. It may crash, send
+ * answers that do not end, or leave and serve on for a while.
+ */
 final class SoakChecker {
     private static final int SLOTS = 6;
     private static final int MAX_QUEUED = 12;
@@ -25,6 +28,14 @@
     private static final long CALL_TIMEOUT_MICROS = 1_000_000;
     private static final int MIN_WORK_MICROS = 30_000;
     private static final int WORK_RANGE_MICROS = 170_000;
+    private static final long LEAVE_RETRY_MICROS = 200_000;
+    /** Time for which a checker serves on after its leave was acknowledged; in most soaks, up to the end. */
+    private static final long SERVICE_AFTER_LEAVE_MICROS = 60_000_000;
+    /**
+     * Time after an acknowledged leave, or after a restart of all processes, from which on no request may arrive: the
+     * proxies' drain time of 2 s, and twice the 3 s in which restarted processes get in contact.
+     */
+    private static final long DRAIN_LIMIT_MICROS = 8_000_000;
     /** One in this many requests is slow. */
     private static final int LONG_REQUEST_SHARE = 12;
 
@@ -47,6 +58,9 @@
     private long sequence;
     private int controlIndex;
     private boolean crashed;
+    private double spoiltShare;
+    private boolean left;
+    private long drainLimit = Long.MAX_VALUE;
 
     /** Starts a checker on a free port of {@code ip}; {@code control} is a live list of control addresses. */
     SoakChecker(
@@ -73,10 +87,15 @@
     private void onAccepted(Connection connection) {
         connections.removeIf(known -> !known.isOpen());
         connections.add(connection);
-        new Http1ServerConnection(reactor, connection, this::serve);
+        new Http1ServerConnection(reactor, connection, (request, http) -> serve(request, http, connection));
     }
 
-    private void serve(Http1ServerConnection.Http1Request request, Http1ServerConnection connection) {
+    /** Sets the share of the answers that do not end. */
+    void spoil(double share) {
+        spoiltShare = share;
+    }
+
+    private void serve(Http1ServerConnection.Http1Request request, Http1ServerConnection connection, Connection tcp) {
         Http1Head head = request.head();
         String attempt = head.get("Reedmux-Attempt-Id");
         String target = head.get("Reedmux-Target-Instance");
@@ -85,10 +104,14 @@
             return;
         }
         invariants.onRequestArrived(attempt, service, reactor.now());
+        if (reactor.now() > drainLimit) {
+            invariants.onInvariantViolation(
+                    "DRAIN: " + attempt + " reached " + id + " long after its leave was" + " acknowledged");
+        }
         if (busy < SLOTS) {
-            execute(head, attempt, connection);
+            execute(head, attempt, connection, tcp);
         } else if (queue.size() < MAX_QUEUED) {
-            Runnable waiting = () -> execute(head, attempt, connection);
+            Runnable waiting = () -> execute(head, attempt, connection, tcp);
             queue.add(waiting);
             connection.setDisconnectListener(() -> queue.remove(waiting));
         } else {
@@ -96,13 +119,13 @@
         }
     }
 
-    private void execute(Http1Head head, String attempt, Http1ServerConnection connection) {
+    private void execute(Http1Head head, String attempt, Http1ServerConnection connection, Connection tcp) {
         if (crashed) {
             return;
         }
         busy++;
         invariants.onRequestExecuted(attempt, id, service, head.get("Reedmux-Tenant"), reactor.now());
-        Execution execution = new Execution(attempt, connection, workMicros(head));
+        Execution execution = new Execution(attempt, connection, tcp, workMicros(head));
         executions.add(execution);
         connection.setDisconnectListener(() -> execution.end(false));
     }
@@ -122,9 +145,17 @@
         private final String attempt;
         private final Reactor.ScheduledTask work;
 
-        private Execution(String attempt, Http1ServerConnection connection, long workMicros) {
+        private Execution(String attempt, Http1ServerConnection connection, Connection tcp, long workMicros) {
             this.attempt = attempt;
-            work = reactor.scheduleAfter(workMicros, () -> respond(connection));
+            boolean spoilt = spoiltShare > 0 && random.nextDouble() < spoiltShare;
+            work = reactor.scheduleAfter(workMicros, () -> {
+                if (spoilt) {
+                    SpoiltAnswer.start(reactor, tcp, random);
+                    end(true);
+                } else {
+                    respond(connection);
+                }
+            });
         }
 
         private void respond(Http1ServerConnection connection) {
@@ -147,8 +178,45 @@
         }
     }
 
+    /** Announces that this checker leaves, and sends no further heartbeat; it serves on for a while. */
+    void leave(Runnable onAcknowledged) {
+        left = true;
+        sendLeave(onAcknowledged);
+    }
+
+    private void sendLeave(Runnable onAcknowledged) {
+        try {
+            new OneShotHttpCall(
+                    reactor,
+                    controlAddresses.get(controlIndex % controlAddresses.size()),
+                    OneShotHttpCall.post("/v1/Instances.Leave/" + id, "{}"),
+                    CALL_TIMEOUT_MICROS,
+                    (status, head, text) -> onLeaveResponse(status, onAcknowledged));
+        } catch (IOException e) {
+            onLeaveResponse(0, onAcknowledged);
+        }
+    }
+
+    private void onLeaveResponse(int status, Runnable onAcknowledged) {
+        if (status != 200) {
+            controlIndex++;
+            reactor.scheduleAfter(LEAVE_RETRY_MICROS, () -> sendLeave(onAcknowledged));
+            return;
+        }
+        drainLimit = reactor.now() + DRAIN_LIMIT_MICROS;
+        reactor.scheduleAfter(SERVICE_AFTER_LEAVE_MICROS, this::crash);
+        onAcknowledged.run();
+    }
+
+    /** Records when all processes that were killed run again. */
+    void noteRestart(long restartedAt) {
+        if (drainLimit != Long.MAX_VALUE) {
+            drainLimit = Math.max(drainLimit, restartedAt + DRAIN_LIMIT_MICROS);
+        }
+    }
+
     private void sendHeartbeat() {
-        if (crashed) {
+        if (crashed || left) {
             return;
         }
         try {
--- a/src/main/java/reedmux/simulation/soak/SoakFaults.java
+++ b/src/main/java/reedmux/simulation/soak/SoakFaults.java
@@ -10,8 +10,9 @@
 
 /**
  * Injects faults and planned maintenance at random times, so that they overlap. Proxies and checkers may be hit at any
- * time. In the core, either one machine is hit or all machines are killed at once, and the next fault is injected only
- * after the core has had time to recover. Must be used on the reactor's thread only.
+ * time. In the core, either one machine is hit or all machines are killed at once, some of them right after an
+ * acknowledgement, and the next fault is injected only after the core has had time to recover. Must be used on the
+ * reactor's thread only.
  */
 final class SoakFaults {
     private static final long SECOND = 1_000_000;
@@ -31,21 +32,51 @@
 
     private static final int PROXY_KINDS = 8;
     private static final int CORE_KINDS = 9;
+    /** Kinds of faults of the core if processes are also killed after acknowledgements. */
+    private static final int CORE_KINDS_WITH_ACKNOWLEDGEMENTS = 13;
+
+    private static final int FIRST_ACKNOWLEDGEMENT_KIND = 9;
+    private static final int FIRST_LEAVE_KIND = 11;
+    /** The maximum time in which an acknowledgement is awaited; no other fault of the core is injected meanwhile. */
+    private static final long ACKNOWLEDGEMENT_WAIT_MICROS = 3 * SECOND;
+
+    /** Sends a valid change of the configuration. */
+    interface AcknowledgedChange {
+
+        /** Sends the change; {@code onDecided} is called with whether it was acknowledged. */
+        void send(Consumer<Boolean> onDecided);
+    }
 
     private final SoakRun run;
     private final Reactor reactor;
     private final Random random;
     private final ClusterInvariantChecker invariants;
     private final Consumer<String> log;
+    private final AcknowledgedChange change;
+    private final int coreKinds;
     private long until;
     private long coreRecoveredAt;
 
-    SoakFaults(SoakRun run, Reactor reactor, Random random, ClusterInvariantChecker invariants, Consumer<String> log) {
+    /**
+     * Creates the faults of a run.
+     *
+     * @param change sends a change after whose acknowledgement all processes may be killed
+     * @param killsAfterAcknowledgements whether all processes are also killed right after acknowledgements
+     */
+    SoakFaults(
+            SoakRun run,
+            AcknowledgedChange change,
+            boolean killsAfterAcknowledgements,
+            Reactor reactor,
+            Random random,
+            ClusterInvariantChecker invariants) {
         this.run = run;
+        this.change = change;
+        coreKinds = killsAfterAcknowledgements ? CORE_KINDS_WITH_ACKNOWLEDGEMENTS : CORE_KINDS;
         this.reactor = reactor;
         this.random = random;
         this.invariants = invariants;
-        this.log = log;
+        log = run::logFault;
     }
 
     /** Injects faults until {@code end}, in the reactor's time. */
@@ -94,8 +125,14 @@
                 log.accept(proxy.name() + " is paused for " + length / 1000 + " ms");
                 proxy.pause(length);
             }
-            case 5 -> run.replaceChecker(random);
-            case 6 -> run.cutChecker(random);
+            case 5 -> {
+                log.accept("a checker crashes");
+                run.checkers().replace(random);
+            }
+            case 6 -> {
+                log.accept("the connections of a checker are closed");
+                run.checkers().cut(random);
+            }
             default -> run.proxies().forEach(this::hangUp);
         }
         scheduleWithin(MAX_INTERVAL_MICROS, this::injectProxyFaults);
@@ -135,7 +172,12 @@
     }
 
     private void injectCoreFault(SoakMachine core) {
-        switch (random.nextInt(CORE_KINDS)) {
+        int kind = random.nextInt(coreKinds);
+        if (kind >= FIRST_ACKNOWLEDGEMENT_KIND) {
+            killAfterAcknowledgement(kind >= FIRST_LEAVE_KIND);
+            return;
+        }
+        switch (kind) {
             case 0 -> {
                 log.accept(core.name() + " is killed");
                 noteFault(core, RESTART_MICROS);
@@ -155,6 +197,7 @@
                 log.accept("all core machines are killed");
                 invariants.addCoreFault(reactor.now(), reactor.now() + RESTART_MICROS, true);
                 coreRecoveredAt = reactor.now() + RESTART_MICROS + CONVERGENCE_MICROS;
+                run.checkers().noteRestart(reactor.now() + RESTART_MICROS);
                 run.cores().forEach(SoakMachine::kill);
             }
             case 4 -> run.cores().forEach(this::hangUp);
@@ -167,6 +210,35 @@
         }
     }
 
+    /** Kills all processes of all machines at the moment at which a leave or a change is acknowledged. */
+    private void killAfterAcknowledgement(boolean leave) {
+        coreRecoveredAt = reactor.now() + ACKNOWLEDGEMENT_WAIT_MICROS;
+        if (leave) {
+            log.accept("a checker leaves");
+            run.checkers().leave(random, () -> killAll("a leave"));
+        } else {
+            log.accept("a change is sent");
+            change.send(acknowledged -> {
+                if (acknowledged) {
+                    killAll("a change");
+                }
+            });
+        }
+    }
+
+    private void killAll(String acknowledged) {
+        if (reactor.now() > until || reactor.now() > coreRecoveredAt) {
+            return; // the acknowledgement came late, and another fault may have begun
+        }
+        log.accept("all processes are killed right after the acknowledgement of " + acknowledged);
+        long restartedAt = reactor.now() + RESTART_MICROS;
+        invariants.addCoreFault(reactor.now(), restartedAt, true);
+        coreRecoveredAt = restartedAt + CONVERGENCE_MICROS;
+        run.checkers().noteRestart(restartedAt);
+        run.cores().forEach(SoakMachine::kill);
+        run.proxies().forEach(SoakMachine::kill);
+    }
+
     /** Removes a core machine for good; its replacement, with a new name and address, starts before or after that. */
     private void replace(SoakMachine core) {
         boolean planned = random.nextBoolean();
--- a/src/main/java/reedmux/simulation/soak/SoakOptions.java
+++ b/src/main/java/reedmux/simulation/soak/SoakOptions.java
@@ -13,6 +13,7 @@
  * @param tenants  the number of tenants with quotas of their own, some of which exceed them
  * @param rate     the usual total request rate of these tenants, in requests per second
  * @param throttle the maximum time for which each proxy is paused in every 100 ms, in milliseconds
+ * @param stress   what peers and operators do beyond ordinary traffic
  */
 public record SoakOptions(
         long seed,
@@ -24,4 +25,5 @@
         int leaving,
         int tenants,
         double rate,
-        int throttle) {}
+        int throttle,
+        SoakStress stress) {}
--- a/src/main/java/reedmux/simulation/soak/SoakRun.java
+++ b/src/main/java/reedmux/simulation/soak/SoakRun.java
@@ -34,8 +34,8 @@
     private static final String[] ZONES = {"zone-a", "zone-b", "zone-c"};
     private static final String HOST_PREFIX = "127.";
     private static final int MAX_FIRST_PORT = 60_000;
-    private static final int CHECKER_HOST = 200;
     private static final int SEEDS = 3;
+    private static final int STATUS_OK = 200;
     /** The maximum duration of the start of all processes. */
     private static final long START_TIMEOUT_MICROS = 90 * SECOND;
 
@@ -64,7 +64,7 @@
     private final List<SoakMachine> machines = new ArrayList<>();
     private final List<SoakMachine> proxies = new ArrayList<>();
     private final List<SoakMachine> cores = new ArrayList<>();
-    private final List<SoakChecker> checkers = new ArrayList<>();
+    private final SoakCheckerFleet checkers;
     private final List<SoakClient> clients = new ArrayList<>();
     private final List<DepartingClient> departingClients = new ArrayList<>();
     private final List<SimulatedOperator> operators = new ArrayList<>();
@@ -74,11 +74,11 @@
     private final SoakFaults faults;
     private ClientContext context;
     private TenantTraffic tenants;
+    private UploadTraffic uploads;
     private ProcessThrottle throttle;
     private final CompletableFuture<Void> finished = new CompletableFuture<>();
     private final String network;
     private int startedProcesses;
-    private int startedCheckers;
     private int addedCores;
     private int heldUpTimes;
     private long faultsStartedAt;
@@ -91,7 +91,13 @@
         configurations = new ConfigurationGenerator(new Random(options.seed() + 1));
         firstPort = findFirstPort(this.network + "0.1");
         reactor = new Reactor(new RingBufferLogger("soak", 100, System.err::println, System::nanoTime));
-        faults = new SoakFaults(this, reactor, random, invariants, this::logFault);
+        checkers = new SoakCheckerFleet(
+                reactor,
+                random,
+                invariants,
+                controlAddresses,
+                this.network + "3.",
+                options.stress().spoiltShare());
         for (int i = 0; i < 2; i++) {
             operators.add(new SimulatedOperator(
                     reactor,
@@ -102,6 +108,16 @@
                     word -> {}));
         }
         operatorTraffic = new OperatorTraffic(reactor, random, operators, configurations);
+        SoakFaults.AcknowledgedChange change = onAcknowledged -> operators
+                .get(1)
+                .changeConfiguration(
+                        configurations.validChange(),
+                        ClusterInvariantChecker.ExpectedDecision.ACCEPT,
+                        ConfigurationGenerator::visibleEffect,
+                        status -> onAcknowledged.accept(status == STATUS_OK));
+        faults = new SoakFaults(
+                this, change, options.stress().killsAfterAcknowledgements(), reactor, random, invariants);
+        configurations.setExtremeSettings(options.stress().extremeSettings());
         invariants.setDepartureLimit(DEPARTURE_LIMIT_MICROS);
         invariants.setQuota(ConfigurationGenerator.QUOTA_RATE, ConfigurationGenerator.QUOTA_BURST);
     }
@@ -261,30 +277,12 @@
         reactor.scheduleAfter(SECOND, () -> controlAddresses.remove(core.address(SoakMachine.CONTROL_PORT_OFFSET)));
     }
 
-    /** Crashes a random checker and starts another one. */
-    void replaceChecker(Random faultRandom) {
-        logFault("a checker crashes");
-        checkers.remove(faultRandom.nextInt(checkers.size())).crash();
-        startChecker();
-    }
-
-    /** Closes all connections of a random checker. */
-    void cutChecker(Random faultRandom) {
-        logFault("the connections of a checker are closed");
-        checkers.get(faultRandom.nextInt(checkers.size())).cutConnections();
-    }
-
-    private void startChecker() {
-        int number = startedCheckers++;
-        String ip = network + "3." + (1 + number % CHECKER_HOST);
-        try {
-            checkers.add(new SoakChecker(reactor, random, invariants, controlAddresses, "c-" + number, ip, number));
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+    SoakCheckerFleet checkers() {
+        return checkers;
     }
 
-    private void logFault(String description) {
+    /** Adds a line to the list of faults that is printed with violations. */
+    void logFault(String description) {
         faultLog.add(String.format("%.3f %s", (reactor.now() - faultsStartedAt) / 1e6, description));
     }
 
@@ -300,7 +298,7 @@
         cores.forEach(core -> controlAddresses.add(core.address(SoakMachine.CONTROL_PORT_OFFSET)));
         machines.forEach(SoakMachine::start);
         for (int i = 0; i < options.checkers(); i++) {
-            startChecker();
+            checkers.start();
         }
         long startedAt = reactor.now();
         invariants.addCoreFault(
@@ -332,7 +330,7 @@
                         ClusterInvariantChecker.ExpectedDecision.ACCEPT,
                         ConfigurationGenerator::visibleEffect,
                         status -> {
-                            if (status == 200) {
+                            if (status == STATUS_OK) {
                                 onAcknowledged.run();
                             } else if (reactor.now() > deadline) {
                                 fail("after " + phase + " no change was acknowledged");
@@ -370,7 +368,7 @@
                     proxy.address(SoakMachine.READINESS_PORT_OFFSET),
                     OneShotHttpCall.request("GET", "/v1/readiness", "ready", ""),
                     SECOND,
-                    (status, head, text) -> callback.accept(status == 200));
+                    (status, head, text) -> callback.accept(status == STATUS_OK));
         } catch (IOException e) {
             callback.accept(false);
         }
@@ -395,6 +393,8 @@
             client.start();
         }
         startThrottle();
+        uploads = new UploadTraffic(context, options.stress().uploadsPerSecond());
+        uploads.start();
         operatorTraffic.start();
         tenants.start();
         reactor.scheduleEvery(QUOTA_SETTLE_INTERVAL_MICROS, this::settleQuotas);
@@ -427,6 +427,7 @@
 
     /** Ends the faults. Once those in progress are over, the gateway must recover within the timeout. */
     private void endFaultsAndAwaitRecovery() {
+        checkers.stopSpoiling();
         operatorTraffic.stop();
         tenants.endFaults();
         endThrottle();
@@ -451,6 +452,7 @@
 
     /** Sends SIGTERM to all proxies under load; they must exit within their grace period. */
     private void terminateAll() {
+        uploads.stop();
         logFault("all proxies receive SIGTERM");
         proxies.forEach(proxy -> proxy.remove(true));
         reactor.scheduleAfter(SoakMachine.GRACE_MICROS + 2 * SECOND, () -> {
--- a/src/test/java/reedmux/ci/KnownRed.java
+++ b/src/test/java/reedmux/ci/KnownRed.java
@@ -24,7 +24,10 @@
  */
 public final class KnownRed {
     static final int MAX_LISTED = 3;
-    private static final Pattern ENTRY = Pattern.compile("([\\w.$]+\\.\\w+)\\s*,\\s*(\\S.*?)\\s*,\\s*(#\\d+)");
+    /** The test, the command with its seed, what was seen, and the issue. */
+    private static final Pattern ENTRY =
+            Pattern.compile("([\\w.$]+\\.\\w+)\\s*,\\s*(\\S.*?)\\s*,\\s*(\\S.*?)\\s*,\\s*(#\\d+)");
+
     private static final Pattern SUMMARY =
             Pattern.compile("Tests run: (\\d+), Failures: (\\d+), Errors: (\\d+), Skipped: (\\d+)\\s*$");
     /** What Surefire logs when a forked test JVM exits early, in which case some tests have no report. */
@@ -78,7 +81,8 @@
             if (line.isBlank()) {
                 continue;
             } else if (!parts.matches()) {
-                reportError(list.getFileName() + ":" + number + ": not 'package.Class.method, cause, #issue': " + line);
+                reportError(list.getFileName() + ":" + number
+                        + ": not 'package.Class.method, command and seed, what was seen, #issue': " + line);
             } else if (tests.put(parts.group(1), line.strip()) != null) {
                 reportError(list.getFileName() + ":" + number + ": listed twice: " + parts.group(1));
             }
--- a/src/test/java/reedmux/ci/KnownRedTest.java
+++ b/src/test/java/reedmux/ci/KnownRedTest.java
@@ -18,7 +18,7 @@
 
 /** Tests how {@code .ci/run} treats test failures, using reports in Surefire's format. */
 public class KnownRedTest {
-    private static final String LISTED = "a.BTest.cut, a store forgets its vote, #37";
+    private static final String LISTED = "a.BTest.cut, mvn -B verify with seed 4, a store forgets its vote, #37";
     private Path directory;
 
     @BeforeMethod
@@ -86,13 +86,15 @@
     public Object[][] malformedListsAndIncompleteRuns() {
         return new Object[][] {
             {
-                LISTED + "\na.BTest.two, why, #1\na.BTest.three, why, #1\na.BTest.four, why, #1",
+                LISTED
+                        + "\na.BTest.two, seed 1, seen, #1\na.BTest.three, seed 1, seen, #1\na.BTest.four, seed 1, seen, #1",
                 summary(0, 0),
                 "lists 4 tests, 3 at most"
             },
             {LISTED + "\na.BTest.other no cause", summary(0, 0), "KNOWN-RED.txt:2: not 'package.Class.method, "},
+            {LISTED + "\na.BTest.other, cause only, #2", summary(0, 0), "command and seed, what was seen, #issue'"},
             {LISTED + '\n' + LISTED, summary(0, 0), "listed twice: a.BTest.cut"},
-            {"a.BTest.gone, why, #1", summary(0, 0), "listed, but did not run: a.BTest.gone"},
+            {"a.BTest.gone, seed 1, seen, #1", summary(0, 0), "listed, but did not run: a.BTest.gone"},
             {LISTED, summary(1, 0), "the closing line counts 1 failures and errors, the reports have 0"},
             {LISTED, "", "the log has no closing line"},
             {
--- a/src/test/java/reedmux/simulation/soak/SoakTest.java
+++ b/src/test/java/reedmux/simulation/soak/SoakTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -25,6 +26,9 @@
     private static final long[] SEEDS = {1, 2, 3, 4};
     private static final int SECONDS = 15;
     private static final int FIRST_NETWORK = 130;
+    private static final long[] STRESS_SEEDS = {21, 22};
+    private static final int STRESS_SECONDS = 25;
+    private static final int FIRST_STRESS_NETWORK = 140;
 
     private Path directory;
 
@@ -56,14 +60,39 @@
     /** Pauses each proxy for a part of every 100 ms, as machines with a CPU quota do. */
     @Test
     public void tenantsStayWithinTheirQuotasWhenProxiesAreThrottled() throws IOException {
-        SoakOptions options = new SoakOptions(11, SECONDS, 24, 3, 24, 4, 0, 16, 150, 60);
+        SoakOptions options = new SoakOptions(11, SECONDS, 24, 3, 24, 4, 0, 16, 150, 60, SoakStress.NONE);
         SoakOutcome outcome = run(options, directory, FIRST_NETWORK + SEEDS.length + 1);
         assertEquals(outcome.violations(), List.of(), String.join("\n", outcome.faults()));
         assertTrue(outcome.served() > 500, outcome.served() + " of " + outcome.requests() + " served");
     }
 
+    /**
+     * Guards against proxies that run out of memory by long timeouts, large bodies and answers that do not end, and
+     * against acknowledgements that are forgotten when all processes are killed.
+     */
+    @Test
+    public void noInvariantIsViolatedUnderStress() throws IOException, ExecutionException, InterruptedException {
+        SoakStress stress = new SoakStress(12, 0.02, true, true);
+        List<CompletableFuture<SoakOutcome>> runs = new ArrayList<>();
+        for (int i = 0; i < STRESS_SEEDS.length; i++) {
+            long seed = STRESS_SEEDS[i];
+            SoakOptions options = new SoakOptions(seed, STRESS_SECONDS, 3, 3, 6, 8, 4, 6, 60, 0, stress);
+            Path runDirectory = Files.createDirectory(directory.resolve("stress-" + seed));
+            int network = FIRST_STRESS_NETWORK + i;
+            runs.add(CompletableFuture.supplyAsync(() -> run(options, runDirectory, network)));
+        }
+        for (CompletableFuture<SoakOutcome> stressRun : runs) {
+            SoakOutcome outcome = stressRun.get();
+            assertEquals(
+                    outcome.violations(),
+                    List.of(),
+                    "seed " + outcome.seed() + ":\n" + String.join("\n", outcome.faults()));
+            assertTrue(outcome.served() > 100, outcome.served() + " of " + outcome.requests() + " served");
+        }
+    }
+
     private CompletableFuture<SoakOutcome> start(int index) throws IOException {
-        SoakOptions options = new SoakOptions(SEEDS[index], SECONDS, 4, 3, 5, 10, 6, 6, 60, 60);
+        SoakOptions options = new SoakOptions(SEEDS[index], SECONDS, 4, 3, 5, 10, 6, 6, 60, 60, SoakStress.NONE);
         Path runDirectory = Files.createDirectory(directory.resolve("seed-" + SEEDS[index]));
         return CompletableFuture.supplyAsync(() -> run(options, runDirectory, FIRST_NETWORK + index));
     }
