Let a slow client read its whole answer: the idle timeout restarts with each part

Callers saw: an answer that the client read for longer than the idle timeout was cut off, after 15 s on a kept connection and after 10 s on one that closes.

Cause: the timeouts of idle and closing connections ran from the moment at which the answer was queued, whatever was sent since. The flag that reading a body is paused was also kept for the next request of a connection whose request was answered early.

Change: the timeout restarts when a part of the answer was sent since the last check; a client that reads nothing is still disconnected. The flag is reset with each request.

--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -83,6 +83,8 @@
 
     private Http1BodyReader bodyReader;
     private ClientRequestBody requestBody;
+    /** Number of bytes that had been sent when the timeouts were last checked. */
+    private long sentBytesSeen;
     /** Whether reading the body is paused until its buffer has been read. */
     private boolean bodyReadPaused;
 
@@ -228,6 +230,7 @@
 
     private void beginRequest(Http1Head head) throws MalformedMessageException {
         bodyReader = Http1BodyReader.ofRequest(head);
+        bodyReadPaused = false;
         keepAlive = !head.closesConnection();
         responded = false;
         dispatched = false;
@@ -434,6 +437,7 @@
     void checkTimeouts(long now, boolean closeIdle) {
         RequestLimits limits = handler.requestLimits();
         State state = state();
+        noteSendProgress(now);
         long timeInState = now - stateSince;
         if (state == State.CLOSING) {
             boolean fullySent = connection.queuedBytes() == 0;
@@ -461,6 +465,15 @@
         }
     }
 
+    /** Restarts the timeout of a connection that is idle or closing if a part of its response was sent since. */
+    private void noteSendProgress(long now) {
+        boolean idleOrClosing = state() == State.IDLE || state() == State.CLOSING;
+        if (idleOrClosing && connection.queuedBytes() > 0 && connection.sentBytes() != sentBytesSeen) {
+            stateSince = now;
+        }
+        sentBytesSeen = connection.sentBytes();
+    }
+
     private void onBodyTimeout() {
         if (dispatched) {
             disconnect();
--- a/src/test/java/reedmux/proxy/ClientConnectionTest.java
+++ b/src/test/java/reedmux/proxy/ClientConnectionTest.java
@@ -246,6 +246,39 @@
         assertEquals(harness.dispatched.size(), 4);
     }
 
+    /** Guards against answers that are cut off because the client reads them for longer than the idle timeout. */
+    @Test
+    public void slowReaderGetsItsWholeResponse() throws IOException {
+        for (boolean last : new boolean[] {false, true}) {
+            ClientHarness harness = new ClientHarness();
+            harness.socket.setCapacityBytes(0);
+            String request = getRequest("one");
+            harness.socket.receive(last ? request.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n") : request);
+            BodyBuffer body = new BodyBuffer();
+            body.append(new byte[100_000]);
+            harness.client.respond(
+                    harness.dispatched.get(0), new ProxyResponse.CheckerResponse(Http1Head.response(200), body, false));
+            for (int seconds = 0; seconds < 60 && harness.socket.writtenText().length() <= 100_000; seconds++) {
+                assertFalse(harness.socket.isClosed(), "closed after " + seconds + " s");
+                harness.socket.setCapacityBytes(2_000);
+                harness.advanceMicros(MICROS_PER_SECOND);
+            }
+            assertTrue(harness.socket.writtenText().length() > 100_000);
+            assertFalse(harness.socket.isClosed() && !last);
+        }
+    }
+
+    /** A client that does not read at all is disconnected after the timeout. */
+    @Test
+    public void clientThatReadsNothingIsDisconnected() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.socket.setCapacityBytes(0);
+        harness.socket.receive(getRequest("one"));
+        harness.client.respond(harness.dispatched.get(0), localResponse(200));
+        harness.advanceMicros(17 * MICROS_PER_SECOND);
+        assertTrue(harness.socket.isClosed());
+    }
+
     /** Guards against an overflow: with the largest limit that can be configured, a head may come in two parts. */
     @Test
     public void acceptsAHeadInPartsUnderTheLargestLimit() throws IOException {
