Review case 6: a new field in the settings file keeps processes from starting

Cause: TomlParser reads a part of TOML and refuses the whole file for a value of a type that it does not know, also under an unknown key, which the pages tell to ignore.

--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -102,6 +102,8 @@
     private final PrintWriter record;
     /** Further lines of the envelope, such as {@code graceS}. */
     String envelope = "";
+    /** Further lines at the top of each settings file that is written from now on. */
+    String newFields = "";
 
     Rig(String caseFolder, int edges, int ipBlock) throws IOException {
         record = new PrintWriter(Files.newBufferedWriter(Path.of(caseFolder, "record.txt")), true);
@@ -162,7 +164,7 @@
             text.append(i == 0 ? "" : ",").append('"').append(control(i)).append('"');
         }
         text.append("]\ncoldStart = ").append(machine.coldStart).append("\ncounted = ").append(!role.equals("proxy"));
-        text.append("\nperiodMs = 1500\n");
+        text.append("\nperiodMs = 1500\n").append(newFields);
         if (!role.equals("proxy")) {
             text.append("dataDir = \"").append(machine.disk()).append("\"\n");
         }
