Read all of TOML in settings files, so that new fields of any type are ignored

Cause: the reader knew only the part of TOML that today's files use and refused the rest under unknown keys too; the message of each start names the key. Change: a complete reader of TOML 1.0 and 1.1's additions, nested tables, errors with file, line and key; finite numbers, bounded durations; a proxy checks all values before it applies any; unknown JSON fields may be nested deeper.

--- a/src/main/java/reedmux/cli/CheckCommand.java
+++ b/src/main/java/reedmux/cli/CheckCommand.java
@@ -35,6 +35,12 @@
                 settings.socketAddress(socketKey);
             }
         }
+        settings.number(SettingKeys.RETRY_RATIO, 0);
+        settings.number(SettingKeys.RETRY_SLACK, 0);
+        settings.number(SettingKeys.DESCRIPTOR_LIMIT, 0);
+        settings.durationMicrosOfSeconds(SettingKeys.SHUTDOWN_GRACE_SECONDS, 0);
+        settings.durationMicros(SettingKeys.HEARTBEAT_INTERVAL_MILLIS, 0);
+        settings.wholeNumber(SettingKeys.TOLERATED_MACHINES, 0);
         System.out.println("ok: " + settings.node() + " in " + settings.zone());
         return ExitCode.OK;
     }
--- a/src/main/java/reedmux/common/settings/ProcessSettings.java
+++ b/src/main/java/reedmux/common/settings/ProcessSettings.java
@@ -2,8 +2,12 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
+import java.nio.charset.CoderResult;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,6 +26,10 @@
     private static final int MIN_PORTS = 3;
 
     private static final long MICROS_PER_MILLI = 1000;
+    private static final long MILLIS_PER_SECOND = 1000;
+    private static final int MAX_COUNT = 1_000_000;
+    /** A year; sums and small multiples of longer durations could overflow. */
+    private static final long MAX_DURATION_MILLIS = 365L * 24 * 60 * 60 * MILLIS_PER_SECOND;
 
     private final SettingsDocument document;
     private final String node;
@@ -37,10 +45,9 @@
         firstPort = parseFirstPort(document);
         seeds = parseSeeds(document);
         coldStart = document.flag(SettingKeys.COLD_START, false);
-        String directory = document.optionalText(SettingKeys.DATA_DIRECTORY);
-        dataDirectory = directory == null ? null : Path.of(directory);
+        dataDirectory = parseDirectory(document);
         node = document.requiredText(SettingKeys.NODE);
-        ip = document.requiredText(SettingKeys.IP);
+        ip = parseIp(document);
         zone = document.requiredText(SettingKeys.ZONE);
     }
 
@@ -60,13 +67,28 @@
      * @throws ProcessSettingsException if the file cannot be read or is invalid
      */
     public static ProcessSettings load(Path file) throws ProcessSettingsException {
-        String text;
+        byte[] bytes;
         try {
-            text = Files.readString(file, StandardCharsets.UTF_8);
+            bytes = Files.readAllBytes(file);
         } catch (IOException e) {
             throw new ProcessSettingsException(file.toString(), e);
         }
-        return parse(file.toString(), text);
+        return parse(file.toString(), decode(file.toString(), bytes));
+    }
+
+    /** Decodes UTF-8; an exception names the line of the first byte that is none. */
+    private static String decode(String file, byte[] bytes) throws ProcessSettingsException {
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        CharBuffer out = CharBuffer.allocate(bytes.length);
+        CoderResult result = StandardCharsets.UTF_8.newDecoder().decode(in, out, true);
+        if (result.isError()) {
+            int line = 1;
+            for (int i = 0; i < in.position(); i++) {
+                line += bytes[i] == '\n' ? 1 : 0;
+            }
+            throw new ProcessSettingsException(file, line, null, "the text is not UTF-8");
+        }
+        return out.flip().toString();
     }
 
     /**
@@ -82,8 +104,8 @@
     private static int parseFirstPort(SettingsDocument document) throws ProcessSettingsException {
         List<?> ports = document.requiredList(SettingKeys.PORT_RANGE);
         if (ports.size() != 2
-                || !(ports.get(0) instanceof Double first)
-                || !(ports.get(1) instanceof Double last)
+                || !(ports.get(0) instanceof Long first)
+                || !(ports.get(1) instanceof Long last)
                 || first < 1
                 || last > MAX_PORT
                 || first + MIN_PORTS - 1 > last) {
@@ -106,6 +128,23 @@
         return List.copyOf(seeds);
     }
 
+    private static Path parseDirectory(SettingsDocument document) throws ProcessSettingsException {
+        String directory = document.optionalText(SettingKeys.DATA_DIRECTORY);
+        try {
+            return directory == null ? null : Path.of(directory);
+        } catch (InvalidPathException e) {
+            throw document.invalid(SettingKeys.DATA_DIRECTORY, "is not a path: " + e.getReason());
+        }
+    }
+
+    private static String parseIp(SettingsDocument document) throws ProcessSettingsException {
+        String text = document.requiredText(SettingKeys.IP);
+        if (SocketAddresses.parse(text + ":0") == null) {
+            throw document.invalid(SettingKeys.IP, "is not an IPv4 address");
+        }
+        return text;
+    }
+
     /** The file name that was passed to {@link #load} or {@link #parse}. */
     public String file() {
         return document.file();
@@ -156,8 +195,12 @@
         return firstPort + 2;
     }
 
-    /** Whether the file contains a key. */
-    public boolean contains(String key) {
+    /**
+     * Whether the file contains a key.
+     *
+     * @throws ProcessSettingsException if the name of the key's table stands for something else
+     */
+    public boolean contains(String key) throws ProcessSettingsException {
         return document.contains(key);
     }
 
@@ -174,19 +217,38 @@
     /**
      * Returns a number in the unit that {@link SettingKeys} documents for its key.
      *
-     * @throws ProcessSettingsException if the value is not a number of 0 or more
+     * @throws ProcessSettingsException if the value is not a finite number of 0 or more
      */
     public double number(String key, double defaultValue) throws ProcessSettingsException {
-        return document.number(key, defaultValue);
+        return document.number(key, defaultValue, Double.MAX_VALUE);
+    }
+
+    /**
+     * Returns a whole number.
+     *
+     * @throws ProcessSettingsException if the value is not a whole number from 0 to {@link #MAX_COUNT}
+     */
+    public int wholeNumber(String key, int defaultValue) throws ProcessSettingsException {
+        return document.wholeNumber(key, defaultValue, MAX_COUNT);
     }
 
     /**
      * Returns a duration in microseconds whose value in the file is in milliseconds.
      *
-     * @throws ProcessSettingsException if the value is not a number of 0 or more
+     * @throws ProcessSettingsException if the value is not a number from 0 to {@link #MAX_DURATION_MILLIS}
      */
     public long durationMicros(String key, long defaultMillis) throws ProcessSettingsException {
-        return (long) (number(key, defaultMillis) * MICROS_PER_MILLI);
+        return (long) (document.number(key, defaultMillis, MAX_DURATION_MILLIS) * MICROS_PER_MILLI);
+    }
+
+    /**
+     * Returns a duration in microseconds whose value in the file is in seconds.
+     *
+     * @throws ProcessSettingsException if the value is not a number from 0 to that of {@link #MAX_DURATION_MILLIS}
+     */
+    public long durationMicrosOfSeconds(String key, long defaultSeconds) throws ProcessSettingsException {
+        double seconds = document.number(key, defaultSeconds, (double) MAX_DURATION_MILLIS / MILLIS_PER_SECOND);
+        return (long) (seconds * MILLIS_PER_SECOND * MICROS_PER_MILLI);
     }
 
     /** Creates an exception about the value of a key such as {@code sockets.front}. */
--- a/src/main/java/reedmux/control/configuration/ItemJson.java
+++ b/src/main/java/reedmux/control/configuration/ItemJson.java
@@ -19,7 +19,9 @@
  * parsed values. Numbers are read as {@link BigDecimal}s to keep the precision with which they were sent.
  */
 public final class ItemJson {
-    private static final int MAX_DEPTH = 32;
+    /** Bounds the recursion, so that no document overflows the stack. */
+    private static final int MAX_DEPTH = 200;
+
     /** 2^53: a {@code double} does not represent every integer above this limit. */
     private static final long MAX_EXACT_INTEGER = 1L << 53;
 
@@ -168,6 +170,8 @@
             throw wrongType(value, key, "a number");
         } else if (number.signum() < 0) {
             throw new InvalidConfigurationException(key, key + " is below 0");
+        } else if (Double.isInfinite(number.doubleValue())) {
+            throw new InvalidConfigurationException(key, key + " is too large");
         } else {
             return number.doubleValue();
         }
--- a/src/main/java/reedmux/control/store/StoreServer.java
+++ b/src/main/java/reedmux/control/store/StoreServer.java
@@ -106,7 +106,7 @@
             reactor.info("the disk is empty, and this is not the first start: recovering from the other stores");
         }
         consensus = new ConsensusNode(settings.ip(), self.incarnation(), replica, complete, this);
-        int minimumReplicas = (int) settings.number(SettingKeys.TOLERATED_MACHINES, 0) + 1;
+        int minimumReplicas = settings.wholeNumber(SettingKeys.TOLERATED_MACHINES, 0) + 1;
         membership = new CoreMembership(settings.ip(), minimumReplicas, storage.core(), complete, this);
         peers = new PeerConnections(reactor, codec, self, this);
         publisher = new ChangePublisher(reactor, codec, self.incarnation(), replica, consensus);
--- a/src/main/java/reedmux/proxy/Proxy.java
+++ b/src/main/java/reedmux/proxy/Proxy.java
@@ -48,7 +48,7 @@
 
     private static final int MIN_CLIENTS = 64;
     private static final int DEFAULT_DESCRIPTOR_LIMIT = 1024;
-    private static final double DEFAULT_GRACE_SECONDS = 6;
+    private static final long DEFAULT_GRACE_SECONDS = 6;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
     private static final double DEFAULT_RETRY_SLACK = 10;
 
@@ -99,8 +99,8 @@
         tracker = new RequestTracker(this, loadBalancer, retryBudget, incarnation);
         checkerConnections = new CheckerConnectionPool(reactor, tracker);
         startupGate = new StartupGate(reactor, controlPlane, loadBalancer, startedAt);
-        double graceSeconds = settings.number(SettingKeys.SHUTDOWN_GRACE_SECONDS, DEFAULT_GRACE_SECONDS);
-        shutdown = new GracefulShutdown((long) (graceSeconds * MICROS_PER_SECOND));
+        shutdown = new GracefulShutdown(
+                settings.durationMicrosOfSeconds(SettingKeys.SHUTDOWN_GRACE_SECONDS, DEFAULT_GRACE_SECONDS));
         admission = new RequestAdmission(reactor, controlPlane, startupGate, shutdown, quotas);
         clients = new ClientFrontend(
                 reactor, controlPlane, startupGate, admission, tracker, shutdown, maxClients(settings));
@@ -274,9 +274,9 @@
 
     @Override
     public void reload(ProcessSettings newSettings) throws ProcessSettingsException {
+        double retryRatio = newSettings.number(SettingKeys.RETRY_RATIO, DEFAULT_RETRY_RATIO);
+        double retrySlack = newSettings.number(SettingKeys.RETRY_SLACK, DEFAULT_RETRY_SLACK);
         controlPlane.onSettingsChange(newSettings);
-        retryBudget.setLimits(
-                newSettings.number(SettingKeys.RETRY_RATIO, DEFAULT_RETRY_RATIO),
-                newSettings.number(SettingKeys.RETRY_SLACK, DEFAULT_RETRY_SLACK));
+        retryBudget.setLimits(retryRatio, retrySlack);
     }
 }
--- a/src/main/java/reedmux/simulation/soak/SoakMachine.java
+++ b/src/main/java/reedmux/simulation/soak/SoakMachine.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.stream.Stream;
 import reedmux.common.eventloop.Reactor;
 
@@ -40,6 +41,9 @@
         /** The IP addresses of the seeds that are written to the settings of a program. */
         List<String> seeds();
 
+        /** Draws the settings that a program does not know. */
+        Random settingsRandom();
+
         void onViolation(String violation);
 
         void onStarted();
@@ -268,7 +272,7 @@
     /** Replaces the file atomically, so that a starting process does not read a partly written file. */
     private void writeSettings(Path file) throws IOException {
         Path next = file.resolveSibling(file.getFileName() + ".new");
-        Files.writeString(next, settings());
+        Files.writeString(next, UnknownSettings.addTo(settings(), fleet.settingsRandom()));
         Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
 
--- a/src/main/java/reedmux/simulation/soak/SoakRun.java
+++ b/src/main/java/reedmux/simulation/soak/SoakRun.java
@@ -4,7 +4,6 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,7 +14,6 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import reedmux.common.eventloop.Reactor;
-import reedmux.common.logging.InvariantMonitor;
 import reedmux.common.logging.RingBufferLogger;
 import reedmux.simulation.cluster.ClusterInvariantChecker;
 import reedmux.simulation.cluster.ConfigurationGenerator;
@@ -59,6 +57,9 @@
     private final int firstPort;
     private final Reactor reactor;
     private final Random random;
+    /** Apart from {@link #random}, so that the faults of a seed do not depend on the number of starts. */
+    private final Random settingsRandom;
+
     private final ClusterInvariantChecker invariants = new ClusterInvariantChecker();
     private final ConfigurationGenerator configurations;
     private final List<SoakMachine> machines = new ArrayList<>();
@@ -88,6 +89,7 @@
         this.directory = directory;
         this.network = HOST_PREFIX + network + '.';
         random = new Random(options.seed());
+        settingsRandom = new Random(~options.seed());
         configurations = new ConfigurationGenerator(new Random(options.seed() + 1));
         firstPort = findFirstPort(this.network + "0.1");
         reactor = new Reactor(new RingBufferLogger("soak", 100, System.err::println, System::nanoTime));
@@ -222,6 +224,11 @@
         return cores.stream().limit(SEEDS).map(SoakMachine::ip).toList();
     }
 
+    @Override
+    public Random settingsRandom() {
+        return settingsRandom;
+    }
+
     @Override
     public void onViolation(String violation) {
         invariants.onInvariantViolation(violation);
@@ -471,21 +478,7 @@
     /** Reports violated invariants and unexpected errors that the programs have logged, at most three per program. */
     private void checkOutputs() throws IOException {
         for (SoakMachine machine : machines) {
-            for (String program : machine.programs()) {
-                Path output = machine.outputOf(program);
-                if (Files.exists(output)) {
-                    Files.readAllLines(output).stream()
-                            .filter(SoakRun::reportsFailure)
-                            .limit(3)
-                            .forEach(line -> invariants.onInvariantViolation(machine.name() + ": " + line));
-                }
-            }
+            ProgramOutputs.failures(machine).forEach(invariants::onInvariantViolation);
         }
     }
-
-    private static boolean reportsFailure(String line) {
-        return line.contains(InvariantMonitor.LOG_PREFIX)
-                || line.contains("Exception")
-                || line.contains("OutOfMemoryError");
-    }
 }
--- a/src/test/java/reedmux/simulation/soak/SoakMachineTest.java
+++ b/src/test/java/reedmux/simulation/soak/SoakMachineTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
@@ -54,6 +55,11 @@
             return directory;
         }
 
+        @Override
+        public Random settingsRandom() {
+            return new Random(1);
+        }
+
         @Override
         public List<String> seeds() {
             return List.of(IP);
