Count the bytes of a request: end a body and reuse a connection by one state

Cause: an attempt's index of blocks counts from the start of the body, and isExhausted compared it with the blocks that remain, so a streamed body counted as written after about half of it. Change: RequestWriter counts the bytes of the body and of the whole request; it alone ends a body and tells whether all of it was sent; bodies are read by offset; each attempt has its own listener. Why this works: every decision compares a byte count with the length, and none depends on how the bytes are held.

ClientRequestBody.chunk became blockAt: three tests read by offset now and ask the same.

--- a/src/main/java/reedmux/common/http1/BodyBuffer.java
+++ b/src/main/java/reedmux/common/http1/BodyBuffer.java
@@ -101,9 +101,19 @@
         return first;
     }
 
-    /** Returns the number of blocks that were not removed. */
-    public int blockCount() {
-        return blocks.size();
+    /**
+     * Returns the block that begins at an offset from the start, or null if the content ends there. No block may have
+     * been removed; the block must not be modified, and nothing may be appended afterwards.
+     */
+    public byte[] blockAt(long offset) {
+        long blockStart = 0;
+        for (byte[] block : takeBlocks()) {
+            if (blockStart == offset) {
+                return block;
+            }
+            blockStart += block.length;
+        }
+        return null;
     }
 
     /** Removes all blocks. */
--- a/src/main/java/reedmux/proxy/CheckerConnection.java
+++ b/src/main/java/reedmux/proxy/CheckerConnection.java
@@ -1,7 +1,6 @@
 package reedmux.proxy;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import reedmux.common.eventloop.Connection;
 import reedmux.common.eventloop.Reactor;
 import reedmux.common.http1.BodyBuffer;
@@ -28,11 +27,6 @@
 final class CheckerConnection implements Connection.ConnectionHandler {
     private static final int MAX_HEAD_BYTES = 64 * 1024;
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
-    /**
-     * Output queued for the checker, in bytes, from which on no more of the request body is written until the queue
-     * drains.
-     */
-    private static final int MAX_WRITE_QUEUE_BYTES = 128 * 1024;
     /** Maximum number of responses to earlier requests that are skipped before the awaited response. */
     private static final int MAX_STALE_RESPONSES = 4;
 
@@ -49,8 +43,6 @@
     private static final int FIRST_REDIRECT_STATUS = 300;
     private static final int STATUS_MISDIRECTED_REQUEST = 421;
     private static final int STATUS_BAD_GATEWAY = 502;
-    private static final byte[] CRLF = {'\r', '\n'};
-    private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
     /** Receives the results of attempts and the state changes of connections. */
     interface CheckerConnectionListener {
@@ -74,16 +66,14 @@
     private final CheckerConnectionListener listener;
     private final Connection connection;
     private final Http1HeadReader headReader = new Http1HeadReader(false);
+    private final Runnable bodyListener = this::writeBody;
     /** The attempt in flight and its request; both are null while the connection is idle. */
     private RequestAttempt attempt;
 
     private ClientRequest request;
-    /** Index of the next chunk of the request body to write. */
-    private int nextChunkIndex;
+    /** Writes the request in flight; null until its head is written. */
+    private RequestWriter requestWriter;
 
-    private boolean chunked;
-    private boolean requestWritten;
-    private long bytesBeforeRequest;
     /** Head of the response that is being read; null until a head is complete. */
     private Http1Head responseHead;
 
@@ -129,8 +119,7 @@
         attempt = nextAttempt;
         request = nextRequest;
         nextAttempt.setConnection(this);
-        nextChunkIndex = 0;
-        requestWritten = false;
+        requestWriter = null;
         staleResponses = 0;
         if (connection.isConnected()) {
             writeHead();
@@ -146,67 +135,36 @@
 
     private void writeHead() {
         attempt.onConnected();
-        bytesBeforeRequest = connection.sentBytes() + connection.queuedBytes();
         ClientRequestBody body = request.body();
-        byte[] head = request.encodeHead(attempt, reactor.now());
-        chunked = body != null && body.length() < 0;
-        connection.write(head);
+        requestWriter = new RequestWriter(connection, request.encodeHead(attempt, reactor.now()), body);
         if (body == null) {
-            requestWritten = true;
             reportIfFullySent();
         } else {
-            body.setChunkListener(this::writeBody);
+            body.addChunkListener(bodyListener);
             writeBody();
         }
     }
 
     private void reportIfFullySent() {
-        if (attempt != null && requestWritten && connection.queuedBytes() == 0) {
+        if (attempt != null && requestWriter.isSent()) {
             attempt.onFullySent();
         }
     }
 
-    /** Writes the chunks of the body that have been received, as far as the output queue has room. */
+    /** Writes the part of the body that has been received, as far as the output queue has room. */
     private void writeBody() {
-        if (attempt == null || requestWritten || !connection.isOpen()) {
-            return;
-        }
-        ClientRequestBody body = request.body();
-        if (body.isDiscarded()) {
-            abort();
+        if (attempt == null || !connection.isOpen()) {
             return;
-        }
-        while (connection.queuedBytes() < MAX_WRITE_QUEUE_BYTES) {
-            byte[] chunk = body.chunk(nextChunkIndex);
-            if (chunk == null) {
-                break;
-            }
-            nextChunkIndex++;
-            writeChunk(chunk);
-        }
-        if (!requestWritten && body.isExhausted(nextChunkIndex)) {
-            if (chunked) {
-                connection.write(LAST_CHUNK);
-            }
-            requestWritten = true;
+        } else if (requestWriter.writeBody()) {
             reportIfFullySent();
+        } else {
+            abort();
         }
     }
 
-    private void writeChunk(byte[] chunk) {
-        if (!chunked) {
-            connection.write(chunk);
-            return;
-        }
-        connection.write((Integer.toHexString(chunk.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
-        connection.write(chunk);
-        connection.write(CRLF);
-    }
-
     @Override
     public void onFlushed() {
         writeBody();
-        reportIfFullySent();
     }
 
     @Override
@@ -299,8 +257,7 @@
                 // A late copy of this response is indistinguishable from the next response, which may lack an id too.
                 || attemptId == null
                 // The rest of this request would be written before the next request.
-                || !requestWritten
-                || connection.queuedBytes() > 0;
+                || !requestWriter.isSent();
     }
 
     /** Adopts the timeout of {@code Keep-Alive: timeout=SECONDS}; ignores all other parameters of the header. */
@@ -328,7 +285,7 @@
         attempt = null;
         idleSince = reactor.now();
         if (request.body() != null) {
-            request.body().setChunkListener(() -> {});
+            request.body().removeChunkListener(bodyListener);
         }
         request = null;
         if (connection.available() > 0 || connection.isInputEnded()) {
@@ -347,7 +304,7 @@
      * executed: a checker may start to execute a request that it has received in part.
      */
     private void abort() {
-        boolean bytesSent = attempt != null && attempt.isConnected() && connection.sentBytes() > bytesBeforeRequest;
+        boolean bytesSent = attempt != null && requestWriter != null && requestWriter.isPartlySent();
         connection.close();
         releaseResponse();
         notReusable = true;
--- a/src/main/java/reedmux/proxy/ClientRequestBody.java
+++ b/src/main/java/reedmux/proxy/ClientRequestBody.java
@@ -1,5 +1,6 @@
 package reedmux.proxy;
 
+import java.util.ArrayList;
 import java.util.List;
 import reedmux.common.eventloop.BufferBudget;
 import reedmux.common.http1.BodyBuffer;
@@ -30,8 +31,13 @@
     private final BodyBuffer buffer = new BodyBuffer();
     private boolean complete;
     private boolean streaming;
+    /** Number of bytes at the start of a streamed body that were read and released. */
+    private long releasedBytes;
+
     private boolean discarded;
-    private Runnable chunkListener = () -> {};
+    /** One for each attempt that sends the body. */
+    private final List<Runnable> chunkListeners = new ArrayList<>(1);
+
     private Runnable capacityListener = () -> {};
     private Runnable discardListener = () -> {};
 
@@ -48,7 +54,7 @@
         }
         buffer.append(bytes);
         reportBufferBytes();
-        chunkListener.run();
+        notifyChunkListeners();
     }
 
     private void reportBufferBytes() {
@@ -58,7 +64,7 @@
     /** Marks the body as completely received. */
     void finish() {
         complete = true;
-        chunkListener.run();
+        notifyChunkListeners();
     }
 
     /** Returns whether the body can be sent now: it is complete, or too large to wait for the rest. */
@@ -94,9 +100,19 @@
         return complete ? buffer.length() : declaredLength;
     }
 
-    /** Sets the listener that is called when a chunk or the end of the body was received; replaces the previous one. */
-    void setChunkListener(Runnable listener) {
-        chunkListener = listener;
+    /** Adds a listener that is called when a chunk or the end of the body was received, or the body was discarded. */
+    void addChunkListener(Runnable listener) {
+        chunkListeners.add(listener);
+    }
+
+    void removeChunkListener(Runnable listener) {
+        chunkListeners.remove(listener);
+    }
+
+    private void notifyChunkListeners() {
+        for (Runnable listener : List.copyOf(chunkListeners)) {
+            listener.run();
+        }
     }
 
     /** Sets the listener that is called when a chunk is read while less than half of the buffer is in use. */
@@ -109,29 +125,35 @@
         discardListener = listener;
     }
 
+    /** Returns whether the bytes from an offset on can be read, now or once they are received. */
+    boolean isReadableFrom(long offset) {
+        return !discarded && offset >= releasedBytes;
+    }
+
     /**
-     * Returns the chunk at an index, or null if it was not received yet. Each chunk of a streamed body can be read only
-     * once.
+     * Returns the bytes that begin at an offset, as many as are held together, or null if none was received yet. The
+     * offset counts from the start of the body and must be 0 or the end of bytes that were returned before. Each byte
+     * of a streamed body can be read only once ({@link #isReadableFrom}).
      */
-    byte[] chunk(int index) {
+    byte[] blockAt(long offset) {
         if (complete && !streaming) {
-            List<byte[]> blocks = buffer.takeBlocks();
-            return index < blocks.size() ? blocks.get(index) : null;
+            return buffer.blockAt(offset);
         }
         streaming = true;
-        byte[] chunk = buffer.removeFirstBlock();
-        if (chunk != null) {
+        byte[] block = buffer.removeFirstBlock();
+        if (block != null) {
+            releasedBytes += block.length;
             reportBufferBytes();
             if (buffer.heldBytes() == 0 || buffer.heldBytes() < maxBufferedBytes() / 2) {
                 capacityListener.run();
             }
         }
-        return chunk;
+        return block;
     }
 
-    /** Returns whether the body is complete and has no chunk at an index. */
-    boolean isExhausted(int index) {
-        return complete && index >= buffer.blockCount();
+    /** Returns whether the body is complete and ends at an offset from its start. */
+    boolean endsAt(long offset) {
+        return complete && !discarded && offset == buffer.length();
     }
 
     /** Releases the buffer of a body that is not sent any more. */
@@ -144,7 +166,7 @@
     @Override
     public void onBudgetExceeded() {
         release();
-        chunkListener.run();
+        notifyChunkListeners();
         discardListener.run();
     }
 }
--- a/src/test/java/reedmux/proxy/BufferedBytesTest.java
+++ b/src/test/java/reedmux/proxy/BufferedBytesTest.java
@@ -103,7 +103,9 @@
         for (ClientRequestBody body : bodies) {
             boolean[] resumed = {false};
             body.setCapacityListener(() -> resumed[0] = true);
-            for (int i = 0; body.chunk(i) != null; i++) {
+            long offset = 0;
+            for (byte[] block = body.blockAt(0); block != null; block = body.blockAt(offset)) {
+                offset += block.length;
                 assertFalse(body.isReplayable());
             }
             assertTrue(resumed[0], "reading would never be resumed");
@@ -121,14 +123,15 @@
         for (int i = 0; i < 100_000; i++) {
             body.append(new byte[1]);
             if (i % 1000 == 999) {
-                for (byte[] chunk = body.chunk(0); chunk != null; chunk = body.chunk(0)) {
-                    sent += chunk.length;
+                for (byte[] block = body.blockAt(sent); block != null; block = body.blockAt(sent)) {
+                    sent += block.length;
                 }
                 assertEquals(budget.totalBytes(), 0);
             }
         }
         body.finish();
-        assertTrue(body.isExhausted(0));
+        assertTrue(body.endsAt(100_000));
+        assertFalse(body.endsAt(0));
         assertEquals(sent, 100_000);
     }
 
--- a/src/test/java/reedmux/proxy/CheckerHarness.java
+++ b/src/test/java/reedmux/proxy/CheckerHarness.java
@@ -64,6 +64,26 @@
     }
 
     void accept(String attemptId, boolean repeatable, String body) {
+        ClientRequestBody requestBody = body == null
+                ? null
+                : new ClientRequestBody(body.length(), sockets.reactor().bufferBudget());
+        if (requestBody != null) {
+            append(requestBody, body);
+            requestBody.finish();
+        }
+        acceptWithBody(attemptId, repeatable, requestBody);
+    }
+
+    /** Appends a text to a body in pieces. */
+    static void append(ClientRequestBody body, String text) {
+        for (int start = 0; start < text.length(); start += PIECE_BYTES) {
+            String piece = text.substring(start, Math.min(text.length(), start + PIECE_BYTES));
+            body.append(piece.getBytes(StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    /** Accepts a request with a body that may still be received; {@code requestBody} is null if there is none. */
+    void acceptWithBody(String attemptId, boolean repeatable, ClientRequestBody requestBody) {
         RouteItem route = new RouteItem(
                 "r",
                 "h",
@@ -75,19 +95,9 @@
                 List.of(new RouteItem.WeightedService("desk", 1)),
                 2,
                 true);
-        ClientRequestBody requestBody = body == null
-                ? null
-                : new ClientRequestBody(body.length(), sockets.reactor().bufferBudget());
-        if (requestBody != null) {
-            for (int start = 0; start < body.length(); start += PIECE_BYTES) {
-                String piece = body.substring(start, Math.min(body.length(), start + PIECE_BYTES));
-                requestBody.append(piece.getBytes(StandardCharsets.ISO_8859_1));
-            }
-            requestBody.finish();
-        }
         ClientRequest request = new ClientRequest(
                 null,
-                Http1Head.request(body == null ? "GET" : "POST", "/x").add("Reedmux-Attempt-Id", attemptId),
+                Http1Head.request(requestBody == null ? "GET" : "POST", "/x").add("Reedmux-Attempt-Id", attemptId),
                 attemptId,
                 null,
                 requestBody);
--- a/src/test/java/reedmux/proxy/ClientConnectionTest.java
+++ b/src/test/java/reedmux/proxy/ClientConnectionTest.java
@@ -126,8 +126,10 @@
                     + "Transfer-Encoding: chunked\r\n\r\n90000\r\n" + "y".repeat(0x90000) + "\r\n");
             assertEquals(harness.dispatched.size(), 1);
             ClientRequestBody body = harness.dispatched.get(0).body();
-            for (int i = 0; body.chunk(i) != null; i++) {
-                assertFalse(harness.socket.isClosed()); // the chunk is forwarded
+            long offset = 0;
+            for (byte[] block = body.blockAt(0); block != null; block = body.blockAt(offset)) {
+                offset += block.length;
+                assertFalse(harness.socket.isClosed()); // the block is forwarded
             }
             if (responseSent) {
                 harness.client.respond(harness.dispatched.get(0), localResponse(503));
@@ -191,7 +193,9 @@
                 + "Content-Length: 1000000\r\n\r\n" + "y".repeat(600_000));
         harness.advanceMicros(20 * MICROS_PER_SECOND);
         ClientRequestBody body = harness.dispatched.get(0).body();
-        for (int i = 0; body.chunk(i) != null; i++) {
+        long offset = 0;
+        for (byte[] block = body.blockAt(0); block != null; block = body.blockAt(offset)) {
+            offset += block.length;
             assertFalse(harness.socket.isClosed());
         }
         harness.client.checkTimeouts(harness.now(), false);
@@ -214,8 +218,8 @@
         assertEquals(harness.dispatched.size(), 1);
         ClientRequestBody body = harness.dispatched.get(0).body();
         int bufferedBytes = 0;
-        for (int i = 0; body.chunk(i) != null; i++) {
-            bufferedBytes += body.chunk(i).length;
+        for (byte[] block = body.blockAt(0); block != null; block = body.blockAt(bufferedBytes)) {
+            bufferedBytes += block.length;
         }
         assertEquals(bufferedBytes, 300_000);
         assertEquals(body.length(), 300_000);
