Send no body in answer to a HEAD request that is refused

Cause: a request that is refused by its head has no request object, from which alone the encoder took the method; the server of the control API ignored the method. Change: the connection keeps the method of its current head; Http1ServerConnection omits the body.

--- a/src/main/java/reedmux/common/http1/Http1ServerConnection.java
+++ b/src/main/java/reedmux/common/http1/Http1ServerConnection.java
@@ -36,6 +36,9 @@
     private BodyBuffer bodyBuffer;
     private Reactor.ScheduledTask idleCheck;
     private Runnable disconnectListener;
+    /** Whether the pending request is answered without a body. */
+    private boolean headOnly;
+
     private boolean responsePending;
     private boolean closeAfterResponse;
     private long idleSince;
@@ -149,6 +152,7 @@
         responsePending = true;
         Http1Request request = new Http1Request(head, bodyBuffer.toByteArray());
         closeAfterResponse = head.closesConnection();
+        headOnly = head.method().equals("HEAD");
         head = null;
         bodyBuffer = null;
         requestHandler.accept(request, this);
@@ -192,9 +196,14 @@
             response.add("Connection", "close");
         }
         byte[] encodedHead = response.encode();
-        byte[] message = Arrays.copyOf(encodedHead, encodedHead.length + content.length);
-        System.arraycopy(content, 0, message, encodedHead.length, content.length);
-        connection.write(message);
+        if (headOnly) {
+            connection.write(encodedHead);
+        } else {
+            byte[] message = Arrays.copyOf(encodedHead, encodedHead.length + content.length);
+            System.arraycopy(content, 0, message, encodedHead.length, content.length);
+            connection.write(message);
+        }
+        headOnly = false;
         responsePending = false;
         disconnectListener = null;
         connection.setRetainedBytes(0);
--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -88,6 +88,9 @@
     /** Whether reading the body is paused until its buffer has been read. */
     private boolean bodyReadPaused;
 
+    /** Method of the current request, also if it was rejected by its head; null while there is no complete head. */
+    private String method;
+
     private boolean keepAlive = true;
     private boolean dispatched;
     private boolean responded;
@@ -231,6 +234,7 @@
     private void beginRequest(Http1Head head) throws MalformedMessageException {
         bodyReader = Http1BodyReader.ofRequest(head);
         bodyReadPaused = false;
+        method = head.method();
         keepAlive = !head.closesConnection();
         responded = false;
         dispatched = false;
@@ -345,7 +349,10 @@
             announcedIdleTimeoutMicros = handler.requestLimits().idleTimeoutMicros();
         }
         ClientResponseEncoder.encode(
-                        response, request, last ? ClientResponseEncoder.CLOSE_CONNECTION : announcedIdleTimeoutMicros)
+                        response,
+                        request,
+                        method,
+                        last ? ClientResponseEncoder.CLOSE_CONNECTION : announcedIdleTimeoutMicros)
                 .forEach(connection::write);
         releaseUnsentBody();
         if (last) {
@@ -359,6 +366,7 @@
 
     private void awaitNextRequest() {
         request = null;
+        method = null;
         releaseUnsentBody();
         stateSince = handler.now();
         lastProgressAt = stateSince;
--- a/src/main/java/reedmux/proxy/ClientResponseEncoder.java
+++ b/src/main/java/reedmux/proxy/ClientResponseEncoder.java
@@ -27,11 +27,12 @@
      * Encodes a response as consecutive parts of one message.
      *
      * @param request           request that is answered, or null if it was rejected by its head
+     * @param method            method of the request, or null if its head could not be read
      * @param idleTimeoutMicros time for which the connection may be idle after the response, or {@link
      *     #CLOSE_CONNECTION}
      */
-    static List<byte[]> encode(ProxyResponse response, ClientRequest request, long idleTimeoutMicros) {
-        boolean headOnly = request != null && request.method().equals("HEAD");
+    static List<byte[]> encode(ProxyResponse response, ClientRequest request, String method, long idleTimeoutMicros) {
+        boolean headOnly = "HEAD".equals(method);
         Http1Head head;
         BodyBuffer body;
         if (response instanceof ProxyResponse.CheckerResponse checkerResponse) {
--- a/src/test/java/reedmux/proxy/ClientConnectionTest.java
+++ b/src/test/java/reedmux/proxy/ClientConnectionTest.java
@@ -26,6 +26,8 @@
         RequestLimits limits = new RequestLimits(300, 8 << 20, 3 * MICROS_PER_SECOND, 15 * MICROS_PER_SECOND);
         int closedCount;
         boolean deferRequests;
+        /** Response to each request in place of its admission, or null. */
+        ProxyResponse rejection;
 
         ScriptedEnvironment.ScriptedSocket socket;
         final ClientConnection client;
@@ -71,6 +73,9 @@
         @Override
         public RequestAdmission.AdmissionResult admit(
                 ClientConnection connection, Http1Head head, ClientRequestBody body) {
+            if (rejection != null) {
+                return new RequestAdmission.AdmissionResult(null, rejection);
+            }
             String attemptId = head.get("Reedmux-Attempt-Id");
             return new RequestAdmission.AdmissionResult(
                     new ClientRequest(connection, head, attemptId, null, body), null);
@@ -363,4 +368,28 @@
         harness.sockets.runReactorOnce();
         assertEquals(harness.abandoned.size(), 1);
     }
+
+    /** review/6: the body of a refused HEAD request was read where the next answer was due. */
+    @Test
+    public void refusedHeadRequestGetsNoBody() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.rejection = localResponse(429);
+        harness.socket.receive("HEAD /x HTTP/1.1\r\nHost: h\r\nReedmux-Attempt-Id: a\r\n\r\n");
+        String first = harness.socket.writtenText();
+        assertTrue(first.startsWith("HTTP/1.1 429") && first.endsWith("\r\n\r\n"), first);
+        harness.socket.receive("GET /x HTTP/1.1\r\nHost: h\r\nReedmux-Attempt-Id: b\r\n\r\n");
+        String second = harness.socket.writtenText().substring(first.length());
+        assertTrue(second.startsWith("HTTP/1.1 429") && !second.endsWith("\r\n\r\n"), second);
+        assertFalse(harness.socket.isClosed());
+    }
+
+    /** A HEAD request that is dispatched and answered by the proxy itself gets no body either. */
+    @Test
+    public void headRequestThatNoCheckerAnsweredGetsNoBody() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.socket.receive("HEAD /x HTTP/1.1\r\nHost: h\r\nReedmux-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n");
+        harness.client.respond(harness.dispatched.get(0), localResponse(503));
+        String response = harness.socket.writtenText();
+        assertTrue(response.startsWith("HTTP/1.1 503") && response.endsWith("\r\n\r\n"), response);
+    }
 }
