--- a/src/main/java/reedmux/cli/SoakCommand.java
+++ b/src/main/java/reedmux/cli/SoakCommand.java
@@ -79,6 +79,12 @@
             description = "the rate of large request bodies to each proxy, in requests per second")
     private int uploadsPerSecond;
 
+    @Option(
+            name = "--large-uploads",
+            title = "N",
+            description = "the number of clients that send bodies of up to 8 MB, which checkers read late at times")
+    private int largeUploaders;
+
     @Option(
             name = "--spoilt",
             title = "SHARE",
@@ -108,7 +114,7 @@
         if (range == null || !isValid()) {
             System.err.println(
                     "reedmux: soak: --seeds is A..B, --cores at least 3, --throttle below 100, --spoilt from 0 to 1,"
-                            + " --uploads and --leaving at least 0, the others above 0");
+                            + " --uploads, --large-uploads and --leaving at least 0, the others above 0");
             return ExitCode.BAD_USAGE;
         }
         int failed = 0;
@@ -124,7 +130,12 @@
                             tenants,
                             rate,
                             throttleMillis,
-                            new SoakStress(uploadsPerSecond, spoiltShare, killsAfterAcknowledgements, extremeSettings)))
+                            new SoakStress(
+                                    uploadsPerSecond,
+                                    largeUploaders,
+                                    spoiltShare,
+                                    killsAfterAcknowledgements,
+                                    extremeSettings)))
                     ? 0
                     : 1;
         }
@@ -139,6 +150,7 @@
                 && cores >= MIN_CORES
                 && leaving >= 0
                 && uploadsPerSecond >= 0
+                && largeUploaders >= 0
                 && spoiltShare >= 0
                 && spoiltShare <= 1
                 && throttleMillis >= 0
--- a/src/main/java/reedmux/simulation/soak/SoakChecker.java
+++ b/src/main/java/reedmux/simulation/soak/SoakChecker.java
@@ -40,6 +40,10 @@
     private static final int LONG_REQUEST_SHARE = 12;
 
     private static final long LONG_WORK_MICROS = 900_000;
+    /** One in this many intervals of a connection is a pause in which it is not read. */
+    private static final int PAUSE_SHARE = 6;
+
+    private static final int MAX_READ_PAUSE_MICROS = 1_200_000;
     /** The request header with the execution time in milliseconds; the time of other requests is random. */
     static final String WORK_MILLIS = "Work-Millis";
 
@@ -59,6 +63,7 @@
     private int controlIndex;
     private boolean crashed;
     private double spoiltShare;
+    private boolean readsLate;
     private boolean left;
     private long drainLimit = Long.MAX_VALUE;
 
@@ -88,6 +93,21 @@
         connections.removeIf(known -> !known.isOpen());
         connections.add(connection);
         new Http1ServerConnection(reactor, connection, (request, http) -> serve(request, http, connection));
+        pauseReadingAtTimes(connection);
+    }
+
+    /** Sets whether connections are not read for a while at times, so that the kernel's buffers fill up. */
+    void readLate(boolean late) {
+        readsLate = late;
+    }
+
+    private void pauseReadingAtTimes(Connection connection) {
+        if (!readsLate || !connection.isOpen()) {
+            return;
+        }
+        boolean paused = random.nextInt(PAUSE_SHARE) == 0;
+        connection.setReadPaused(paused);
+        reactor.scheduleAfter(1 + random.nextInt(MAX_READ_PAUSE_MICROS), () -> pauseReadingAtTimes(connection));
     }
 
     /** Sets the share of the answers that do not end. */
@@ -104,6 +124,7 @@
             return;
         }
         invariants.onRequestArrived(attempt, service, reactor.now());
+        checkDigest(request, attempt);
         if (reactor.now() > drainLimit) {
             invariants.onInvariantViolation(
                     "DRAIN: " + attempt + " reached " + id + " long after its leave was" + " acknowledged");
@@ -119,6 +140,14 @@
         }
     }
 
+    private void checkDigest(Http1ServerConnection.Http1Request request, String attempt) {
+        String sent = request.head().get(DigestedBody.HEADER);
+        if (sent != null && !sent.equals(DigestedBody.digest(request.body()))) {
+            invariants.onInvariantViolation("UNASKED: the body of " + attempt + " (" + sent + ") reached " + id + " as "
+                    + DigestedBody.digest(request.body()));
+        }
+    }
+
     private void execute(Http1Head head, String attempt, Http1ServerConnection connection, Connection tcp) {
         if (crashed) {
             return;
--- a/src/main/java/reedmux/simulation/soak/SoakCheckerFleet.java
+++ b/src/main/java/reedmux/simulation/soak/SoakCheckerFleet.java
@@ -20,26 +20,29 @@
     private final List<InetSocketAddress> controlAddresses;
     private final String network;
     private final double spoiltShare;
+    private final boolean readsLate;
     private final List<SoakChecker> checkers = new ArrayList<>();
     /** Checkers that have left and still serve. */
     private final List<SoakChecker> leaving = new ArrayList<>();
 
     private int startedCheckers;
 
-    /** Creates an empty fleet at addresses that begin with {@code network}. */
+    /** Creates an empty fleet at addresses that begin with {@code network}, whose checkers may read late. */
     SoakCheckerFleet(
             Reactor reactor,
             Random random,
             ClusterInvariantChecker invariants,
             List<InetSocketAddress> controlAddresses,
             String network,
-            double spoiltShare) {
+            double spoiltShare,
+            boolean readsLate) {
         this.reactor = reactor;
         this.random = random;
         this.invariants = invariants;
         this.controlAddresses = controlAddresses;
         this.network = network;
         this.spoiltShare = spoiltShare;
+        this.readsLate = readsLate;
     }
 
     /** Starts a checker with a new id. */
@@ -50,6 +53,7 @@
             SoakChecker checker =
                     new SoakChecker(reactor, random, invariants, controlAddresses, "c-" + number, ip, number);
             checker.spoil(spoiltShare);
+            checker.readLate(readsLate);
             checkers.add(checker);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- a/src/main/java/reedmux/simulation/soak/SoakRun.java
+++ b/src/main/java/reedmux/simulation/soak/SoakRun.java
@@ -68,6 +68,7 @@
     private final SoakCheckerFleet checkers;
     private final List<SoakClient> clients = new ArrayList<>();
     private final List<DepartingClient> departingClients = new ArrayList<>();
+    private final List<LargeUploadClient> largeUploaders = new ArrayList<>();
     private final List<SimulatedOperator> operators = new ArrayList<>();
     private final List<InetSocketAddress> controlAddresses = new ArrayList<>();
     private final List<String> faultLog = new ArrayList<>();
@@ -99,7 +100,8 @@
                 invariants,
                 controlAddresses,
                 this.network + "3.",
-                options.stress().spoiltShare());
+                options.stress().spoiltShare(),
+                options.stress().largeUploaders() > 0);
         for (int i = 0; i < 2; i++) {
             operators.add(new SimulatedOperator(
                     reactor,
@@ -403,6 +405,11 @@
         startThrottle();
         uploads = new UploadTraffic(context, options.stress().uploadsPerSecond());
         uploads.start();
+        Random bodies = new Random(options.seed());
+        for (int i = 0; i < options.stress().largeUploaders(); i++) {
+            largeUploaders.add(new LargeUploadClient(context, bodies, "l" + i));
+        }
+        largeUploaders.forEach(LargeUploadClient::start);
         operatorTraffic.start();
         tenants.start();
         reactor.scheduleEvery(QUOTA_SETTLE_INTERVAL_MICROS, this::settleQuotas);
@@ -461,6 +468,7 @@
     /** Sends SIGTERM to all proxies under load; they must exit within their grace period. */
     private void terminateAll() {
         uploads.stop();
+        largeUploaders.forEach(LargeUploadClient::stop);
         logFault("all proxies receive SIGTERM");
         proxies.forEach(proxy -> proxy.remove(true));
         reactor.scheduleAfter(SoakMachine.GRACE_MICROS + 2 * SECOND, () -> {
--- a/src/test/java/reedmux/simulation/soak/SoakTest.java
+++ b/src/test/java/reedmux/simulation/soak/SoakTest.java
@@ -72,7 +72,7 @@
      */
     @Test
     public void noInvariantIsViolatedUnderStress() throws IOException, ExecutionException, InterruptedException {
-        SoakStress stress = new SoakStress(12, 0.02, true, true);
+        SoakStress stress = new SoakStress(12, 4, 0.02, true, true);
         List<CompletableFuture<SoakOutcome>> runs = new ArrayList<>();
         for (int i = 0; i < STRESS_SEEDS.length; i++) {
             long seed = STRESS_SEEDS[i];
