Gatekeeper: errors about values name their line; fields of every shape are tried

Errors about values named the key and no line, and a number beyond the range of a double was taken as infinite. Change: the line is added, such a number is refused.

--- a/src/main/java/reedmux/gatekeeper/config/ConfigJson.java
+++ b/src/main/java/reedmux/gatekeeper/config/ConfigJson.java
@@ -29,8 +29,9 @@
     /** Creates an exception about the value at which the parser is positioned. */
     static ConfigException error(JsonParser json, String problem) {
         String path = json.getParsingContext().pathAsPointer().toString();
+        String key = path.isEmpty() ? "the document" : path.substring(1).replace('/', '.');
         return new ConfigException(
-                (path.isEmpty() ? "the document" : path.substring(1).replace('/', '.')) + ' ' + problem);
+                key + ' ' + problem + " at line " + json.currentLocation().getLineNr());
     }
 
     static void readObject(JsonParser json, JsonFieldReader reader) throws IOException, ConfigException {
@@ -74,7 +75,11 @@
         if (json.currentToken() == null || !json.currentToken().isNumeric()) {
             throw error(json, "is not a number");
         }
-        return json.getDoubleValue();
+        double value = json.getDoubleValue();
+        if (Double.isInfinite(value)) {
+            throw error(json, "is too large");
+        }
+        return value;
     }
 
     static boolean flag(JsonParser json) throws IOException, ConfigException {
--- a/src/test/java/reedmux/gatekeeper/config/GatekeeperConfigTest.java
+++ b/src/test/java/reedmux/gatekeeper/config/GatekeeperConfigTest.java
@@ -64,4 +64,40 @@
             assertThrows(ConfigException.class, () -> read(extended), "tail from " + from);
         }
     }
+
+    /** Guards against a gatekeeper that does not start when its platform adds a field (as in review/7). */
+    @Test
+    void unknownFieldOfAnyShapeIsIgnored() throws Exception {
+        String text = new String(sampleConfig());
+        for (String value : new String[] {
+            "null",
+            "true",
+            "-0.0",
+            "1e999999999",
+            "9223372036854775807",
+            "123456789012345678901234567890",
+            "\"\\u00e9\\ud83d\\ude00\\n\\/\"",
+            "{\"row\":3,\"deep\":[{\"x\":[]}]}",
+            "[".repeat(900) + "]".repeat(900)
+        }) {
+            for (String place : new String[] {"{", "\"settings\":{", "\"limits\":{"}) {
+                String changed = text.replaceFirst(
+                        java.util.regex.Pattern.quote(place),
+                        java.util.regex.Matcher.quoteReplacement(place + "\"brandNew\":" + value + ","));
+                assertTrue(changed.length() > text.length(), place);
+                assertEquals(
+                        read(sampleConfig()).settings().groupSize(),
+                        read(changed.getBytes()).settings().groupSize());
+            }
+        }
+    }
+
+    /** An error about a value names its line and key. */
+    @Test
+    void wrongValueIsReportedWithLineAndKey() throws Exception {
+        String text = new String(sampleConfig());
+        String changed = "{\n\n\"listen\":[3]," + text.substring(1).replaceFirst("\"listen\":\"[^\"]*\",", "");
+        ConfigException e = assertThrows(ConfigException.class, () -> read(changed.getBytes()));
+        assertTrue(e.getMessage().contains("listen is not a text at line 3"), e.getMessage());
+    }
 }
