--- a/src/main/java/reedmux/cli/SoakCommand.java
+++ b/src/main/java/reedmux/cli/SoakCommand.java
@@ -181,6 +181,7 @@
             outcome.faults().forEach(fault -> System.out.println("        " + fault));
         }
         if (keep != null && !outcome.violations().isEmpty()) {
+            Files.createDirectories(Path.of(keep));
             Files.move(directory, Path.of(keep).resolve("seed-" + options.seed()));
         } else {
             delete(directory);
