Soak: a checker does not pause reading twice in a row

A pause of the stand-in lasts 1.2 s at most, so a request that waits unread for longer needs two pauses in a row, which were allowed; the proxy had closed the connection behind the unread request. Change: an interval without a pause follows each pause; the bound stays.

--- a/src/main/java/reedmux/simulation/soak/SoakChecker.java
+++ b/src/main/java/reedmux/simulation/soak/SoakChecker.java
@@ -97,24 +97,25 @@
         connections.removeIf(known -> !known.isOpen());
         connections.add(connection);
         new Http1ServerConnection(reactor, connection, (request, http) -> serve(request, http, connection));
-        pauseReadingAtTimes(connection);
+        pauseReadingAtTimes(connection, false);
     }
 
     /**
      * Sets whether connections are not read for a while at times, so that the kernel's buffers fill up. A connection
-     * with a complete request is read on, because the end of its input tells that the client has left.
+     * with a complete request is read on, because the end of its input tells that the client has left. No pause
+     * follows another, so that together they stay below the time within which executions must end after a departure.
      */
     void readLate(boolean late) {
         readsLate = late;
     }
 
-    private void pauseReadingAtTimes(Connection connection) {
+    private void pauseReadingAtTimes(Connection connection, boolean pausedBefore) {
         if (!readsLate || !connection.isOpen()) {
             return;
         }
-        boolean paused = random.nextInt(PAUSE_SHARE) == 0 && !unanswered.contains(connection);
+        boolean paused = !pausedBefore && random.nextInt(PAUSE_SHARE) == 0 && !unanswered.contains(connection);
         connection.setReadPaused(paused);
-        reactor.scheduleAfter(1 + random.nextInt(MAX_READ_PAUSE_MICROS), () -> pauseReadingAtTimes(connection));
+        reactor.scheduleAfter(1 + random.nextInt(MAX_READ_PAUSE_MICROS), () -> pauseReadingAtTimes(connection, paused));
     }
 
     /** Sets the share of the answers that do not end. */
