Answer a later request of a connection that cannot be read

Callers saw: the second request of a kept connection that is malformed, or whose head does not come in time, was closed without the 400 or 408 that a first one gets. Cause: ClientConnection.responded stayed set between two requests, and the answer was dropped as a second one. Ruled out: the head reader, which reports both. Change: the flags of a request end with it. Why this works: no code reads them between two requests but rejectMalformed.

Measured: the two new cases of ClientConnectionTest failed on the code before and pass now, with the other proxy tests of connections.

--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -367,6 +367,8 @@
     private void awaitNextRequest() {
         request = null;
         method = null;
+        responded = false;
+        dispatched = false;
         releaseUnsentBody();
         stateSince = handler.now();
         lastProgressAt = stateSince;
--- a/src/test/java/reedmux/proxy/ClientConnectionTest.java
+++ b/src/test/java/reedmux/proxy/ClientConnectionTest.java
@@ -392,4 +392,30 @@
         String response = harness.socket.writtenText();
         assertTrue(response.startsWith("HTTP/1.1 503") && response.endsWith("\r\n\r\n"), response);
     }
+
+    /** Guards against a connection that is closed without an answer to what cannot be read after an earlier request. */
+    @Test
+    public void malformedLaterRequestIsAnswered() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.socket.receive(getRequest("one"));
+        harness.client.respond(harness.dispatched.get(0), localResponse(404));
+        int answered = harness.socket.writtenText().length();
+        harness.socket.receive("no request line\r\n\r\n");
+        String second = harness.socket.writtenText().substring(answered);
+        assertTrue(second.startsWith("HTTP/1.1 400"), second);
+        assertTrue(second.contains("Connection: close"), second);
+    }
+
+    /** Guards against a connection that is closed without an answer to a later head that takes too long. */
+    @Test
+    public void laterHeadThatTakesTooLongIsAnswered() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.socket.receive(getRequest("one"));
+        harness.client.respond(harness.dispatched.get(0), localResponse(404));
+        int answered = harness.socket.writtenText().length();
+        harness.socket.receive("GET /x HT");
+        harness.advanceMicros(4 * MICROS_PER_SECOND);
+        String second = harness.socket.writtenText().substring(answered);
+        assertTrue(second.startsWith("HTTP/1.1 408"), second);
+    }
 }
