Disconnect a client that does not send the rest of an answered body

Callers saw: nothing, but each client that stopped sending after an early answer kept a connection of the proxy for ever. Cause: DISCARDING_BODY had no timeout. Change: the idle timeout, from the last byte that was received, or sent of the response.

Measured: the new case of ClientConnectionTest failed on the code before and passes now; a client that goes on slowly is kept.

--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -466,6 +466,10 @@
             if (now - lastProgressAt > limits.idleTimeoutMicros() && !bodyReadPaused) {
                 onBodyTimeout();
             }
+        } else if (state == State.DISCARDING_BODY) {
+            if (now - lastProgressAt > limits.idleTimeoutMicros()) {
+                close();
+            }
         } else if (state == State.IDLE) {
             boolean expired = timeInState > Math.max(announcedIdleTimeoutMicros, limits.idleTimeoutMicros());
             boolean unused = connection.available() == 0 && connection.queuedBytes() == 0;
@@ -475,11 +479,13 @@
         }
     }
 
-    /** Restarts the timeout of a connection that is idle or closing if a part of its response was sent since. */
+    /** Restarts the timeout of a connection that has a response if a part of that was sent since. */
     private void noteSendProgress(long now) {
-        boolean idleOrClosing = state() == State.IDLE || state() == State.CLOSING;
-        if (idleOrClosing && connection.queuedBytes() > 0 && connection.sentBytes() != sentBytesSeen) {
+        State state = state();
+        boolean hasResponse = state == State.IDLE || state == State.CLOSING || state == State.DISCARDING_BODY;
+        if (hasResponse && connection.queuedBytes() > 0 && connection.sentBytes() != sentBytesSeen) {
             stateSince = now;
+            lastProgressAt = now;
         }
         sentBytesSeen = connection.sentBytes();
     }
--- a/src/test/java/reedmux/proxy/ClientConnectionTest.java
+++ b/src/test/java/reedmux/proxy/ClientConnectionTest.java
@@ -418,4 +418,21 @@
         String second = harness.socket.writtenText().substring(answered);
         assertTrue(second.startsWith("HTTP/1.1 408"), second);
     }
+
+    /** Guards against connections that stay open for ever: the rest of a body whose request is answered never comes. */
+    @Test
+    public void clientThatDoesNotSendTheRestOfAnAnsweredBodyIsDisconnected() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.socket.receive("POST /x HTTP/1.1\r\nHost: h\r\nReedmux-Attempt-Id: a\r\nContent-Length: 900000\r\n\r\n"
+                + "y".repeat(600_000));
+        harness.client.respond(harness.dispatched.get(0), localResponse(503));
+        for (int part = 0; part < 3; part++) {
+            harness.advanceMicros(12 * MICROS_PER_SECOND);
+            assertFalse(harness.socket.isClosed(), "closed while the body comes slowly");
+            harness.socket.receive("y".repeat(1_000));
+        }
+        harness.advanceMicros(17 * MICROS_PER_SECOND);
+        assertTrue(harness.socket.isClosed());
+        assertEquals(harness.abandoned.size(), 0);
+    }
 }
