Send a last answer of the control API whole before the output is shut down

Callers saw: an answer with Connection: close to a caller that reads late ended after what the kernel had accepted. Cause: Http1ServerConnection shut the output down while most of the answer was queued. Change: it shuts down once all is sent, and disconnects a caller that reads nothing for 30 s; a refused HEAD call gets no body.

Scripted sockets refuse writes after a shutdown now, which asks more of all tests that use them.

--- a/src/main/java/reedmux/common/http1/Http1ServerConnection.java
+++ b/src/main/java/reedmux/common/http1/Http1ServerConnection.java
@@ -22,6 +22,9 @@
      */
     private static final long LINGER_MICROS = 500_000;
 
+    /** Time without any progress after which a connection is closed whose last response was not sent completely. */
+    private static final long UNSENT_RESPONSE_MICROS = 30_000_000;
+
     private static final int CONTENT_TOO_LARGE = 413;
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
@@ -41,6 +44,9 @@
 
     private boolean responsePending;
     private boolean closeAfterResponse;
+    /** Closes a connection whose last response is not read; null unless a part of that is unsent. */
+    private Reactor.ScheduledTask unsentResponseCheck;
+
     private long idleSince;
 
     /** A complete request. */
@@ -138,6 +144,7 @@
         if (head == null) {
             return false;
         }
+        headOnly = head.method().equals("HEAD");
         bodyReader = Http1BodyReader.ofRequest(head);
         bodyBuffer = new BodyBuffer();
         if (bodyReader.declaredLength() > MAX_BODY_BYTES) {
@@ -152,7 +159,6 @@
         responsePending = true;
         Http1Request request = new Http1Request(head, bodyBuffer.toByteArray());
         closeAfterResponse = head.closesConnection();
-        headOnly = head.method().equals("HEAD");
         head = null;
         bodyBuffer = null;
         requestHandler.accept(request, this);
@@ -215,9 +221,44 @@
         }
     }
 
+    /** Closes the connection once its last response is sent, or when the client has stopped reading it. */
     private void closeWithLinger() {
-        connection.shutdownOutput();
         release();
+        if (connection.queuedBytes() == 0) {
+            shutDownAndLinger();
+        } else {
+            awaitLastResponseSent();
+        }
+    }
+
+    private void awaitLastResponseSent() {
+        long sentBefore = connection.sentBytes();
+        unsentResponseCheck = reactor.scheduleAfter(UNSENT_RESPONSE_MICROS, () -> {
+            if (connection.sentBytes() > sentBefore) {
+                awaitLastResponseSent();
+            } else {
+                connection.close();
+            }
+        });
+    }
+
+    @Override
+    public void onFlushed() {
+        if (unsentResponseCheck != null) {
+            cancelUnsentResponseCheck();
+            shutDownAndLinger();
+        }
+    }
+
+    private void cancelUnsentResponseCheck() {
+        if (unsentResponseCheck != null) {
+            unsentResponseCheck.cancel();
+            unsentResponseCheck = null;
+        }
+    }
+
+    private void shutDownAndLinger() {
+        connection.shutdownOutput();
         reactor.scheduleAfter(LINGER_MICROS, connection::close);
     }
 
@@ -240,6 +281,7 @@
     public void onClosed(String reason) {
         closeAfterResponse = true;
         release();
+        cancelUnsentResponseCheck();
         reportDisconnect();
     }
 }
--- a/src/test/java/reedmux/common/eventloop/ScriptedEnvironment.java
+++ b/src/test/java/reedmux/common/eventloop/ScriptedEnvironment.java
@@ -63,6 +63,7 @@
         private boolean wasReset;
         private boolean resetAfterInput;
         private boolean closed;
+        private boolean outputShutdown;
         private boolean readInterest;
         private boolean writeInterest;
         private long remainingCapacity = socketCapacityBytes;
@@ -192,6 +193,9 @@
         @Override
         public int write(ByteBuffer buffer) throws IOException {
             throwIfReset();
+            if (outputShutdown) {
+                throw new IOException("Broken pipe");
+            }
             int count = (int) Math.min(remainingCapacity, buffer.remaining());
             for (int i = 0; i < count; i++) {
                 written.write(buffer.get());
@@ -207,7 +211,9 @@
         }
 
         @Override
-        public void shutdownOutput() {}
+        public void shutdownOutput() {
+            outputShutdown = true;
+        }
 
         @Override
         public void close() {
--- a/src/test/java/reedmux/common/http1/Http1ServerConnectionTest.java
+++ b/src/test/java/reedmux/common/http1/Http1ServerConnectionTest.java
@@ -54,4 +54,46 @@
         assertTrue(scheduled < 200, scheduled + " timers");
         assertFalse(environment.sockets.stream().anyMatch(socket -> !socket.isClosed()));
     }
+
+    /** Guards against answers that are cut short: the output was shut down while most of a last answer was queued. */
+    @Test
+    public void callerThatReadsSlowlyGetsItsWholeLastAnswer() throws IOException {
+        ScriptedEnvironment slow = new ScriptedEnvironment();
+        String answer = "{" + "a".repeat(400_000) + "}";
+        new Http1ServerConnection(
+                slow.reactor(), slow.acceptConnection(), (request, connection) -> connection.respond(200, answer));
+        ScriptedEnvironment.ScriptedSocket caller = slow.sockets.get(0);
+        caller.setCapacityBytes(1_000);
+        caller.receive("GET /v1/Config.Read HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n");
+        for (int seconds = 0; seconds < 5; seconds++) {
+            slow.advanceMicros(1_000_000);
+            caller.setCapacityBytes(100_000);
+        }
+        assertTrue(caller.writtenText().endsWith(answer), caller.writtenText().length() + " bytes");
+        slow.advanceMicros(1_000_000);
+        assertTrue(caller.isClosed());
+    }
+
+    /** A caller that does not read its last answer is disconnected. */
+    @Test
+    public void callerThatReadsNothingIsDisconnected() throws IOException {
+        ScriptedEnvironment slow = new ScriptedEnvironment();
+        new Http1ServerConnection(
+                slow.reactor(), slow.acceptConnection(), (request, connection) -> connection.respond(200, "{}"));
+        ScriptedEnvironment.ScriptedSocket caller = slow.sockets.get(0);
+        caller.setCapacityBytes(0);
+        caller.receive("GET /v1/Config.Read HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n");
+        slow.advanceMicros(62_000_000);
+        assertTrue(caller.isClosed());
+        assertEquals(slow.reactor().bufferBudget().totalBytes(), 0);
+    }
+
+    /** review/6: the answer to a HEAD request that is refused by its head has no body either. */
+    @Test
+    public void refusedHeadRequestGetsNoBody() throws IOException {
+        ScriptedEnvironment.ScriptedSocket caller = open();
+        caller.receive("HEAD /v1/Config.Read HTTP/1.1\r\nHost: c\r\nContent-Length: 9000000\r\n\r\n");
+        String answer = caller.writtenText();
+        assertTrue(answer.startsWith("HTTP/1.1 413") && answer.endsWith("\r\n\r\n"), answer);
+    }
 }
