Reuse a connection to a checker only if its last request was sent whole

Cause: that nothing of a request is unsent was asked once, when its response ended; a connection that goes back to the pool by another way was not asked. No such way was found. Change: isReusable asks RequestWriter too, which compares the bytes that were written with those that the kernel has accepted.

--- a/src/main/java/reedmux/proxy/CheckerConnection.java
+++ b/src/main/java/reedmux/proxy/CheckerConnection.java
@@ -98,13 +98,14 @@
     }
 
     /**
-     * Returns whether the connection is idle and can carry another request: it has received no unsolicited input and
-     * its idle timeout has not expired.
+     * Returns whether the connection is idle and can carry another request: exactly the requests that were started on
+     * it were sent, it has received no unsolicited input and its idle timeout has not expired.
      */
     boolean isReusable(long now) {
         return attempt == null
                 && connection.isConnected()
                 && !notReusable
+                && (requestWriter == null || requestWriter.isSent())
                 && now - idleSince < idleTimeoutMicros
                 && connection.isQuiescent();
     }
