Refuse settings at SIGHUP that the next start could not use

Operators saw: a running registry took periodMs = "soon" with 'settings read again', and its next start ended with exit code 3. Cause: at SIGHUP a program read only the keys that can change while it runs. Change: check and SIGHUP read all known keys, through ProcessSettings.checkAllValues.

--- a/src/main/java/reedmux/cli/ProgramCommand.java
+++ b/src/main/java/reedmux/cli/ProgramCommand.java
@@ -126,7 +126,9 @@
         /** Reloads the settings file; an invalid file is logged and changes nothing. */
         private void reload() {
             try {
-                program.reload(ProcessSettings.load(file));
+                ProcessSettings changed = ProcessSettings.load(file);
+                changed.checkAllValues();
+                program.reload(changed);
                 reactor.info("settings read again");
             } catch (ProcessSettingsException e) {
                 reactor.info("settings: " + e.getMessage() + "; the old settings stay");
--- a/src/main/java/reedmux/common/settings/ProcessSettings.java
+++ b/src/main/java/reedmux/common/settings/ProcessSettings.java
@@ -251,6 +251,27 @@
         return (long) (seconds * MILLIS_PER_SECOND * MICROS_PER_MILLI);
     }
 
+    /**
+     * Checks the values of all keys that any program knows. A running program applies changed settings only if all of
+     * them are valid, because its next start could fail otherwise.
+     *
+     * @throws ProcessSettingsException if a value is invalid
+     */
+    public void checkAllValues() throws ProcessSettingsException {
+        for (String socketKey :
+                List.of(SettingKeys.FRONT_SOCKET, SettingKeys.READY_SOCKET, SettingKeys.CONTROL_SOCKET)) {
+            if (contains(socketKey)) {
+                socketAddress(socketKey);
+            }
+        }
+        number(SettingKeys.RETRY_RATIO, 0);
+        number(SettingKeys.RETRY_SLACK, 0);
+        number(SettingKeys.DESCRIPTOR_LIMIT, 0);
+        durationMicrosOfSeconds(SettingKeys.SHUTDOWN_GRACE_SECONDS, 0);
+        durationMicros(SettingKeys.HEARTBEAT_INTERVAL_MILLIS, 0);
+        wholeNumber(SettingKeys.TOLERATED_MACHINES, 0);
+    }
+
     /** Creates an exception about the value of a key such as {@code sockets.front}. */
     public ProcessSettingsException invalid(String key, String problem) {
         return document.invalid(key, problem);
