World and soak: early answers, late readers, kept connections and digests of long bodies

Cause: the soak opened a connection for each long body and its checkers answered after reading all; the simulation in virtual time sent bodies of 9 bytes only. Change: a share of the soak's checker connections answers when a random part of a body has arrived and reads on; its clients of long bodies keep their connections, mix short bodies in, and go on until the proxy is gone; in virtual time one POST in 60 has up to 1.2 MB, and checkers do not read at times. Both compare digests through BodyInvariants; the outcome tells how many.

--- a/src/main/java/reedmux/cli/SoakCommand.java
+++ b/src/main/java/reedmux/cli/SoakCommand.java
@@ -162,12 +162,13 @@
         SoakOutcome outcome =
                 SoakRun.run(options, directory, FIRST_NETWORK + (int) Math.floorMod(options.seed(), (long) NETWORKS));
         System.out.printf(
-                "seed %d: %d of %d requests served, %d executions ended by departures, "
+                "seed %d: %d of %d requests served, %d large bodies compared, %d executions ended by departures, "
                         + "%d processes started, %d times held up, worst window %.2f of its quota, "
                         + "%d of %d requests within quotas refused, %d faults, %d violations%n",
                 outcome.seed(),
                 outcome.served(),
                 outcome.requests(),
+                outcome.comparedBodies(),
                 outcome.endedByDeparture(),
                 outcome.processes(),
                 outcome.heldUpTimes(),
--- a/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
+++ b/src/main/java/reedmux/simulation/cluster/ClusterInvariantChecker.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.function.Predicate;
+import reedmux.common.http1.Http1Head;
 import reedmux.control.configuration.ConfigurationItem;
 
 /**
@@ -36,6 +37,7 @@
     private final ViolationLog log = new ViolationLog();
     private final FaultSchedule faults = new FaultSchedule();
     private final ConfigurationInvariants configuration = new ConfigurationInvariants(faults, log);
+    private final BodyInvariants bodies = new BodyInvariants(log);
     private final RequestInvariants requests = new RequestInvariants(faults, log, configuration);
 
     /** Returns the violations recorded so far. */
@@ -183,6 +185,21 @@
         requests.onRequestArrived(id, service, now);
     }
 
+    /** Handles a request body that a checker has received to its end, with its digest. */
+    public void onBodyReceived(Http1Head head, String checker, String digest) {
+        bodies.onBodyReceived(head, checker, digest);
+    }
+
+    /** Handles input of a checker that is no request, or no body. */
+    public void onMalformedInput(String checker, String problem) {
+        bodies.onMalformedInput(checker, problem);
+    }
+
+    /** Returns the number of bodies whose digest was compared. */
+    public int comparedBodies() {
+        return bodies.comparedBodies();
+    }
+
     /** Handles the start of an execution of a request by a checker. */
     public void onRequestExecuted(String id, String checker, String service, String tenant, long now) {
         requests.onRequestExecuted(id, checker, service, tenant, now);
--- a/src/main/java/reedmux/simulation/cluster/SimulatedChecker.java
+++ b/src/main/java/reedmux/simulation/cluster/SimulatedChecker.java
@@ -6,10 +6,12 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import reedmux.common.eventloop.Connection;
 import reedmux.common.eventloop.Reactor;
 import reedmux.common.eventloop.TcpListener;
 import reedmux.common.http1.Http1Head;
 import reedmux.common.http1.Http1ServerConnection;
+import reedmux.simulation.harness.DigestedBody;
 import reedmux.simulation.harness.OneShotHttpCall;
 
 /** One incarnation of a checker; its machine and address may have belonged to another checker before. */
@@ -24,6 +26,10 @@
     private static final int SLOTS = 3;
 
     private static final int MAX_QUEUED = 12;
+    /** One in this many connections is not read at times. */
+    private static final int LATE_READING_SHARE = 6;
+
+    private static final int MAX_READING_PAUSE_MICROS = 100_000;
     private static final int PORT = 8080;
     private static final int MIN_WORK_MICROS = 40_000;
     private static final int WORK_RANGE_MICROS = 80_000;
@@ -74,10 +80,7 @@
         controlIndex = simulation.random().nextInt(controlAddresses.size());
         process = new SimulatedProcess(simulation, machine, id, 0, line -> {});
         try {
-            new TcpListener(
-                    process.reactor(),
-                    new InetSocketAddress(machine.ip(), PORT),
-                    connection -> new Http1ServerConnection(process.reactor(), connection, this::serve));
+            new TcpListener(process.reactor(), new InetSocketAddress(machine.ip(), PORT), this::onAccepted);
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
@@ -113,6 +116,27 @@
     }
 
     // ---- Requests ----------------------------------------------------------------------------------
+    private void onAccepted(Connection connection) {
+        new Http1ServerConnection(process.reactor(), connection, this::serve);
+        if (simulation.random().nextInt(LATE_READING_SHARE) == 0) {
+            readLate(connection);
+        }
+    }
+
+    /** Pauses reading from a connection at times, so that what is sent to it fills the buffers of its sender. */
+    private void readLate(Connection connection) {
+        if (!connection.isOpen()) {
+            return;
+        }
+        long pauseMicros = 1 + simulation.random().nextInt(MAX_READING_PAUSE_MICROS);
+        connection.setReadPaused(true);
+        process.reactor().scheduleAfter(pauseMicros, () -> connection.setReadPaused(false));
+        process.reactor()
+                .scheduleAfter(
+                        pauseMicros + simulation.random().nextInt(8 * MAX_READING_PAUSE_MICROS),
+                        () -> readLate(connection));
+    }
+
     private void serve(Http1ServerConnection.Http1Request request, Http1ServerConnection connection) {
         Http1Head head = request.head();
         String attempt = head.get("Reedmux-Attempt-Id");
@@ -122,6 +146,7 @@
             return;
         }
         invariants.onRequestArrived(attempt, service, process.now());
+        invariants.onBodyReceived(head, id, DigestedBody.digest(request.body()));
         if (attempt == null) {
             connection.respond(Http1Head.response(400).add("Reedmux-Not-Executed", "1"), new byte[0]);
         } else if (busy < SLOTS) {
--- a/src/main/java/reedmux/simulation/cluster/SimulatedClients.java
+++ b/src/main/java/reedmux/simulation/cluster/SimulatedClients.java
@@ -5,9 +5,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import reedmux.common.http1.Http1Head;
+import reedmux.simulation.harness.DigestedBody;
 import reedmux.simulation.harness.OneShotHttpCall;
 
 /**
@@ -21,11 +23,19 @@
     private static final int MAX_MISSED_PROBES = 2;
 
     private static final int MAX_ATTEMPTS = 3;
+    /** Longer than what a proxy buffers of a body and the sockets hold of an unread connection. */
+    private static final int MAX_BODY_BYTES = 1_200_000;
+    /** One in this many requests that are not idempotent has a large body; none while requests are counted. */
+    private static final int LARGE_BODY_SHARE = 60;
+
     private final ClusterSimulation simulation;
     private final Deployment deployment;
     private final ClusterInvariantChecker invariants;
     private final SimulatedProcess process;
     private final Map<String, Integer> missedProbes = new HashMap<>();
+    /** Draws the large bodies, apart from the faults of a seed. */
+    private final Random bodies;
+
     private long nextRequestNumber;
     private long countedRequests;
     private long countedServed;
@@ -52,6 +62,7 @@
         this.simulation = simulation;
         this.deployment = deployment;
         this.invariants = invariants;
+        bodies = new Random(simulation.random().nextLong());
         process = new SimulatedProcess(
                 simulation,
                 new SimulatedMachine(simulation, "10.9.0.1", Deployment.ZONES[1], false),
@@ -202,12 +213,7 @@
                 "Reedmux-Attempt-Id: " + id + "\r\n",
                 "Reedmux-Time-Left-Ms: " + Math.max(1, (deadline - simulation.now()) / 1000) + "\r\n"));
         headers.add("Authorization: Bearer " + planned.key + "\r\n");
-        byte[] bytes = OneShotHttpCall.request(
-                planned.idempotent ? "GET" : "POST",
-                planned.path,
-                "h.example",
-                planned.idempotent ? "" : "some body",
-                headers.toArray(new String[0]));
+        byte[] bytes = encode(planned, headers.toArray(new String[0]));
         runOnProcess(() -> new OneShotHttpCall(
                 process.reactor(),
                 deployment.frontAddress(proxy),
@@ -216,6 +222,16 @@
                 callback));
     }
 
+    private byte[] encode(PlannedRequest planned, String[] headers) {
+        if (planned.idempotent) {
+            return OneShotHttpCall.request("GET", planned.path, "h.example", "", headers);
+        } else if (bodies.nextInt(LARGE_BODY_SHARE) > 0 || countFrom != Long.MAX_VALUE) {
+            return OneShotHttpCall.request("POST", planned.path, "h.example", "some body", headers);
+        }
+        byte[] body = DigestedBody.draw(bodies, MAX_BODY_BYTES);
+        return DigestedBody.encodeRequest(planned.path, body, bodies.nextBoolean(), headers);
+    }
+
     /**
      * Sends a request to a proxy that is in rotation, to observe which configuration it uses.
      *
--- a/src/main/java/reedmux/simulation/soak/LargeUploadClient.java
+++ b/src/main/java/reedmux/simulation/soak/LargeUploadClient.java
@@ -1,20 +1,28 @@
 package reedmux.simulation.soak;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Random;
 import reedmux.common.eventloop.Reactor;
 import reedmux.common.http1.Http1Head;
 import reedmux.simulation.cluster.SimulatedClients;
-import reedmux.simulation.harness.OneShotHttpCall;
+import reedmux.simulation.harness.DigestedBody;
+import reedmux.simulation.harness.PersistentHttpClient;
 
 /**
- * A client that sends one large body after the other, with a length or in chunks. The checkers compare the digest of
- * what they receive. Must be used on the reactor's thread only.
+ * A client that sends one body after the other over a kept connection, large and small ones, with a length or in
+ * chunks. It goes on over the connection of a proxy that shuts down until that closes it. The checkers compare the
+ * digest of what they receive. Must be used on the reactor's thread only.
  */
-final class LargeUploadClient {
-    private static final int CHUNK_BYTES = 16 * 1024;
+final class LargeUploadClient implements PersistentHttpClient.Conversation {
+    /** Longer than what the kernel and the proxy hold of an unread connection; the checkers take 8 MiB at most. */
+    private static final int MAX_BYTES = 8_000_000;
+
+    private static final int MAX_SMALL_BYTES = 64_000;
+    /** One in this many bodies is small. */
+    private static final int SMALL_SHARE = 3;
+    /** The client draws a new proxy once in this many requests. */
+    private static final int REQUESTS_PER_PROXY = 6;
+
     private static final int TIME_LEFT_MILLIS = 10_000;
     private static final long RESPONSE_TIMEOUT_MICROS = 15_000_000;
     private static final long PAUSE_MICROS = 100_000;
@@ -23,6 +31,9 @@
     private final Reactor reactor;
     private final Random random;
     private final String name;
+    private SoakMachine proxy;
+    private String id;
+    private long sentAt;
     private int requests;
     private boolean stopped;
 
@@ -35,7 +46,14 @@
 
     void start() {
         if (!stopped) {
-            send(context.anyProxy());
+            proxy = context.anyProxy();
+            new PersistentHttpClient(
+                            reactor,
+                            proxy.address(SoakMachine.FRONT_PORT_OFFSET),
+                            RESPONSE_TIMEOUT_MICROS,
+                            random.nextBoolean(),
+                            this)
+                    .start();
         }
     }
 
@@ -44,54 +62,37 @@
         stopped = true;
     }
 
-    private void send(SoakMachine proxy) {
-        SimulatedClients.PlannedRequest planned = context.plan().get();
-        String id = name + '-' + requests++;
-        long sentAt = reactor.now();
-        context.reportSent(id, proxy, planned);
-        try {
-            new OneShotHttpCall(
-                    reactor,
-                    proxy.address(SoakMachine.FRONT_PORT_OFFSET),
-                    encode(id, planned, DigestedBody.draw(random), random.nextBoolean()),
-                    RESPONSE_TIMEOUT_MICROS,
-                    (status, head, text) -> onResponse(id, proxy, sentAt, status, head, text));
-        } catch (IOException e) {
-            context.invariants().onServerClosed(id, true, "not connected");
+    @Override
+    public byte[] nextRequest() {
+        if (stopped || ++requests % REQUESTS_PER_PROXY == 0) {
             reactor.scheduleAfter(PAUSE_MICROS, this::start);
+            return null;
         }
+        SimulatedClients.PlannedRequest planned = context.plan().get();
+        id = name + '-' + requests;
+        sentAt = reactor.now();
+        context.reportSent(id, proxy, planned);
+        int maxBytes = random.nextInt(SMALL_SHARE) == 0 ? MAX_SMALL_BYTES : MAX_BYTES;
+        return DigestedBody.encodeRequest(
+                planned.path(),
+                DigestedBody.draw(random, maxBytes),
+                random.nextBoolean(),
+                "Reedmux-Attempt-Id: " + id + "\r\n",
+                "Reedmux-Time-Left-Ms: " + TIME_LEFT_MILLIS + "\r\n",
+                "Authorization: Bearer " + planned.key() + "\r\n");
     }
 
-    private static byte[] encode(String id, SimulatedClients.PlannedRequest planned, byte[] body, boolean chunked) {
-        ByteArrayOutputStream out = new ByteArrayOutputStream(body.length + body.length / 100 + CHUNK_BYTES);
-        out.writeBytes(("POST " + planned.path() + " HTTP/1.1\r\nHost: h.example\r\n"
-                        + "Reedmux-Attempt-Id: " + id + "\r\nReedmux-Time-Left-Ms: " + TIME_LEFT_MILLIS
-                        + "\r\nAuthorization: Bearer " + planned.key() + "\r\n"
-                        + DigestedBody.HEADER + ": " + DigestedBody.digest(body) + "\r\n"
-                        + (chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + body.length) + "\r\n\r\n")
-                .getBytes(StandardCharsets.ISO_8859_1));
-        if (!chunked) {
-            out.writeBytes(body);
-            return out.toByteArray();
-        }
-        for (int start = 0; start < body.length; start += CHUNK_BYTES) {
-            int length = Math.min(CHUNK_BYTES, body.length - start);
-            out.writeBytes((Integer.toHexString(length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
-            out.write(body, start, length);
-            out.writeBytes("\r\n".getBytes(StandardCharsets.ISO_8859_1));
-        }
-        out.writeBytes("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
-        return out.toByteArray();
+    @Override
+    public void onResponse(Http1Head head, byte[] body) {
+        String text = new String(body, StandardCharsets.UTF_8);
+        String seal = head.get("Reedmux-Server-Seal");
+        boolean own = seal != null && text.startsWith(seal + ' ') && text.endsWith(' ' + id);
+        context.invariants().onResponse(id, head.status(), own ? seal : null, reactor.now());
     }
 
-    private void onResponse(String id, SoakMachine proxy, long sentAt, int status, Http1Head head, String text) {
-        if (status == 0) {
-            context.invariants().onServerClosed(id, stopped || proxy.isFaulty(sentAt), text);
-        } else {
-            String seal = head.get("Reedmux-Server-Seal");
-            boolean own = seal != null && text.startsWith(seal + ' ') && text.endsWith(' ' + id);
-            context.invariants().onResponse(id, status, own ? seal : null, reactor.now());
-        }
+    @Override
+    public void onLost(String reason) {
+        context.invariants().onServerClosed(id, stopped || proxy.isFaulty(sentAt), reason);
         reactor.scheduleAfter(PAUSE_MICROS, this::start);
     }
 }
--- a/src/main/java/reedmux/simulation/soak/SoakChecker.java
+++ b/src/main/java/reedmux/simulation/soak/SoakChecker.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -16,6 +17,8 @@
 import reedmux.common.http1.Http1Head;
 import reedmux.common.http1.Http1ServerConnection;
 import reedmux.simulation.cluster.ClusterInvariantChecker;
+import reedmux.simulation.harness.DigestedBody;
+import reedmux.simulation.harness.EarlyAnsweringConnection;
 import reedmux.simulation.harness.OneShotHttpCall;
 
 /**
@@ -44,6 +47,9 @@
     /** One in this many intervals of a connection is a pause in which it is not read. */
     private static final int PAUSE_SHARE = 6;
 
+    /** If this checker reads late, one in this many connections answers before a body is whole, and reads on. */
+    private static final int EARLY_ANSWER_SHARE = 4;
+
     private static final int MAX_READ_PAUSE_MICROS = 1_200_000;
     /** The request header with the execution time in milliseconds; the time of other requests is random. */
     static final String WORK_MILLIS = "Work-Millis";
@@ -96,7 +102,11 @@
     private void onAccepted(Connection connection) {
         connections.removeIf(known -> !known.isOpen());
         connections.add(connection);
-        new Http1ServerConnection(reactor, connection, (request, http) -> serve(request, http, connection));
+        if (readsLate && random.nextInt(EARLY_ANSWER_SHARE) == 0) {
+            new EarlyAnsweringConnection(connection, random, new EarlyAnswers());
+        } else {
+            new Http1ServerConnection(reactor, connection, (request, http) -> serve(request, http, connection));
+        }
         pauseReadingAtTimes(connection, false);
     }
 
@@ -131,12 +141,8 @@
             connection.respond(Http1Head.response(421).add("Reedmux-Instance-Id", id), new byte[0]);
             return;
         }
-        invariants.onRequestArrived(attempt, service, reactor.now());
-        checkDigest(request, attempt);
-        if (reactor.now() > drainLimit) {
-            invariants.onInvariantViolation(
-                    "DRAIN: " + attempt + " reached " + id + " long after its leave was" + " acknowledged");
-        }
+        reportArrival(attempt);
+        invariants.onBodyReceived(head, id, DigestedBody.digest(request.body()));
         unanswered.add(tcp);
         if (busy < SLOTS) {
             execute(head, attempt, connection, tcp);
@@ -153,12 +159,66 @@
         }
     }
 
-    private void checkDigest(Http1ServerConnection.Http1Request request, String attempt) {
-        String sent = request.head().get(DigestedBody.HEADER);
-        if (sent != null && !sent.equals(DigestedBody.digest(request.body()))) {
-            invariants.onInvariantViolation("UNASKED: the body of " + attempt + " (" + sent + ") reached " + id + " as "
-                    + DigestedBody.digest(request.body()));
+    private void reportArrival(String attempt) {
+        invariants.onRequestArrived(attempt, service, reactor.now());
+        if (reactor.now() > drainLimit) {
+            invariants.onInvariantViolation(
+                    "DRAIN: " + attempt + " reached " + id + " long after its leave was acknowledged");
+        }
+    }
+
+    /** Executes each request at once, when a part of its body has arrived. */
+    private final class EarlyAnswers implements EarlyAnsweringConnection.Server {
+
+        @Override
+        public void onHead(Http1Head head) {
+            if (isOwn(head)) {
+                reportArrival(head.get("Reedmux-Attempt-Id"));
+            }
+        }
+
+        private boolean isOwn(Http1Head head) {
+            String target = head.get("Reedmux-Target-Instance");
+            return target == null || target.equals(id);
+        }
+
+        @Override
+        public byte[] answer(Http1Head head) {
+            if (!isOwn(head)) {
+                return encode(Http1Head.response(421).add("Reedmux-Instance-Id", id), "");
+            }
+            String attempt = head.get("Reedmux-Attempt-Id");
+            invariants.onRequestExecuted(attempt, id, service, head.get("Reedmux-Tenant"), reactor.now());
+            invariants.onExecutionEnded(attempt, id, true, reactor.now());
+            return encode(okHead(attempt), content(attempt));
+        }
+
+        private byte[] encode(Http1Head head, String content) {
+            byte[] encodedHead = head.add("Content-Length", Integer.toString(content.length()))
+                    .encode();
+            byte[] message = Arrays.copyOf(encodedHead, encodedHead.length + content.length());
+            byte[] bytes = content.getBytes(StandardCharsets.ISO_8859_1);
+            System.arraycopy(bytes, 0, message, encodedHead.length, bytes.length);
+            return message;
         }
+
+        @Override
+        public void onBody(Http1Head head, String digest) {
+            invariants.onBodyReceived(head, id, digest);
+        }
+
+        @Override
+        public void onMalformedInput(String problem) {
+            invariants.onMalformedInput(id, problem);
+        }
+    }
+
+    private Http1Head okHead(String attempt) {
+        return Http1Head.response(200).add("Reedmux-Attempt-Id", attempt).add("Reedmux-Server-Seal", id);
+    }
+
+    private String content(String attempt) {
+        return id + ' ' + service + ' ' + attempt;
     }
 
     private void execute(Http1Head head, String attempt, Http1ServerConnection connection, Connection tcp) {
@@ -203,9 +263,7 @@
         }
 
         private void respond(Http1ServerConnection connection) {
-            connection.respond(
-                    Http1Head.response(200).add("Reedmux-Attempt-Id", attempt).add("Reedmux-Server-Seal", id),
-                    (id + ' ' + service + ' ' + attempt).getBytes(StandardCharsets.UTF_8));
+            connection.respond(okHead(attempt), content(attempt).getBytes(StandardCharsets.UTF_8));
             end(true);
         }
 
--- a/src/main/java/reedmux/simulation/soak/SoakOutcome.java
+++ b/src/main/java/reedmux/simulation/soak/SoakOutcome.java
@@ -10,6 +10,7 @@
  * @param faults           the injected faults, each with its time in seconds since the traffic was started
  * @param requests         the number of requests that clients sent
  * @param served           the number of these requests that were served
+ * @param comparedBodies   the number of large request bodies whose digest checkers compared
  * @param endedByDeparture the number of executions that ended because their client had disconnected
  * @param processes        the number of processes that were started
  * @param heldUpTimes      how often the host stalled a proxy for more than a second
@@ -23,6 +24,7 @@
         List<String> faults,
         long requests,
         long served,
+        int comparedBodies,
         int endedByDeparture,
         int processes,
         int heldUpTimes,
--- a/src/main/java/reedmux/simulation/soak/SoakRun.java
+++ b/src/main/java/reedmux/simulation/soak/SoakRun.java
@@ -159,6 +159,7 @@
                 soak.faultLog,
                 soak.invariants.requestCount(),
                 soak.invariants.servedCount(),
+                soak.invariants.comparedBodies(),
                 soak.invariants.executionsEndedByDeparture(),
                 soak.startedProcesses,
                 soak.heldUpTimes,
@@ -468,12 +469,12 @@
     /** Sends SIGTERM to all proxies under load; they must exit within their grace period. */
     private void terminateAll() {
         uploads.stop();
-        largeUploaders.forEach(LargeUploadClient::stop);
         logFault("all proxies receive SIGTERM");
         proxies.forEach(proxy -> proxy.remove(true));
         reactor.scheduleAfter(SoakMachine.GRACE_MICROS + 2 * SECOND, () -> {
             clients.forEach(SoakClient::stop);
             departingClients.forEach(DepartingClient::stop);
+            largeUploaders.forEach(LargeUploadClient::stop);
             tenants.stop();
             invariants.checkQuotas();
             invariants.checkDepartures(reactor.now());
--- a/src/test/java/reedmux/simulation/soak/SoakTest.java
+++ b/src/test/java/reedmux/simulation/soak/SoakTest.java
@@ -89,6 +89,7 @@
                     "seed " + outcome.seed() + ": " + outcome.violations() + "\n"
                             + String.join("\n", outcome.faults()));
             assertTrue(outcome.served() > 100, outcome.served() + " of " + outcome.requests() + " served");
+            assertTrue(outcome.comparedBodies() > 20, outcome.comparedBodies() + " large bodies compared");
         }
     }
 
