--- a/src/test/java/reedmux/proxy/StreamedRequestTest.java
+++ b/src/test/java/reedmux/proxy/StreamedRequestTest.java
@@ -106,6 +106,35 @@
         assertTrue(schedules >= 729 && reused[0] > 0, schedules + " schedules, reused in " + reused[0]);
     }
 
+    /**
+     * Guards against a retry that goes on where the first attempt stopped: a checker rejects a request of which a part
+     * is sent, and the next one must get the whole body.
+     */
+    @Test(dataProvider = "declaredLengths")
+    public void retrySendsBufferedBodyFromItsStart(long declaredLength) {
+        CheckerHarness harness = new CheckerHarness(2);
+        String buffered = pieces(0, 4);
+        long length = declaredLength < 0 ? -1 : buffered.length();
+        ClientRequestBody requestBody =
+                new ClientRequestBody(length, harness.sockets.reactor().bufferBudget());
+        CheckerHarness.append(requestBody, buffered);
+        requestBody.finish();
+        harness.sockets.socketCapacityBytes = KERNEL_BYTES;
+        harness.acceptWithBody("up", true, requestBody);
+        harness.sockets.socketCapacityBytes = Long.MAX_VALUE;
+        ScriptedEnvironment.ScriptedSocket first = harness.sockets.sockets.get(0);
+        first.completeConnect();
+        assertTrue(first.writtenText().length() <= KERNEL_BYTES, "the first attempt is sent whole");
+        first.receive("HTTP/1.1 503 Busy\r\nReedmux-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        assertTrue(first.isClosed(), "a connection with a part of a request");
+        for (int i = 0; i < 20 && harness.sockets.sockets.size() < 2; i++) {
+            harness.sockets.advanceMicros(10_000);
+        }
+        ScriptedEnvironment.ScriptedSocket second = harness.sockets.sockets.get(1);
+        second.completeConnect();
+        assertEquals(received(second.writtenText(), buffered.length()), new Received(buffered, true, ""));
+    }
+
     /** Guards against two attempts that each send a part of one streamed body. */
     @Test
     public void partOfStreamedBodyThatWasReadCannotBeReadAgain() {
