Reword simulation.harness: standard terms in names, comments and texts

Change: names, comments and texts of harness; bare numbers have names.

Measured: LoopbackGatewayTest, LoopbackShutdownTest and ArchitectureTest pass; region and scenario are left.

--- a/src/main/java/reedmux/simulation/harness/LoopbackChecker.java
+++ b/src/main/java/reedmux/simulation/harness/LoopbackChecker.java
@@ -10,10 +10,13 @@
 import reedmux.common.http1.Http1Head;
 import reedmux.common.http1.Http1ServerConnection;
 
-/** A stand-in for a checker: executes each request for a while and responds by the protocol, or faultily on demand. */
+/**
+ * A checker that the loopback gateway forwards requests to. The last segment of a request's path selects a faulty
+ * response. Must be used on the reactor's thread only.
+ */
 final class LoopbackChecker {
     private static final long HEARTBEAT_INTERVAL_MICROS = 500_000;
-    /** The time of a request whose path ends with {@code slow}. */
+    /** Execution time of a request whose path ends with {@code slow}. */
     private static final long SLOW_REQUEST_MICROS = 400_000;
 
     private final Reactor reactor;
@@ -28,66 +31,68 @@
     private long sequence;
     private int heartbeats;
 
-    /** {@code workMicros}: the time of a usual request. */
+    /** Starts a checker on a free port of {@code ip} that takes {@code workMicros} for most requests. */
     LoopbackChecker(
             Reactor reactor,
             String ip,
             String id,
-            String plant,
+            String service,
             String zone,
-            List<InetSocketAddress> control,
-            long work)
+            List<InetSocketAddress> controlAddresses,
+            long workMicros)
             throws IOException {
         this.reactor = reactor;
         this.id = id;
-        this.service = plant;
+        this.service = service;
         this.zone = zone;
-        this.controlAddresses = control;
-        this.workMicros = work;
+        this.controlAddresses = controlAddresses;
+        this.workMicros = workMicros;
         listener = new TcpListener(
-                reactor, new InetSocketAddress(ip, 0), wire -> new Http1ServerConnection(reactor, wire, this::serve));
+                reactor,
+                new InetSocketAddress(ip, 0),
+                connection -> new Http1ServerConnection(reactor, connection, this::serve));
         sendHeartbeat();
     }
 
-    private void serve(Http1ServerConnection.Http1Request call, Http1ServerConnection from) {
-        Http1Head head = call.head();
+    private void serve(Http1ServerConnection.Http1Request request, Http1ServerConnection connection) {
+        Http1Head head = request.head();
         String attempt = head.get("Reedmux-Attempt-Id");
         String target = head.get("Reedmux-Target-Instance");
         if (target != null && !target.equals(id)) {
-            from.respond(Http1Head.response(421).add("Reedmux-Instance-Id", id), new byte[0]);
+            connection.respond(Http1Head.response(421).add("Reedmux-Instance-Id", id), new byte[0]);
             return;
         } else if (attempt == null) {
-            from.respond(Http1Head.response(400).add("Reedmux-Not-Executed", "1"), new byte[0]);
+            connection.respond(Http1Head.response(400).add("Reedmux-Not-Executed", "1"), new byte[0]);
             return;
         }
-        String how = head.path().substring(head.path().lastIndexOf('/') + 1);
-        if (how.equals("shed")) {
-            from.respond(Http1Head.response(503).add("Reedmux-Not-Executed", "1"), new byte[0]);
+        String behavior = head.path().substring(head.path().lastIndexOf('/') + 1);
+        if (behavior.equals("shed")) {
+            connection.respond(Http1Head.response(503).add("Reedmux-Not-Executed", "1"), new byte[0]);
             return;
         }
         executedAttempts.add(attempt);
-        String wrong = faultyResponse(how, attempt);
-        if (wrong != null) {
-            from.sendRawAndClose(wrong.getBytes(StandardCharsets.ISO_8859_1));
+        String faulty = faultyResponse(behavior, attempt);
+        if (faulty != null) {
+            connection.sendRawAndClose(faulty.getBytes(StandardCharsets.ISO_8859_1));
             return;
         }
         reactor.scheduleAfter(
-                how.equals("slow") ? SLOW_REQUEST_MICROS : workMicros,
-                () -> from.respond(
+                behavior.equals("slow") ? SLOW_REQUEST_MICROS : workMicros,
+                () -> connection.respond(
                         Http1Head.response(200)
                                 .add("Reedmux-Attempt-Id", attempt)
                                 .add("Reedmux-Server-Seal", "seal-" + id)
                                 .add("Content-Type", "text/plain"),
-                        (id + " has " + call.body().length + " bytes of " + head.path() + '\n')
+                        (id + " has " + request.body().length + " bytes of " + head.path() + '\n')
                                 .getBytes(StandardCharsets.UTF_8)));
     }
 
-    /** The faulty response that a request's path asks for, or null. */
-    private static String faultyResponse(String how, String attempt) {
+    /** Returns the faulty response that the path of a request selects, or null if it selects none. */
+    private static String faultyResponse(String behavior, String attempt) {
         String seal = "Reedmux-Server-Seal: s\r\n";
         String good =
                 "HTTP/1.1 200 OK\r\nReedmux-Attempt-Id: " + attempt + "\r\n" + seal + "Content-Length: 4\r\n\r\ngood";
-        return switch (how) {
+        return switch (behavior) {
             case "stray" -> good.replace(attempt, "of-another").replace("good", "evil") + good;
             case "behind" -> good + good.replace("good", "evil");
             case "cut" -> good.replace("Content-Length: 4", "Content-Length: 400");
@@ -103,15 +108,15 @@
         };
     }
 
-    /** The ids of the attempts that it has executed, in order. */
+    /** Returns the ids of the executed attempts, in order. */
     List<String> executedAttempts() {
         return executedAttempts;
     }
 
     private void sendHeartbeat() {
         try {
-            InetSocketAddress at = listener.address();
-            String address = at.getAddress().getHostAddress() + ':' + at.getPort();
+            InetSocketAddress listening = listener.address();
+            String address = listening.getAddress().getHostAddress() + ':' + listening.getPort();
             String body = String.format(
                             "{'plant':'%s','address':'%s','zone':'%s','revision':'v1','capacity':3,"
                                     + "'phase':'%s','coldLeftMs':0,'seq':%d}",
@@ -128,7 +133,7 @@
         reactor.scheduleAfter(HEARTBEAT_INTERVAL_MICROS, this::sendHeartbeat);
     }
 
-    /** Reports that it drains from its next heartbeat on. */
+    /** Reports the phase {@code draining} from the next heartbeat on. */
     void startDraining() {
         phase = "draining";
     }
--- a/src/main/java/reedmux/simulation/harness/LoopbackGateway.java
+++ b/src/main/java/reedmux/simulation/harness/LoopbackGateway.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.IntFunction;
 import java.util.stream.Stream;
 import reedmux.common.eventloop.Reactor;
 import reedmux.common.logging.RingBufferLogger;
@@ -21,9 +22,8 @@
 import reedmux.proxy.Proxy;
 
 /**
- * A whole gateway in one process on loopback: three stores, three registries, some proxies and stand-ins
- * for checkers and the operator, all on real sockets. For a first look, for the class archive, and for
- * tests of the whole path.
+ * A complete gateway in one process on loopback: three stores, three registries, proxies, simulated checkers and an
+ * operator, all on real sockets. Used by {@code rehearse}, which records the class archive, and by end-to-end tests.
  */
 public final class LoopbackGateway implements AutoCloseable {
     private static final int CORE_MACHINES = 3;
@@ -31,8 +31,19 @@
     private static final int FRONT_PORT_OFFSET = 21;
     private static final int READINESS_PORT_OFFSET = 22;
     private static final int PORT_RANGE_WIDTH = 10;
+    private static final int MAX_FIRST_PORT = 60_000;
+    /** The number of the first checker's address, above those of all machines. */
+    private static final int FIRST_CHECKER_MACHINE = 100;
+
+    private static final long WORK_MICROS = 5_000;
+    private static final int LOG_CAPACITY_LINES = 100;
+    private static final long CALL_TIMEOUT_SECONDS = 10;
+    /** The maximum number of calls until one is accepted or rejected. */
+    private static final int MAX_CALLS = 40;
+
+    private static final long POLL_MILLIS = 50;
     private static final String[] ZONES = {"zone-a", "zone-b", "zone-c"};
-    /** A change with the configuration that the stand-ins and requests need. */
+    /** A configuration change that creates the service, routes and tenant that checkers and requests use. */
     public static final String INITIAL_CONFIGURATION = """
             {"apply":{"signals":[
             {"signalKind":"plants","heading":{"name":"desk","revision":1},
@@ -61,45 +72,53 @@
     private final int proxies;
 
     /**
-     * Starts one; {@code loopbackNetwork}: the third part of its loopback addresses, so that several can stand beside.
+     * Starts a gateway.
+     *
+     * @param loopbackNetwork the third byte of the loopback addresses; it must differ between concurrent gateways
      */
-    public LoopbackGateway(int net, int proxies, int checkerCount) throws IOException, ProcessSettingsException {
-        this.loopbackNetwork = net;
+    public LoopbackGateway(int loopbackNetwork, int proxies, int checkerCount)
+            throws IOException, ProcessSettingsException {
+        this.loopbackNetwork = loopbackNetwork;
         this.proxies = proxies;
-        dataDirectory = Files.createTempDirectory("reedmux-stage");
+        dataDirectory = Files.createTempDirectory("reedmux-gateway");
         firstPort = findFirstPort();
         clientReactor = newReactor();
         for (int i = 0; i < CORE_MACHINES; i++) {
-            ProcessSettings store = settings("core-" + i, i, i, true);
-            Reactor ofStore = newReactor();
-            new StoreServer(store, ofStore);
-            startThread(ofStore, "store-" + i);
-            Reactor ofRegistry = newReactor();
-            new Registry(settings("core-" + i, i, i, true), ofRegistry);
-            startThread(ofRegistry, "registry-" + i);
+            Reactor storeReactor = newReactor();
+            new StoreServer(settings("core-" + i, i, i, true), storeReactor);
+            startThread(storeReactor, "store-" + i);
+            Reactor registryReactor = newReactor();
+            new Registry(settings("core-" + i, i, i, true), registryReactor);
+            startThread(registryReactor, "registry-" + i);
         }
         for (int i = 0; i < proxies; i++) {
-            Reactor ofProxy = newReactor();
-            Proxy proxy = new Proxy(settings("edge-" + i, CORE_MACHINES + i, i, true), ofProxy);
-            proxyShutdowns.add(() -> ofProxy.execute(proxy::beginShutdown));
-            startThread(ofProxy, "proxy-" + i);
+            Reactor proxyReactor = newReactor();
+            Proxy proxy = new Proxy(settings("edge-" + i, CORE_MACHINES + i, i, true), proxyReactor);
+            proxyShutdowns.add(() -> proxyReactor.execute(proxy::beginShutdown));
+            startThread(proxyReactor, "proxy-" + i);
         }
-        List<InetSocketAddress> control = new ArrayList<>();
+        List<InetSocketAddress> controlAddresses = new ArrayList<>();
         for (int i = 0; i < CORE_MACHINES; i++) {
-            control.add(new InetSocketAddress(ip(i), firstPort + CONTROL_PORT_OFFSET));
+            controlAddresses.add(controlAddress(i));
         }
         for (int i = 0; i < checkerCount; i++) {
             checkers.add(new LoopbackChecker(
-                    clientReactor, ip(100 + i), "c-" + i, "desk", ZONES[i % ZONES.length], control, 5_000));
+                    clientReactor,
+                    ip(FIRST_CHECKER_MACHINE + i),
+                    "c-" + i,
+                    "desk",
+                    ZONES[i % ZONES.length],
+                    controlAddresses,
+                    WORK_MICROS));
         }
-        startThread(clientReactor, "outside");
+        startThread(clientReactor, "clients");
     }
 
-    /** A port that is free at the first address; the range begins with it, at all addresses. */
+    /** Finds a port that is free at the first address; it becomes the start of the port range at all addresses. */
     private int findFirstPort() throws IOException {
         try (java.net.ServerSocket probe = new java.net.ServerSocket()) {
             probe.bind(new InetSocketAddress(ip(0), 0));
-            return Math.min(60_000, probe.getLocalPort());
+            return Math.min(MAX_FIRST_PORT, probe.getLocalPort());
         }
     }
 
@@ -108,9 +127,10 @@
     }
 
     private Reactor newReactor() throws IOException {
-        Reactor made = new Reactor(new RingBufferLogger("stage", 100, line -> {}, System::nanoTime));
-        reactors.add(made);
-        return made;
+        Reactor reactor =
+                new Reactor(new RingBufferLogger("gateway", LOG_CAPACITY_LINES, line -> {}, System::nanoTime));
+        reactors.add(reactor);
+        return reactor;
     }
 
     private static void startThread(Reactor reactor, String name) {
@@ -122,12 +142,13 @@
                         throw new IllegalStateException(e);
                     }
                 },
-                "stage-" + name);
+                "gateway-" + name);
         thread.setDaemon(true);
         thread.start();
     }
 
-    private ProcessSettings settings(String node, int machine, int zone, boolean cold) throws ProcessSettingsException {
+    private ProcessSettings settings(String node, int machine, int zone, boolean coldStart)
+            throws ProcessSettingsException {
         List<String> seeds = new ArrayList<>();
         for (int i = 0; i < CORE_MACHINES; i++) {
             seeds.add(ip(i) + ':' + (firstPort + CONTROL_PORT_OFFSET));
@@ -151,7 +172,7 @@
                     + " = \"" + ip(machine) + ':' + (firstPort + socket) + "\"\n";
         }
         return ProcessSettings.parse(
-                "stage/" + node,
+                "gateway/" + node,
                 String.format(
                                 text,
                                 node,
@@ -160,70 +181,70 @@
                                 firstPort,
                                 firstPort + PORT_RANGE_WIDTH,
                                 String.join("\", \"", seeds),
-                                cold,
+                                coldStart,
                                 dataDirectory.resolve(node))
                         + sockets);
     }
 
-    /** The settings of one more machine, for a program that the caller starts. */
+    /** Returns the settings of one more machine, for a program that the caller starts. */
     public ProcessSettings spareSettings(String role) throws ProcessSettingsException {
         return settings("further-" + role, CORE_MACHINES + proxies, 0, false);
     }
 
-    /** Where clients reach a proxy. */
+    /** Returns the address on which a proxy serves clients. */
     public InetSocketAddress frontAddress(int proxy) {
         return new InetSocketAddress(ip(CORE_MACHINES + proxy), firstPort + FRONT_PORT_OFFSET);
     }
 
-    /** Where the operator reaches a registry. */
+    /** Returns the address on which a registry serves checkers and operators. */
     public InetSocketAddress controlAddress(int machine) {
         return new InetSocketAddress(ip(machine), firstPort + CONTROL_PORT_OFFSET);
     }
 
-    /** A response; the status is 0 if there was none, and the body says why. */
+    /** A response; without one the status is 0 and the body gives the reason. */
     public record LoopbackResponse(int status, String body) {}
 
-    /** Sends a request from outside and waits for its response. */
-    public LoopbackResponse call(InetSocketAddress to, byte[] request) throws IOException {
-        CompletableFuture<LoopbackResponse> told = new CompletableFuture<>();
+    /** Sends a request over a connection of its own and waits for the response. */
+    public LoopbackResponse call(InetSocketAddress address, byte[] request) throws IOException {
+        CompletableFuture<LoopbackResponse> result = new CompletableFuture<>();
         clientReactor.execute(() -> {
             try {
                 new OneShotHttpCall(
                         clientReactor,
-                        to,
+                        address,
                         request,
-                        (status, head, text) -> told.complete(new LoopbackResponse(status, text)));
+                        (status, head, text) -> result.complete(new LoopbackResponse(status, text)));
             } catch (IOException e) {
-                told.complete(new LoopbackResponse(0, e.getMessage()));
+                result.complete(new LoopbackResponse(0, e.getMessage()));
             }
         });
         try {
-            return told.get(10, TimeUnit.SECONDS);
+            return result.get(CALL_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         } catch (InterruptedException | ExecutionException | TimeoutException e) {
             throw new IOException(e);
         }
     }
 
-    /** Changes the configuration; retried at other control machines until the response is clear. */
+    /** Sends a configuration change, to one control machine after the other until it is accepted or rejected. */
     public LoopbackResponse changeConfiguration(String body) throws IOException {
-        return callUntilClear(request -> OneShotHttpCall.post("/v1/Config.Adjust", body));
+        return callUntilDecided(call -> OneShotHttpCall.post("/v1/Config.Adjust", body));
     }
 
     /** Reads the configuration as the operator does. */
     public LoopbackResponse readConfiguration() throws IOException {
-        return callUntilClear(request -> OneShotHttpCall.request("GET", "/v1/Config.Read", "control", ""));
+        return callUntilDecided(call -> OneShotHttpCall.request("GET", "/v1/Config.Read", "control", ""));
     }
 
-    private LoopbackResponse callUntilClear(java.util.function.IntFunction<byte[]> call) throws IOException {
-        LoopbackResponse told = new LoopbackResponse(0, "not asked");
-        for (int i = 0; i < 40; i++) {
-            told = call(controlAddress(i % CORE_MACHINES), call.apply(i));
-            if (told.status() >= 200 && told.status() < 500) {
-                return told;
+    private LoopbackResponse callUntilDecided(IntFunction<byte[]> encodeCall) throws IOException {
+        LoopbackResponse response = new LoopbackResponse(0, "not sent");
+        for (int i = 0; i < MAX_CALLS; i++) {
+            response = call(controlAddress(i % CORE_MACHINES), encodeCall.apply(i));
+            if (response.status() >= 200 && response.status() < 500) {
+                return response;
             }
-            sleepMillis(50);
+            sleepMillis(POLL_MILLIS);
         }
-        return told;
+        return response;
     }
 
     /** Sends a client's request with an attempt id to a proxy. */
@@ -241,47 +262,47 @@
                         "Authorization: Bearer key-of-first\r\n"));
     }
 
-    /** Waits until all proxies are ready; returns whether they are within so many milliseconds. */
-    public boolean awaitReady(long millis) throws IOException {
-        for (long waited = 0; waited < millis; waited += 50) {
-            boolean all = true;
-            for (int i = 0; i < proxies && all; i++) {
-                all = readiness(i).status() == 200;
+    /** Waits until all proxies are ready; returns false if some are not within the timeout. */
+    public boolean awaitReady(long timeoutMillis) throws IOException {
+        for (long waited = 0; waited < timeoutMillis; waited += POLL_MILLIS) {
+            boolean allReady = true;
+            for (int i = 0; i < proxies && allReady; i++) {
+                allReady = readiness(i).status() == 200;
             }
-            if (all) {
+            if (allReady) {
                 return true;
             }
-            sleepMillis(50);
+            sleepMillis(POLL_MILLIS);
         }
         return false;
     }
 
-    /** Begins a proxy's graceful shutdown, as by SIGTERM. */
+    /** Begins the graceful shutdown of a proxy, as SIGTERM does. */
     public void shutdownProxy(int proxy) {
         proxyShutdowns.get(proxy).run();
     }
 
-    /** A proxy's response to the platform's readiness probe. */
+    /** Returns a proxy's response to the readiness probe of the platform. */
     public LoopbackResponse readiness(int proxy) throws IOException {
         return call(
                 new InetSocketAddress(ip(CORE_MACHINES + proxy), firstPort + READINESS_PORT_OFFSET),
                 OneShotHttpCall.request("GET", "/v1/readiness", "ready", ""));
     }
 
-    /** Has a checker drain. */
+    /** Lets a checker begin to drain. */
     public void drainChecker(int checker) {
         clientReactor.execute(() -> checkers.get(checker).startDraining());
     }
 
-    /** The ids of the attempts that all checkers have executed, one entry for each execution. */
+    /** Returns the ids of the attempts that the checkers have executed, with an entry for each execution. */
     public List<String> executedAttempts() throws IOException {
-        CompletableFuture<List<String>> all = new CompletableFuture<>();
+        CompletableFuture<List<String>> result = new CompletableFuture<>();
         clientReactor.execute(() -> {
-            List<String> list = new ArrayList<>();
-            checkers.forEach(checker -> list.addAll(checker.executedAttempts()));
-            all.complete(list);
+            List<String> attempts = new ArrayList<>();
+            checkers.forEach(checker -> attempts.addAll(checker.executedAttempts()));
+            result.complete(attempts);
         });
-        return all.join();
+        return result.join();
     }
 
     private static void sleepMillis(long millis) throws IOException {
@@ -301,8 +322,9 @@
         if (violations > 0) {
             throw new IllegalStateException(violations + " invariants were violated");
         }
-        try (Stream<Path> all = Files.walk(dataDirectory)) {
-            all.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+        try (Stream<Path> files = Files.walk(dataDirectory)) {
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(path -> path.toFile().delete());
         }
     }
 }
--- a/src/main/java/reedmux/simulation/harness/OneShotHttpCall.java
+++ b/src/main/java/reedmux/simulation/harness/OneShotHttpCall.java
@@ -12,21 +12,19 @@
 import reedmux.common.http1.Http1HeadReader;
 import reedmux.common.http1.MalformedMessageException;
 
-/**
- * One HTTP call over a connection of its own, as checkers, operators and clients make it. For the reactor's thread.
- */
+/** Sends one HTTP request over a connection of its own. Must be used on the reactor's thread only. */
 public final class OneShotHttpCall implements Connection.ConnectionHandler {
     private static final int MAX_HEAD_BYTES = 16 * 1024;
     private static final long TIMEOUT_MICROS = 3_000_000;
 
-    /** Receives the call's result, once. */
+    /** Receives the result of a call. */
     public interface ResponseCallback {
         /**
-         * The call has ended.
+         * Called once, when the call has ended.
          *
-         * @param status the response's status, or 0 if there was no complete response
-         * @param head   the response's head, or null if there was no complete response
-         * @param text   the body, or why there was no response
+         * @param status the status of the response, or 0 if there was no complete response
+         * @param head   the head of the response, or null if there was no complete response
+         * @param text   the body, or the reason why there is no response
          */
         void onResponse(int status, Http1Head head, String text);
     }
@@ -54,12 +52,12 @@
         reactor.scheduleAfter(timeoutMicros, () -> finish(0, "no answer"));
     }
 
-    /** A POST request to a control address. */
+    /** Encodes a POST request to a control address. */
     public static byte[] post(String path, String body) {
         return request("POST", path, "control", body);
     }
 
-    /** The bytes of a request; {@code headers} are further field lines, each with its line end. */
+    /** Encodes a request; {@code headers} are complete header lines, each with its line end. */
     public static byte[] request(String method, String path, String host, String body, String... headers) {
         byte[] content = body.getBytes(StandardCharsets.UTF_8);
         String head = method + ' ' + path + " HTTP/1.1\r\nHost: " + host + "\r\n" + String.join("", headers)
--- a/src/main/java/reedmux/simulation/harness/PersistentHttpClient.java
+++ b/src/main/java/reedmux/simulation/harness/PersistentHttpClient.java
@@ -11,22 +11,22 @@
 import reedmux.common.http1.MalformedMessageException;
 
 /**
- * A client that sends one request after another over one connection, for as long as the server keeps that open, and
- * then over the next one. For the reactor's thread.
+ * Sends one request after another over one connection as long as the server keeps it open, and then over the next one.
+ * Must be used on the reactor's thread only.
  */
 public final class PersistentHttpClient {
     private static final int MAX_HEAD_BYTES = 16 * 1024;
 
-    /** What is sent, and who hears of it. */
+    /** Provides the requests and receives their results. */
     public interface Conversation {
 
-        /** The next request, or null to end the client. */
+        /** Returns the next request, or null to stop the client. */
         byte[] nextRequest();
 
-        /** A complete response has come. */
+        /** Called with a complete response. */
         void onResponse(Http1Head head, byte[] body);
 
-        /** The connection has ended, or its time is up, while the request was without a complete response. */
+        /** Called if the connection was closed, or the timeout expired, before the response was complete. */
         void onLost(String reason);
     }
 
@@ -34,13 +34,13 @@
     private final InetSocketAddress server;
     private final long timeoutMicros;
     private final Conversation conversation;
-    /** Whether it goes on over a connection although a response said that the server closes it. */
+    /** Whether the client keeps using a connection after the server has announced that it will close it. */
     private final boolean ignoresClose;
 
     /**
-     * Creates a client; {@link #start} begins with the first request.
+     * Creates a client; {@link #start} sends the first request.
      *
-     * @param timeoutMicros how long a response may take
+     * @param timeoutMicros the maximum time until a response is complete
      */
     public PersistentHttpClient(
             Reactor reactor,
@@ -68,7 +68,7 @@
         }
     }
 
-    /** One connection; a request is under way on it until it ends. */
+    /** A connection, which has a pending request until it is closed. */
     private final class OpenConnection implements Connection.ConnectionHandler {
         private final Connection connection;
         private final Http1HeadReader headReader = new Http1HeadReader(false);
--- a/src/main/java/reedmux/simulation/harness/package-info.java
+++ b/src/main/java/reedmux/simulation/harness/package-info.java
@@ -1,6 +1,6 @@
 /**
- * A complete gateway of the system in one process on loopback ({@link reedmux.simulation.harness.LoopbackGateway}): the
- * programs' own classes on real sockets and files, with stand-ins for checkers, clients and operators. For a first
- * look, the class archive and tests of the whole path; nothing of it runs in production.
+ * A complete gateway in one process on loopback ({@link reedmux.simulation.harness.LoopbackGateway}): the production
+ * programs on real sockets and files, with simulated checkers, clients and operators; and the HTTP clients and servers
+ * that simulations and soaks share. Nothing of it runs in production.
  */
 package reedmux.simulation.harness;
