Close the connection after a rejection that a client awaiting 100 Continue gets

Callers could see: a request with Expect: 100-continue is rejected by its head and the connection stays open; a client that then leaves the body out and sends its next request had that read as the body. Change: such a rejection says Connection: close.

--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -231,10 +231,12 @@
         requestBody = hasBody ? new ClientRequestBody(bodyReader.declaredLength(), connection.bufferBudget()) : null;
         RequestAdmission.AdmissionResult result = handler.admit(this, head, requestBody);
         request = result.request();
+        boolean awaitsContinue = head.hasListToken("Expect", "100-continue") && !bodyReader.isComplete();
         if (request == null) {
             releaseUnsentBody();
+            keepAlive &= !awaitsContinue; // whether the client still sends the body is unknown
             respond(result.rejection());
-        } else if (head.hasListToken("Expect", "100-continue") && !bodyReader.isComplete()) {
+        } else if (awaitsContinue) {
             connection.write(CONTINUE);
         }
         if (requestBody != null) {
--- a/src/test/java/reedmux/proxy/EarlyResponseTest.java
+++ b/src/test/java/reedmux/proxy/EarlyResponseTest.java
@@ -63,6 +63,23 @@
         }
     }
 
+    /**
+     * Guards against a request that is read as the body of a rejected one: a client that awaits 100 Continue need not
+     * send its body after a rejection.
+     */
+    @Test
+    public void rejectionWithoutContinueEndsTheConnection() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.rejection = ClientHarness.localResponse(429);
+        harness.socket.receive(uploadHead("up", "Content-Length: 80\r\nExpect: 100-continue"));
+        assertTrue(harness.socket.writtenText().contains("Connection: close"), harness.socket.writtenText());
+        harness.rejection = null;
+        harness.socket.receive(ClientHarness.getRequest("next"));
+        assertEquals(harness.dispatched.size(), 0);
+        harness.advanceMicros(2 * MICROS_PER_SECOND);
+        assertTrue(harness.socket.isClosed());
+    }
+
     /** A client that goes on sending after its last response is disconnected in the end. */
     @Test
     public void inputWithoutEndAfterTheLastResponseIsCutOff() throws IOException {
