--- a/src/main/java/reedmux/simulation/soak/SoakRun.java
+++ b/src/main/java/reedmux/simulation/soak/SoakRun.java
@@ -129,13 +129,20 @@
     /**
      * Runs one soak and returns its result.
      *
-     * @param options   the options of the soak
-     * @param directory an empty directory for settings, disks and logs
-     * @param network   the second byte of the loopback addresses; soaks with different ones can run concurrently
+     * @param options          the options of the soak
+     * @param directory        an empty directory for settings, disks and logs
+     * @param preferredNetwork the second byte of the loopback addresses, unless another soak uses them
      */
-    public static SoakOutcome run(SoakOptions options, Path directory, int network)
+    public static SoakOutcome run(SoakOptions options, Path directory, int preferredNetwork)
             throws IOException, InterruptedException {
-        SoakRun soak = new SoakRun(options, directory, network);
+        try (LoopbackNetwork network = LoopbackNetwork.reserve(preferredNetwork)) {
+            return run(options, directory, network);
+        }
+    }
+
+    private static SoakOutcome run(SoakOptions options, Path directory, LoopbackNetwork network)
+            throws IOException, InterruptedException {
+        SoakRun soak = new SoakRun(options, directory, network.number());
         Thread shutdownHook = new Thread(soak::destroyAll);
         Runtime.getRuntime().addShutdownHook(shutdownHook); // so that no process outlives an aborted soak
         Thread thread = new Thread(soak::runReactor, "soak-" + options.seed());
