Answer a request whose client pauses within a body that was dispatched

Ruled out: the end of the process, whose log says 0 without a response. Change: 504, and then the end of the connection.

Measured: EarlyResponseTest, the new case failed on the code before and passes now; 51 tests of the proxy's connections pass.

--- a/src/main/java/reedmux/proxy/ClientConnection.java
+++ b/src/main/java/reedmux/proxy/ClientConnection.java
@@ -34,6 +34,7 @@
 
     private static final int STATUS_REQUEST_TIMEOUT = 408;
     private static final int STATUS_CONTENT_TOO_LARGE = 413;
+    private static final int STATUS_GATEWAY_TIMEOUT = 504;
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     /** The states of a connection. */
@@ -460,11 +461,9 @@
         }
     }
 
+    /** A checker may have executed a request of which it has received a part, so that is not answered as rejected. */
     private void onBodyTimeout() {
-        if (dispatched) {
-            disconnect();
-        } else {
-            rejectMalformed(new MalformedMessageException(STATUS_REQUEST_TIMEOUT, "the body has not come in time"));
-        }
+        int status = dispatched ? STATUS_GATEWAY_TIMEOUT : STATUS_REQUEST_TIMEOUT;
+        rejectMalformed(new MalformedMessageException(status, "the body has not come in time"));
     }
 }
--- a/src/test/java/reedmux/proxy/EarlyResponseTest.java
+++ b/src/test/java/reedmux/proxy/EarlyResponseTest.java
@@ -80,6 +80,21 @@
         assertTrue(harness.socket.isClosed());
     }
 
+    /**
+     * Guards against an executed request without an answer: a checker may execute a request of which a part has
+     * arrived, and a client that pauses within its body for longer than the idle timeout was disconnected.
+     */
+    @Test
+    public void clientThatPausesWithinADispatchedBodyIsAnswered() throws IOException {
+        ClientHarness harness = new ClientHarness();
+        harness.socket.receive(uploadHead("up", "Content-Length: 3000000") + "y".repeat(600_000));
+        forward(harness.dispatched.get(0).body());
+        harness.advanceMicros(17 * MICROS_PER_SECOND);
+        assertTrue(harness.socket.writtenText().startsWith("HTTP/1.1 504"), harness.socket.writtenText());
+        assertTrue(harness.socket.isClosed());
+        assertEquals(harness.abandoned.size(), 1);
+    }
+
     /** A client that goes on sending after its last response is disconnected in the end. */
     @Test
     public void inputWithoutEndAfterTheLastResponseIsCutOff() throws IOException {
