--- a/src/test/java/reedmux/cli/HandoverTest.java
+++ b/src/test/java/reedmux/cli/HandoverTest.java
@@ -85,7 +85,7 @@
             String line;
             do {
                 line = log.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-                assertNotNull("not logged: " + part, line);
+                assertNotNull("not logged: " + part + "; logged by the others: " + logs(), line);
             } while (!line.contains(part));
         }
 
@@ -99,6 +99,12 @@
         }
     }
 
+    private List<String> logs() {
+        return gatekeepers.stream()
+                .flatMap(gatekeeper -> gatekeeper.log.stream())
+                .toList();
+    }
+
     private GatekeeperConfig config() throws Exception {
         String text = Files.readString(Path.of("src/test/resources/exchanges/config.json"))
                 .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\",\"operator\":\"127.0.0.1:0\"")
