--- a/src/main/java/reedmux/common/quota/RunAheadLimit.java
+++ b/src/main/java/reedmux/common/quota/RunAheadLimit.java
@@ -100,7 +100,7 @@
     }
 
     private void decay(long now) {
-        double factor = Math.exp((decayedAt - now) / SHARE_DECAY_MICROS);
+        double factor = StrictMath.exp((decayedAt - now) / SHARE_DECAY_MICROS);
         ownUnits *= factor;
         totalUnits *= factor;
         decayedAt = now;
@@ -134,7 +134,8 @@
         }
         decay(now);
         double recentUnits = admitted.sumOfLast(unreportedMicros, now);
-        double reportedOwnUnits = Math.max(0, ownUnits - recentUnits) * Math.exp(unreportedMicros / SHARE_DECAY_MICROS);
+        double reportedOwnUnits =
+                Math.max(0, ownUnits - recentUnits) * StrictMath.exp(unreportedMicros / SHARE_DECAY_MICROS);
         double allowed = shareOfWindow(reportedOwnUnits, recentUnits, quotaRate, members) * (remaining + recentUnits);
         if (count < LOW_USAGE_BURST_FRACTION * burst) {
             allowed = Math.max(allowed, lowUsageAllowance(reportedOwnUnits, unreportedMicros));
--- a/src/main/java/reedmux/gatekeeper/failover/LocalServiceHealth.java
+++ b/src/main/java/reedmux/gatekeeper/failover/LocalServiceHealth.java
@@ -24,7 +24,7 @@
     }
 
     private void decay(long now) {
-        double factor = Math.exp(-Math.max(0, now - decayedAt) / DECAY_MICROS);
+        double factor = StrictMath.exp(-Math.max(0, now - decayedAt) / DECAY_MICROS);
         decayedAt = Math.max(decayedAt, now);
         weightedTotal *= factor;
         weightedFailures *= factor;
--- a/src/main/java/reedmux/gatekeeper/policy/AdmissionPolicy.java
+++ b/src/main/java/reedmux/gatekeeper/policy/AdmissionPolicy.java
@@ -83,9 +83,9 @@
     private void decay() {
         double elapsed = context.now - decayedAt;
         decayedAt = context.now;
-        demand *= Math.exp(-elapsed / THROTTLE_DECAY_MICROS);
-        goodAnswers *= Math.exp(-elapsed / THROTTLE_DECAY_MICROS);
-        recentSends *= Math.exp(-elapsed / (RECENT_SEND_LATENCIES * latencies.initialEstimate()));
+        demand *= StrictMath.exp(-elapsed / THROTTLE_DECAY_MICROS);
+        goodAnswers *= StrictMath.exp(-elapsed / THROTTLE_DECAY_MICROS);
+        recentSends *= StrictMath.exp(-elapsed / (RECENT_SEND_LATENCIES * latencies.initialEstimate()));
     }
 
     void onFirstSent() {
--- a/src/main/java/reedmux/gatekeeper/policy/LatencyEstimator.java
+++ b/src/main/java/reedmux/gatekeeper/policy/LatencyEstimator.java
@@ -80,7 +80,7 @@
      */
     double serviceTime(ActiveRequest request) {
         ClassLatency latency = request.classLatency;
-        double decay = Math.exp(-(context.now - latency.sampledAt) / CLASS_DECAY_MICROS);
+        double decay = StrictMath.exp(-(context.now - latency.sampledAt) / CLASS_DECAY_MICROS);
         return (latency.bestMean + (latency.mean - latency.bestMean) * decay) * relativeSize(request);
     }
 
@@ -91,7 +91,7 @@
 
     /** Returns the latency of a server relative to the typical latency, decayed since the last sample. */
     double latencyRatio(ServerState server) {
-        return 1 + (server.latencyRatio - 1) * Math.exp(-(context.now - server.sampledAt) / SERVER_DECAY_MICROS);
+        return 1 + (server.latencyRatio - 1) * StrictMath.exp(-(context.now - server.sampledAt) / SERVER_DECAY_MICROS);
     }
 
     /**
@@ -130,6 +130,6 @@
      */
     private double weight(double baseWeight, long sampledAt, double decayMicros) {
         return STALE_SAMPLE_WEIGHT
-                + (baseWeight - STALE_SAMPLE_WEIGHT) * Math.exp(-(context.now - sampledAt) / decayMicros);
+                + (baseWeight - STALE_SAMPLE_WEIGHT) * StrictMath.exp(-(context.now - sampledAt) / decayMicros);
     }
 }
--- a/src/main/java/reedmux/gatekeeper/policy/QuotaPolicy.java
+++ b/src/main/java/reedmux/gatekeeper/policy/QuotaPolicy.java
@@ -179,9 +179,9 @@
         account.rateLimitTokens = Math.min(
                 account.share(plan.rateLimitBurst()),
                 account.rateLimitTokens + account.share(plan.rateLimit()) * elapsed);
-        account.decayBranches(Math.exp(-elapsed * SECOND / BRANCH_DECAY_MICROS));
+        account.decayBranches(StrictMath.exp(-elapsed * SECOND / BRANCH_DECAY_MICROS));
         boolean quiet = account.localCount() < QUIET_COUNT_SHARE * plan.quotaBurst();
-        account.raceMargin *= Math.exp(-elapsed * SECOND / (quiet ? QUIET_RACE_DECAY_MICROS : RACE_DECAY_MICROS));
+        account.raceMargin *= StrictMath.exp(-elapsed * SECOND / (quiet ? QUIET_RACE_DECAY_MICROS : RACE_DECAY_MICROS));
     }
 
     /** Maximum time for a count to cross the heap, 2(log2(N+1)-1)(Δs+Δt) with whole levels, in microseconds. */
--- a/src/main/java/reedmux/gatekeeper/policy/SendRate.java
+++ b/src/main/java/reedmux/gatekeeper/policy/SendRate.java
@@ -19,7 +19,7 @@
 
     /** Records an attempt that is sent now. */
     void onSent() {
-        double decay = Math.exp(-(context.now - updatedAt) / DECAY_MICROS);
+        double decay = StrictMath.exp(-(context.now - updatedAt) / DECAY_MICROS);
         updatedAt = context.now;
         workPerSecond *= decay;
         requestsPerSecond = requestsPerSecond * decay + SECOND / DECAY_MICROS;
@@ -39,6 +39,6 @@
      * since then.
      */
     double workPerWarmServer() {
-        return workPerSecond / (1 - Math.exp(-Math.max(SECOND, context.now - context.startedAt) / DECAY_MICROS));
+        return workPerSecond / (1 - StrictMath.exp(-Math.max(SECOND, context.now - context.startedAt) / DECAY_MICROS));
     }
 }
--- a/src/main/java/reedmux/proxy/quota/ViewChurn.java
+++ b/src/main/java/reedmux/proxy/quota/ViewChurn.java
@@ -23,7 +23,7 @@
     }
 
     private void decay(long now) {
-        decayedChanges *= Math.exp((decayedAt - now) / DECAY_MICROS);
+        decayedChanges *= StrictMath.exp((decayedAt - now) / DECAY_MICROS);
         decayedAt = now;
     }
 
--- a/src/test/java/reedmux/gatekeeper/policy/DecisionScenario.java
+++ b/src/test/java/reedmux/gatekeeper/policy/DecisionScenario.java
@@ -165,7 +165,7 @@
             long end = now + SECOND;
             drawFault();
             while (now < end) {
-                long next = now + 1 + (long) (-Math.log(1 - random.nextDouble()) / requestsPerSecond * SECOND);
+                long next = now + 1 + (long) (-StrictMath.log(1 - random.nextDouble()) / requestsPerSecond * SECOND);
                 runUntil(Math.min(end, next));
                 if (now < end) {
                     request();
@@ -371,7 +371,7 @@
             append(gateway, "send " + request + ' ' + server + ' ' + timeout);
             int attempt = attempts.merge(request, 1, Integer::sum) - 1;
             long mean = fast ? 4 * MS : 60 * MS;
-            long elapsed = mean / 12 + (long) (-Math.log(1 - random.nextDouble()) * mean);
+            long elapsed = mean / 12 + (long) (-StrictMath.log(1 - random.nextDouble()) * mean);
             AttemptOutcome outcome = AttemptOutcome.OK;
             switch (serverFaults.getOrDefault(server, 0)) {
                 case 1 -> outcome = random.nextBoolean() ? AttemptOutcome.ERROR : AttemptOutcome.RESET;
